Set down the folders, core types and design page

Cause: a new project. The design page lists requirements, state owners, messages and what happens when each part fails; the core types fix ids, states, messages and the filter protocol before other modules depend on them. Ruled out: bare maps between layers, since the decision modules must not depend on a codec.

--- /dev/null
+++ b/chervilgw/core/__init__.py
@@ -0,0 +1,16 @@
+"""Identifiers, states, messages and the pipeline that every layer shares."""
+
+from chervilgw.core.errors import ChervilError
+from chervilgw.core.ids import Incarnation, RequestId
+from chervilgw.core.pipeline import Filter, make_pipeline
+from chervilgw.core.refusals import Refusal, make_refusal
+
+__all__ = [
+    "ChervilError",
+    "Filter",
+    "Incarnation",
+    "Refusal",
+    "RequestId",
+    "make_pipeline",
+    "make_refusal",
+]
--- /dev/null
+++ b/chervilgw/core/errors.py
@@ -0,0 +1,5 @@
+"""Base class of the package's exceptions; each layer derives its own."""
+
+
+class ChervilError(Exception):
+    """Base class of all exceptions that this package raises."""
--- /dev/null
+++ b/chervilgw/core/ids.py
@@ -0,0 +1,102 @@
+"""Identifier types.
+
+Identifiers are strings or integers at run time; the ``NewType`` wrappers let a type
+checker tell them apart.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NewType
+
+VmId = NewType("VmId", str)
+ZoneId = NewType("ZoneId", str)
+CustomerId = NewType("CustomerId", str)
+KeyId = NewType("KeyId", str)
+ModelName = NewType("ModelName", str)
+ServiceName = NewType("ServiceName", str)
+BudgetName = NewType("BudgetName", str)
+ChangeId = NewType("ChangeId", str)
+CrashId = NewType("CrashId", str)
+Digest = NewType("Digest", str)
+Offset = NewType("Offset", int)
+ShareUnits = NewType("ShareUnits", int)
+
+NO_OFFSET = Offset(-1)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Incarnation:
+    """One run of one process.
+
+    Parameters
+    ----------
+    vm : VmId
+        The VM on which the process runs.
+    start_ms : int
+        Start time in milliseconds since the epoch. A later process of the same VM has a
+        higher number.
+
+    Examples
+    --------
+    >>> str(Incarnation(VmId("entry-1"), 17))
+    'entry-1/17'
+    """
+
+    vm: VmId
+    start_ms: int
+
+    def __str__(self) -> str:
+        return f"{self.vm}/{self.start_ms}"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RequestId:
+    """Identifier of one attempt, unique over restarts.
+
+    Parameters
+    ----------
+    origin : Incarnation
+        The entry process that dispatched the attempt.
+    counter : int
+        Number of the attempt within that process.
+
+    Examples
+    --------
+    >>> str(RequestId(Incarnation(VmId("entry-1"), 17), 3))
+    'entry-1/17/3'
+    """
+
+    origin: Incarnation
+    counter: int
+
+    def __str__(self) -> str:
+        return f"{self.origin}/{self.counter}"
+
+
+def parse_incarnation(text: str) -> Incarnation:
+    """Parse the text form of an incarnation.
+
+    Parameters
+    ----------
+    text : str
+        ``vm/start_ms``.
+
+    Returns
+    -------
+    Incarnation
+
+    Raises
+    ------
+    ValueError
+        If the text has another form.
+
+    Examples
+    --------
+    >>> parse_incarnation("entry-1/17").start_ms
+    17
+    """
+    vm, separator, start_ms = text.rpartition("/")
+    if not separator or not vm:
+        raise ValueError(f"not an incarnation: {text!r}")
+    return Incarnation(VmId(vm), int(start_ms))
--- /dev/null
+++ b/chervilgw/core/tests/test_pipeline.py
@@ -0,0 +1,17 @@
+"""A refusal must end the path: later filters may charge or dispatch."""
+
+from returns.result import Failure, Success
+
+from chervilgw.core import make_pipeline, make_refusal
+from chervilgw.core.states import RefusalReason
+
+
+def test_refusal_stops_later_filters():
+    refusal = make_refusal(RefusalReason.NO_KEY, "no key")
+    seen = []
+    path = make_pipeline(
+        lambda message, now_s: Failure(refusal),
+        lambda message, now_s: Success(seen.append(message)),
+    )
+    assert path("request", now_s=0.0) == Failure(refusal)
+    assert seen == []
