--- /dev/null
+++ b/chervilgw/platform/vm_list.py
@@ -0,0 +1,80 @@
+"""Requests to the platform's list of VMs, and their answers."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from chervilgw.core.ids import VmId, ZoneId
+from chervilgw.core.states import Role, VmState
+from chervilgw.platform.errors import PlatformError
+from chervilgw.runtime.events import CallDone, HttpCall
+
+
+@dataclass(frozen=True, slots=True)
+class ListedVm:
+    """One VM of the platform's list."""
+
+    vm: VmId
+    role: Role
+    zone: ZoneId
+    address: str
+    state: VmState
+
+
+def make_list_call(address: str, call: str, reply_to: str) -> HttpCall:
+    """Return the call that reads the list.
+
+    Parameters
+    ----------
+    address : str
+        Address of the list.
+    call : str
+        Call id.
+    reply_to : str
+        Channel for the answer.
+
+    Returns
+    -------
+    HttpCall
+    """
+    return HttpCall(call, reply_to, address, "GET", "/vms", timeout_s=2.0)
+
+
+def parse_list(answer: CallDone) -> Result[tuple[ListedVm, ...], PlatformError]:
+    """Parse the list.
+
+    Parameters
+    ----------
+    answer : CallDone
+        Answer of the platform.
+
+    Returns
+    -------
+    Result of tuple of ListedVm or PlatformError
+
+    Examples
+    --------
+    >>> parse_list(CallDone("1", 200, (), b'{"vms": []}'))
+    <Success: ()>
+    """
+    if answer.status != 200:
+        error = PlatformError(f"the list answered with status {answer.status}", False)
+        return Failure(error)
+    try:
+        return Success(
+            tuple(
+                ListedVm(
+                    VmId(item["vm"]),
+                    Role(item["role"]),
+                    ZoneId(item["zone"]),
+                    item["address"],
+                    VmState(item["state"]),
+                )
+                for item in json.loads(answer.body)["vms"]
+            )
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return Failure(PlatformError(f"malformed answer of the list: {error}", False))
--- /dev/null
+++ b/chervilgw/runtime/events.py
@@ -0,0 +1,197 @@
+"""Events by which tasks exchange messages.
+
+The class name of a ``circuits`` event is its event name, hence the lower-case names.
+Every event carries one typed message.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from circuits import Event
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A complete request of a caller.
+
+    ``exchange`` identifies the request and its answer at the HTTP server task. Header
+    names are in lower case.
+    """
+
+    exchange: int
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A complete answer."""
+
+    exchange: int
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpPushStart:
+    """Status and headers of an answer whose body follows in parts."""
+
+    exchange: int
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A request that the HTTP client task sends.
+
+    ``reply_to`` is the channel for the result events. ``fresh`` asks for a new
+    connection: on a kept one, the server's idle close can race with the request, and
+    the outcome would be unknown. ``stream`` delivers the body in parts.
+    """
+
+    call: str
+    reply_to: str
+    address: str
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b""
+    timeout_s: float = 5.0
+    idle_timeout_s: float = 30.0
+    fresh: bool = False
+    stream: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CallHead:
+    """Status and headers of a streamed answer."""
+
+    call: str
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class CallData:
+    """Part of the body of a streamed answer."""
+
+    call: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallDone:
+    """End of an answer; ``body`` is empty for a streamed one."""
+
+    call: str
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """No complete answer came.
+
+    ``sent`` is False only if no byte of the request can have reached the server.
+    """
+
+    call: str
+    sent: bool
+    detail: str
+
+
+class http_request(Event):  # noqa: N801
+    """A caller's request arrived: ``HttpRequest``."""
+
+
+class http_gone(Event):  # noqa: N801
+    """The caller of an unfinished exchange disconnected: exchange number."""
+
+
+class http_reply(Event):  # noqa: N801
+    """Send a complete answer: ``HttpReply``."""
+
+
+class http_push_start(Event):  # noqa: N801
+    """Begin an answer in parts: ``HttpPushStart``."""
+
+
+class http_push_data(Event):  # noqa: N801
+    """Send a part: exchange number, bytes."""
+
+
+class http_push_end(Event):  # noqa: N801
+    """End an answer in parts: exchange number, whether it is complete."""
+
+
+class http_call(Event):  # noqa: N801
+    """Send a request: ``HttpCall``."""
+
+
+class http_call_cancel(Event):  # noqa: N801
+    """Close the connection of a call: call id."""
+
+
+class call_head(Event):  # noqa: N801
+    """``CallHead``."""
+
+
+class call_data(Event):  # noqa: N801
+    """``CallData``."""
+
+
+class call_done(Event):  # noqa: N801
+    """``CallDone``."""
+
+
+class call_failed(Event):  # noqa: N801
+    """``CallFailed``."""
+
+
+class peer_up(Event):  # noqa: N801
+    """A connection to a peer works: ``Peer``."""
+
+
+class peer_down(Event):  # noqa: N801
+    """The connection to a peer ended: ``Peer``."""
+
+
+class peer_messages(Event):  # noqa: N801
+    """Messages of a peer, in order: ``Peer``, list of messages."""
+
+
+class peer_send(Event):  # noqa: N801
+    """Send a message: incarnation of the peer, message."""
+
+
+class peer_dial(Event):  # noqa: N801
+    """Keep a connection to a VM: VM id, address."""
+
+
+class peer_undial(Event):  # noqa: N801
+    """Keep no connection to a VM any longer: VM id."""
+
+
+class clock_tick(Event):  # noqa: N801
+    """Periodic tick: monotonic time in seconds, whether the process was paused."""
+
+
+class shut_down(Event):  # noqa: N801
+    """Begin the graceful shutdown."""
+
+
+class http_drain(Event):  # noqa: N801
+    """Close each caller connection after its current answer."""
+
+
+class http_stop_listening(Event):  # noqa: N801
+    """Accept no further caller connections."""
--- /dev/null
+++ b/chervilgw/runtime/http_client.py
@@ -0,0 +1,240 @@
+"""HTTP client task: owns the connections to engines, services and the platform.
+
+Other tasks send it ``http_call`` and ``http_call_cancel``; results go to the channel
+that the call names. ``h11`` parses and writes HTTP.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+from circuits import BaseComponent, handler
+
+from chervilgw.runtime.events import (
+    CallData,
+    CallDone,
+    CallFailed,
+    CallHead,
+    HttpCall,
+    call_data,
+    call_done,
+    call_failed,
+    call_head,
+)
+from chervilgw.runtime.sockets import Dialer
+
+MAX_IDLE_PER_ADDRESS = 8
+IDLE_CONNECTION_S = 10.0
+
+
+@dataclass(slots=True)
+class _Call:
+    spec: HttpCall
+    started_s: float
+    last_data_s: float
+    sock: Any = None
+    parser: Any = None
+    status: int = 0
+    headers: tuple = ()
+    body: list[bytes] = field(default_factory=list)
+
+
+class HttpClient(BaseComponent):
+    """HTTP client task; see :func:`make_http_client`."""
+
+    def __init__(self, channel="http-client"):
+        super().__init__(channel=channel)
+        self._dialer = Dialer(channel).register(self)
+        self._calls: dict[str, _Call] = {}
+        self._by_sock: dict[Any, str] = {}
+        self._idle: dict[str, list[tuple[Any, Any, float]]] = defaultdict(list)
+        self._idle_address: dict[Any, str] = {}
+
+    @handler("http_call")
+    def _on_call(self, spec: HttpCall):
+        now_s = time.monotonic()
+        call = self._calls[spec.call] = _Call(spec, now_s, now_s)
+        if not spec.fresh and self._idle[spec.address]:
+            sock, parser, _ = self._idle[spec.address].pop()
+            self._idle_address.pop(sock)
+            self._send(call, sock, parser)
+            return
+        host, _, port = spec.address.rpartition(":")
+        self._dialer.dial(spec.call, host, int(port))
+
+    @handler("dialed")
+    def _on_dialed(self, token, sock, detail):
+        call = self._calls.get(token)
+        if call is None:
+            if sock is not None:
+                self._dialer.close(sock)
+            return
+        if sock is None:
+            self._fail(call, sent=False, detail=detail)
+            return
+        self._send(call, sock, h11.Connection(our_role=h11.CLIENT))
+
+    def _send(self, call: _Call, sock, parser):
+        spec = call.spec
+        call.sock, call.parser = sock, parser
+        self._by_sock[sock] = spec.call
+        headers = [("Host", spec.address), *spec.headers]
+        headers.append(("Content-Length", str(len(spec.body))))
+        try:
+            head = h11.Request(method=spec.method, target=spec.path, headers=headers)
+        except h11.LocalProtocolError as error:
+            self._fail(call, sent=False, detail=f"invalid request: {error}")
+            return
+        parts = [parser.send(head)]
+        if spec.body:
+            parts.append(parser.send(h11.Data(data=spec.body)))
+        parts.append(parser.send(h11.EndOfMessage()))
+        self._dialer.write(sock, b"".join(parts))
+
+    @handler("read")
+    def _on_read(self, sock, data):
+        call = self._calls.get(self._by_sock.get(sock, ""))
+        if call is None:
+            self._drop_idle(sock)
+            self._dialer.close(sock)
+            return
+        call.last_data_s = time.monotonic()
+        try:
+            call.parser.receive_data(data)
+            self._parse(call)
+        except h11.RemoteProtocolError as error:
+            self._fail(call, sent=True, detail=f"malformed answer: {error}")
+
+    def _parse(self, call: _Call):
+        received: list[bytes] = []
+        while True:
+            event = call.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.Response):
+                self._on_head(call, event)
+            elif isinstance(event, h11.Data):
+                received.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._deliver(call, received)
+                self._finish(call)
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                break
+        self._deliver(call, received)
+
+    def _on_head(self, call: _Call, head):
+        call.status = head.status_code
+        call.headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers
+        )
+        if call.spec.stream:
+            message = CallHead(call.spec.call, call.status, call.headers)
+            self.fire(call_head(message), call.spec.reply_to)
+
+    def _deliver(self, call: _Call, received: list[bytes]):
+        if not received:
+            return
+        if call.spec.stream:
+            message = CallData(call.spec.call, b"".join(received))
+            self.fire(call_data(message), call.spec.reply_to)
+        else:
+            call.body.extend(received)
+
+    def _finish(self, call: _Call):
+        spec = call.spec
+        del self._calls[spec.call]
+        del self._by_sock[call.sock]
+        self._keep_or_close(call)
+        body = b"".join(call.body)
+        message = CallDone(spec.call, call.status, call.headers, body)
+        self.fire(call_done(message), spec.reply_to)
+
+    def _keep_or_close(self, call: _Call):
+        idle = self._idle[call.spec.address]
+        try:
+            call.parser.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._dialer.close(call.sock)
+            return
+        if call.spec.fresh or len(idle) >= MAX_IDLE_PER_ADDRESS:
+            self._dialer.close(call.sock)
+            return
+        idle.append((call.sock, call.parser, time.monotonic()))
+        self._idle_address[call.sock] = call.spec.address
+
+    def _fail(self, call: _Call, sent: bool, detail: str):
+        self._calls.pop(call.spec.call, None)
+        if call.sock is not None:
+            self._by_sock.pop(call.sock, None)
+            self._dialer.close(call.sock)
+        else:
+            self._dialer.abandon(call.spec.call)
+        message = CallFailed(call.spec.call, sent, detail)
+        self.fire(call_failed(message), call.spec.reply_to)
+
+    def _drop_idle(self, sock):
+        address = self._idle_address.pop(sock, None)
+        if address is not None:
+            idle = self._idle[address]
+            idle[:] = [item for item in idle if item[0] is not sock]
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock):
+        self._drop_idle(sock)
+        call = self._calls.get(self._by_sock.get(sock, ""))
+        if call is None:
+            return
+        try:
+            call.parser.receive_data(b"")
+            self._parse(call)
+        except h11.RemoteProtocolError:
+            pass
+        if call.spec.call in self._calls:
+            self._fail(call, sent=True, detail="connection closed before the answer")
+
+    @handler("http_call_cancel")
+    def _on_cancel(self, call_id: str):
+        call = self._calls.pop(call_id, None)
+        if call is None:
+            return
+        if call.sock is None:
+            self._dialer.abandon(call_id)
+            return
+        self._by_sock.pop(call.sock, None)
+        self._dialer.close(call.sock)
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        for call in list(self._calls.values()):
+            if paused:
+                call.last_data_s = call.started_s = now_s
+            elif not call.status and now_s - call.started_s > call.spec.timeout_s:
+                self._fail(call, call.sock is not None, "no answer in time")
+            elif call.status and now_s - call.last_data_s > call.spec.idle_timeout_s:
+                self._fail(call, sent=True, detail="the answer stopped")
+        for idle in self._idle.values():
+            while idle and now_s - idle[0][2] > IDLE_CONNECTION_S:
+                sock = idle.pop(0)[0]
+                self._idle_address.pop(sock, None)
+                self._dialer.close(sock)
+
+
+def make_http_client(channel: str = "http-client") -> HttpClient:
+    """Return an HTTP client task.
+
+    Parameters
+    ----------
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    HttpClient
+    """
+    return HttpClient(channel)
--- /dev/null
+++ b/chervilgw/runtime/http_server.py
@@ -0,0 +1,323 @@
+"""HTTP server task: owns the callers' sockets.
+
+Other tasks send it ``http_reply`` or ``http_push_start``, ``http_push_data`` and
+``http_push_end``; it sends them ``http_request`` and ``http_gone``.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from http.client import responses
+from itertools import count
+from typing import Any, Protocol
+
+from circuits import BaseComponent, handler
+from circuits.web.events import response as send_response
+from circuits.web.http import HTTP
+
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason
+from chervilgw.runtime.events import (
+    HttpPushStart,
+    HttpReply,
+    HttpRequest,
+    http_gone,
+    http_request,
+)
+from chervilgw.runtime.http_guard import (
+    GuardLimits,
+    RequestGuard,
+    make_request_guard,
+)
+from chervilgw.runtime.sockets import DirectServer
+
+
+class RefusalWriter(Protocol):
+    """Turns a refusal into status, headers and body."""
+
+    def __call__(self, refusal: Refusal) -> tuple[int, tuple, bytes]:
+        """Return status, headers and body."""
+        ...
+
+
+@dataclass(slots=True)
+class _Connection:
+    guard: RequestGuard
+    exchange: int | None = None
+
+
+@dataclass(slots=True)
+class _Exchange:
+    request: Any
+    response: Any
+    sock: Any
+    pushing: bool = False
+    chunked: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HttpServerOptions:
+    """Options of an HTTP server task.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address to listen on.
+    owner : str
+        Channel that gets the requests.
+    limits : GuardLimits
+        Limits of what a caller may send.
+    max_connections : int
+        Further connections are closed at once.
+    write_limit_bytes : int
+        A caller that leaves more than this unread is disconnected.
+    certfile, keyfile : str or None
+        TLS certificate and key.
+    """
+
+    host: str
+    port: int
+    owner: str
+    limits: GuardLimits = field(default_factory=GuardLimits)
+    max_connections: int = 2000
+    write_limit_bytes: int = 8_388_608
+    certfile: str | None = None
+    keyfile: str | None = None
+
+
+class HttpServer(BaseComponent):
+    """HTTP server task; see :func:`make_http_server`."""
+
+    display_banner = False
+
+    def __init__(self, options: HttpServerOptions, refusal_writer, channel):
+        super().__init__(channel=channel)
+        self._options = options
+        self._write_refusal = refusal_writer
+        self._connections: dict[Any, _Connection] = {}
+        self._exchanges: dict[int, _Exchange] = {}
+        self._numbers = count(1)
+        self._closing = False
+        self.server = DirectServer(
+            (options.host, options.port),
+            channel=channel,
+            write_limit_bytes=options.write_limit_bytes,
+            secure=options.certfile is not None,
+            certfile=options.certfile,
+            keyfile=options.keyfile,
+        ).register(self)
+        self.http = HTTP(self, channel=channel).register(self)
+
+    @property
+    def secure(self):
+        """Return whether callers use TLS; the library asks for it."""
+        return self.server.secure
+
+    @property
+    def host(self):
+        """Return the address that the server listens on."""
+        return self.server.host
+
+    @property
+    def port(self):
+        """Return the port that the server listens on."""
+        return self.server.port
+
+    @property
+    def busy_exchanges(self) -> int:
+        """Return the number of requests without a complete answer."""
+        return len(self._exchanges)
+
+    @handler("connect")
+    def _on_connect(self, sock, *args):
+        if len(self._connections) >= self._options.max_connections:
+            self.server.close(sock)
+            return
+        guard = make_request_guard(self._options.limits)
+        self._connections[sock] = _Connection(guard)
+
+    @handler("read", priority=10)
+    def _on_read(self, event, sock, data):
+        connection = self._connections.get(sock)
+        if connection is None:
+            event.stop()
+            return
+        refusal = connection.guard.on_data(data, time.monotonic())
+        if refusal is not None:
+            event.stop()
+            self._refuse_connection(sock, refusal)
+        elif connection.guard.expects_continue:
+            connection.guard.expects_continue = False
+            self.server.write(sock, b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _refuse_connection(self, sock, refusal: Refusal):
+        status, headers, body = self._write_refusal(refusal)
+        lines = [f"HTTP/1.1 {status} {responses.get(status, '')}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
+        self.server.write(sock, "\r\n".join(lines).encode("latin-1") + body)
+        self._forget(sock)
+        self.server.close(sock)
+
+    @handler("request", priority=10)
+    def _on_request(self, event, request, response, *args):
+        event.stop()
+        sock = request.sock
+        connection = self._connections.get(sock)
+        if connection is None:
+            return True
+        connection.guard.on_request()
+        connection.exchange = exchange = next(self._numbers)
+        self._exchanges[exchange] = _Exchange(request, response, sock)
+        message = HttpRequest(
+            exchange,
+            request.method,
+            request.path,
+            request.qs,
+            {name.lower(): value for name, value in request.headers.items()},
+            request.body.read(),
+        )
+        if len(message.body) > self._options.limits.max_body_bytes:
+            detail = f"the body is over {self._options.limits.max_body_bytes} bytes"
+            refusal = make_refusal(RefusalReason.BODY_TOO_LARGE, detail)
+            self._on_reply(HttpReply(exchange, *self._write_refusal(refusal)))
+            return True
+        self.fire(http_request(message), self._options.owner)
+        return True
+
+    @handler("httperror", priority=10)
+    def _on_httperror(self, event, request, response, code=400, **kwargs):
+        event.stop()
+        if request.sock in self._connections:
+            refusal = make_refusal(RefusalReason.BAD_REQUEST, "malformed HTTP request")
+            self._refuse_connection(request.sock, refusal)
+
+    @handler("redirect", priority=10)
+    def _on_redirect(self, event, request, response, *args):
+        event.stop()
+        if request.sock in self._connections:
+            refusal = make_refusal(RefusalReason.UNKNOWN_ROUTE, "path is not canonical")
+            self._refuse_connection(request.sock, refusal)
+
+    @handler("exception", channel="*", priority=10)
+    def _on_exception(self, *args, **kwargs):
+        event = kwargs.get("fevent")
+        if event is None or event.name != "read" or not event.args:
+            return
+        if event.args[0] in self._connections:
+            refusal = make_refusal(RefusalReason.BAD_REQUEST, "malformed HTTP request")
+            self._refuse_connection(event.args[0], refusal)
+
+    @handler("http_reply")
+    def _on_reply(self, reply: HttpReply):
+        exchange = self._exchanges.pop(reply.exchange, None)
+        if exchange is None:
+            return
+        response = exchange.response
+        response.status = reply.status
+        for name, value in reply.headers:
+            response.headers[name] = value
+        response.body = [reply.body]
+        response.close = response.close or self._closing
+        self._answered(exchange.sock)
+        self.fire(send_response(response))
+
+    @handler("http_push_start")
+    def _on_push_start(self, start: HttpPushStart):
+        exchange = self._exchanges.get(start.exchange)
+        if exchange is None:
+            return
+        response = exchange.response
+        response.status = start.status
+        for name, value in start.headers:
+            response.headers[name] = value
+        response.stream = True
+        # With an iterator as body the length is unknown, and the library chooses the
+        # chunked encoding; a generator body would be read once per 100 ms idle tick.
+        response.body = iter(())
+        response.close = response.close or self._closing
+        response.prepare()
+        response.body = []
+        exchange.pushing = True
+        exchange.chunked = response.chunked
+        self.server.write(exchange.sock, bytes(response) + bytes(response.headers))
+
+    @handler("http_push_data")
+    def _on_push_data(self, number: int, data: bytes):
+        exchange = self._exchanges.get(number)
+        if exchange is None or not data:
+            return
+        if exchange.chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.server.write(exchange.sock, data)
+
+    @handler("http_push_end")
+    def _on_push_end(self, number: int, complete: bool = True):
+        exchange = self._exchanges.pop(number, None)
+        if exchange is None:
+            return
+        sock = exchange.sock
+        self._answered(sock)
+        self.http._clients.pop(sock, None)
+        if complete and exchange.chunked:
+            self.server.write(sock, b"0\r\n\r\n")
+        # An incomplete body is ended by closing the connection before the last chunk,
+        # so that an HTTP client sees the truncation.
+        if exchange.response.close or not complete:
+            self.server.close(sock)
+
+    def _answered(self, sock):
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.exchange = None
+            connection.guard.on_answered()
+
+    def _forget(self, sock):
+        connection = self._connections.pop(sock, None)
+        self.http._buffers.pop(sock, None)
+        self.http._clients.pop(sock, None)
+        if connection is None or connection.exchange is None:
+            return
+        if self._exchanges.pop(connection.exchange, None) is not None:
+            self.fire(http_gone(connection.exchange), self._options.owner)
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock):
+        self._forget(sock)
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        if paused:
+            return
+        for sock, connection in list(self._connections.items()):
+            refusal = connection.guard.check_time(now_s)
+            if refusal is not None:
+                self._refuse_connection(sock, refusal)
+
+    @handler("http_drain")
+    def _on_drain(self):
+        self._closing = True
+
+    @handler("http_stop_listening")
+    def _on_stop_listening(self):
+        self.server.stop_listening()
+
+
+def make_http_server(options, refusal_writer, channel="http") -> HttpServer:
+    """Return an HTTP server task.
+
+    Parameters
+    ----------
+    options : HttpServerOptions
+        Address, limits and owner.
+    refusal_writer : RefusalWriter
+        Turns the server's own refusals, such as an oversized body, into answers.
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    HttpServer
+    """
+    return HttpServer(options, refusal_writer, channel)
--- /dev/null
+++ b/chervilgw/runtime/sockets.py
@@ -0,0 +1,187 @@
+"""Socket components with immediate writes and non-blocking connects.
+
+``circuits`` 3.2.5 queues each write for the poller, which costs four system calls a
+write, and its client polls for the end of a connect in a loop. Both are replaced here.
+"""
+
+from __future__ import annotations
+
+import socket
+from errno import EAGAIN, EINPROGRESS, EWOULDBLOCK
+from typing import Any
+
+from circuits import Event, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+from circuits.net.sockets import TCPServer
+
+READ_SIZE_BYTES = 65536
+
+
+class dialed(Event):  # noqa: N801 (an event's class name is its event name)
+    """A connect of a :class:`Dialer` ended: ``dialed(token, sock_or_None, detail)``."""
+
+
+class DirectServer(TCPServer):
+    """TCP server that sends at once and bounds each connection's write buffer.
+
+    Parameters
+    ----------
+    bind : tuple of str and int
+        Address to listen on; port 0 lets the kernel choose.
+    channel : str
+        Channel of its events.
+    write_limit_bytes : int
+        A connection whose peer leaves more than this unread is closed.
+    """
+
+    def __init__(self, bind, channel, write_limit_bytes=8_388_608, **kwargs):
+        super().__init__(bind, channel=channel, bufsize=READ_SIZE_BYTES, **kwargs)
+        self._write_limit_bytes = write_limit_bytes
+        self._pending_bytes: dict[Any, int] = {}
+
+    @handler("write", override=True)
+    def write(self, sock, data):
+        """Send now what the socket takes and queue the rest."""
+        if sock not in self._clients:
+            return
+        if sock in self._pending_bytes:
+            self._enqueue(sock, data)
+            return
+        try:
+            sent = sock.send(data)
+        except OSError as error:
+            if error.errno in (EAGAIN, EWOULDBLOCK):
+                sent = 0
+            else:
+                self._close(sock)
+                return
+        if sent < len(data):
+            self._enqueue(sock, data[sent:])
+
+    def _enqueue(self, sock, data):
+        pending_bytes = self._pending_bytes.get(sock, 0) + len(data)
+        if pending_bytes > self._write_limit_bytes:
+            self._close(sock)
+            return
+        if sock not in self._pending_bytes:
+            self._poller.addWriter(self, sock)
+        self._pending_bytes[sock] = pending_bytes
+        self._buffers[sock].append(data)
+
+    @handler("_write", priority=1, override=True)
+    def _on_write(self, sock):
+        """Send queued data when the poller says that the socket takes more."""
+        queue = self._buffers[sock]
+        if queue:
+            try:
+                sent = sock.send(queue[0])
+            except OSError as error:
+                if error.errno not in (EAGAIN, EWOULDBLOCK):
+                    self._close(sock)
+                return
+            if sent < len(queue[0]):
+                queue[0] = queue[0][sent:]
+            else:
+                queue.popleft()
+            self._pending_bytes[sock] -= sent
+        if not queue:
+            self._pending_bytes.pop(sock, None)
+            self._poller.removeWriter(sock)
+            if sock in self._closeq:
+                self._closeq.remove(sock)
+                self._close(sock)
+
+    def _close(self, sock):
+        self._pending_bytes.pop(sock, None)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+        super()._close(sock)
+
+    def _on_accept_done(self, sock, fire_connect_event=True):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super()._on_accept_done(sock, fire_connect_event)
+
+    def stop_listening(self):
+        """Close the listening socket; open connections stay."""
+        if self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._clients)
+
+
+class Dialer(DirectServer):
+    """Owner of many outgoing connections.
+
+    The result of each :meth:`dial` arrives as a :class:`dialed` event; after that the
+    events are those of a server: ``read``, ``write``, ``close`` and ``disconnect``.
+
+    Parameters
+    ----------
+    channel : str
+        Channel of its events.
+    """
+
+    def __init__(self, channel, **kwargs):
+        super().__init__(("127.0.0.1", 0), channel=channel, **kwargs)
+        self._connecting: dict[Any, Any] = {}
+
+    def _create_socket(self):
+        return None
+
+    @handler("registered", "started", channel="*", override=True)
+    def _on_registered_or_started(self, component, manager=None):
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+
+    def dial(self, token, host: str, port: int):
+        """Begin a connect without waiting for it."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((host, port))
+        if code not in (0, EINPROGRESS):
+            sock.close()
+            self.fire(dialed(token, None, f"connect failed: errno {code}"))
+            return
+        self._connecting[sock] = token
+        self._clients.append(sock)
+        self._poller.addWriter(self, sock)
+
+    def abandon(self, token):
+        """Give up a connect that has not ended."""
+        for sock, owner in list(self._connecting.items()):
+            if owner == token:
+                self._finish_connect(sock, "abandoned")
+
+    def _finish_connect(self, sock, failure: str | None):
+        token = self._connecting.pop(sock)
+        self._poller.discard(sock)
+        if failure is not None:
+            self._clients.remove(sock)
+            sock.close()
+            self.fire(dialed(token, None, failure))
+            return
+        self._poller.addReader(self, sock)
+        self.fire(dialed(token, sock, ""))
+
+    @handler("_write", priority=1, override=True)
+    def _on_write(self, sock):
+        """Finish a connect, or send queued data."""
+        if sock not in self._connecting:
+            super()._on_write(sock)
+            return
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self._finish_connect(sock, f"connect failed: errno {code}" if code else None)
+
+    @handler("_disconnect", priority=1, override=True)
+    def _on_disconnect(self, sock):
+        if sock in self._connecting:
+            self._finish_connect(sock, "connection refused")
+        else:
+            self._close(sock)
