--- /dev/null
+++ b/chervilgw/configuration/lookups.py
@@ -0,0 +1,139 @@
+"""Questions that other layers ask the configuration."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from chervilgw.configuration.state import ConfigurationState
+from chervilgw.configuration.values import (
+    ALL,
+    DEFAULTS_NAME,
+    Adapter,
+    Customer,
+    Defaults,
+    Kind,
+    Model,
+    Route,
+    Service,
+    exception_name,
+)
+
+_BUILT_IN = Defaults()
+_DOT_SEGMENTS = frozenset({".", ".."})
+
+
+class ResolvedModel(NamedTuple):
+    """A model and, if the caller named one, an adapter on it."""
+
+    name: str
+    model: Model
+    adapter_name: str | None = None
+    adapter: Adapter | None = None
+
+
+def defaults(state: ConfigurationState) -> Defaults:
+    """Return the fleet-wide defaults, built-in ones until an operator sets them."""
+    item = state.items[Kind.DEFAULTS].get(DEFAULTS_NAME)
+    return item.value if item else _BUILT_IN
+
+
+def effective(
+    state: ConfigurationState,
+    field: str,
+    customer: str | None = None,
+    model: str | None = None,
+    service: str | None = None,
+) -> int | float:
+    """Return a field of the defaults with exceptions applied.
+
+    A customer's exception comes before a model's, and that before a service's.
+
+    Examples
+    --------
+    >>> from chervilgw.configuration.state import empty_state
+    >>> effective(empty_state(), "max_tokens_limit", customer="acme")
+    4096
+    """
+    exceptions = state.items[Kind.EXCEPTION]
+    if exceptions:
+        scoped = (("customer", customer), ("model", model), ("service", service))
+        for scope, name in scoped:
+            if name is not None and (
+                item := exceptions.get(exception_name(scope, name, field))
+            ):
+                return item.value.value
+    return getattr(defaults(state), field)
+
+
+def customer_of(state: ConfigurationState, customer: str) -> Customer | None:
+    """Return a customer's value, or None."""
+    item = state.items[Kind.CUSTOMER].get(customer)
+    return item.value if item else None
+
+
+def models_of(state: ConfigurationState, customer: str) -> tuple[str, ...]:
+    """Return the names of all models and adapters that a customer may use, sorted."""
+    value = customer_of(state, customer)
+    if value is None:
+        return ()
+    names = {*state.items[Kind.MODEL], *state.items[Kind.ADAPTER]}
+    return tuple(sorted(names if ALL in value.models else names & set(value.models)))
+
+
+def may_use_model(state: ConfigurationState, customer: str, name: str) -> bool:
+    """Return whether a customer may use a model or adapter."""
+    value = customer_of(state, customer)
+    return value is not None and (ALL in value.models or name in value.models)
+
+
+def may_use_service(state: ConfigurationState, customer: str, name: str) -> bool:
+    """Return whether a customer may use a service."""
+    value = customer_of(state, customer)
+    return value is not None and (ALL in value.services or name in value.services)
+
+
+def resolve_model(state: ConfigurationState, name: str) -> ResolvedModel | None:
+    """Return the model, and the adapter if there is one, that a name stands for."""
+    if item := state.items[Kind.MODEL].get(name):
+        return ResolvedModel(name, item.value)
+    if item := state.items[Kind.ADAPTER].get(name):
+        base = item.value.base_model
+        model = state.items[Kind.MODEL][base].value
+        return ResolvedModel(base, model, name, item.value)
+    return None
+
+
+def service_route(service: Service, method: str, path: str) -> Route | None:
+    """Return the route of a service with the longest prefix that matches, or None.
+
+    A prefix matches whole path segments only: ``/pay`` does not match ``/payments``.
+    At equal length a route for the method comes before one for ``*``. A path with dot
+    segments has no route: the service could resolve it to a path outside an open prefix.
+
+    Examples
+    --------
+    >>> service = Service(routes=(Route(method="*", path_prefix="/pay"),))
+    >>> service_route(service, "GET", "/pay/1").path_prefix
+    '/pay'
+    >>> service_route(service, "GET", "/payments") is None
+    True
+    """
+    path = path.partition("?")[0]
+    if not _DOT_SEGMENTS.isdisjoint(unquote(path).replace("\\", "/").split("/")):
+        return None
+    matching = [
+        route
+        for route in service.routes
+        if route.method in (method, "*") and _covers(route.path_prefix, path)
+    ]
+    return max(
+        matching,
+        key=lambda route: (len(route.path_prefix), route.method != "*"),
+        default=None,
+    )
+
+
+def _covers(prefix: str, path: str) -> bool:
+    bare = prefix.rstrip("/")
+    return path in (bare, prefix) or path.startswith(bare + "/")
