--- a/chervilgw/configuration/lookups.py
+++ b/chervilgw/configuration/lookups.py
@@ -109,7 +109,7 @@
 
     A prefix matches whole path segments only: ``/pay`` does not match ``/payments``.
     At equal length a route for the method comes before one for ``*``. A path with dot
-    segments has no route: the service could resolve it to a path outside an open prefix.
+    segments has no route, since the service could resolve it outside an open prefix.
 
     Examples
     --------
