--- /dev/null
+++ b/chervilgw/placement/orders.py
@@ -0,0 +1,67 @@
+"""Orders to an engine, and the engine's own report."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from chervilgw.core.ids import ModelName
+from chervilgw.core.states import CopyState
+
+
+class OrderKind(Enum):
+    """What an order asks of the engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class OrderAnswer(Enum):
+    """Outcome of one attempt to deliver an order."""
+
+    OK = "ok"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Load or unload one copy; the engine does each ``order_id`` at most once."""
+
+    order_id: str
+    kind: OrderKind
+    name: ModelName
+    version: str
+    size_bytes: int
+    fencing: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """Tell the engine to reject orders with a lower fencing number."""
+
+    fencing: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadState:
+    """Read the engine's list of resident copies."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCopy:
+    """One copy in the engine's report; ``order_id`` is the order that loaded it."""
+
+    name: ModelName
+    version: str
+    size_bytes: int
+    state: CopyState
+    order_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """The engine's own list of resident copies and its highest fencing number."""
+
+    copies: tuple[EngineCopy, ...]
+    highest_fencing: int = 0
--- /dev/null
+++ b/chervilgw/placement/tests/test_memory.py
@@ -0,0 +1,278 @@
+"""State machine of the memory ledger against an engine that counts overcommits."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, Verbosity, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from returns.result import Success
+
+from chervilgw.core.states import CopyState
+from chervilgw.placement.memory import MemoryLedger
+from chervilgw.placement.orders import (
+    EngineCopy,
+    EngineReport,
+    Fence,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
+
+CAPACITY = 10
+SETTLE_S = 8.0
+SIZES = {"a": 6, "b": 6, "c": 4, "d": 7}
+NAMES = st.sampled_from(sorted(SIZES))
+
+
+class FakeEngine:
+    """Engine that never checks memory itself; a late order takes effect blindly."""
+
+    def __init__(self, fenced):
+        self.fenced = fenced
+        self.highest = 0
+        self.done = set()
+        self.copies = {}
+
+    def fence(self, fencing):
+        self.highest = max(self.highest, fencing)
+
+    def start(self, order):
+        """Begin an order; return False for one that the engine rejects."""
+        if self.fenced and order.fencing < self.highest:
+            return False
+        if order.order_id in self.done:
+            return True
+        key = (order.name, order.version)
+        if order.kind is OrderKind.LOAD:
+            if key in self.copies:
+                return False
+            self.copies[key] = [order.size_bytes, CopyState.LOADING, order.order_id]
+        elif key not in self.copies or self.copies[key][1] is not CopyState.LOADED:
+            return False
+        else:
+            self.copies[key][1] = CopyState.UNLOADING
+        self.done.add(order.order_id)
+        return True
+
+    def finish(self, key):
+        if self.copies[key][1] is CopyState.LOADING:
+            self.copies[key][1] = CopyState.LOADED
+        elif self.copies[key][1] is CopyState.UNLOADING:
+            del self.copies[key]
+
+    def finish_all(self):
+        for key in list(self.copies):
+            self.finish(key)
+
+    def report(self):
+        copies = (EngineCopy(*key, *copy) for key, copy in self.copies.items())
+        return EngineReport(tuple(copies), self.highest)
+
+    def used(self):
+        return sum(copy[0] for copy in self.copies.values())
+
+
+class MemoryMachine(RuleBasedStateMachine):
+    """Guards against memory overcommitted by lost, late, doubled and former orders."""
+
+    make_ledger = MemoryLedger
+
+    @initialize(fenced=st.booleans())
+    def start(self, fenced):
+        self.now_s = 0.0
+        self.process = 0
+        self.engine = FakeEngine(fenced)
+        self.network = []  # (order, sent_at_s): may arrive, more than once, or never
+        self.fences = []
+        self.sent = []
+        self.restart()
+        self.settle()
+
+    @rule()
+    def settle(self):
+        """Pass the wait after a restart, so that most examples issue orders."""
+        self.advance(SETTLE_S)
+        while self.fences:
+            self.engine.fence(self.fences.pop())
+        self.read_now()
+
+    @rule()
+    def restart(self):
+        self.process += 1
+        self.reads = []
+        self.ledger = self.make_ledger(
+            CAPACITY, self.engine.fenced, SETTLE_S, self.process * 1024, self.now_s
+        )
+
+    def send(self, order):
+        self.network.append((order, self.now_s))
+        self.sent.append(order.order_id)
+
+    @rule(name=NAMES, version=st.sampled_from("12"))
+    def load(self, name, version):
+        result = self.ledger.want_load(name, version, SIZES[name], self.now_s)
+        if isinstance(result, Success):
+            self.send(result.unwrap())
+
+    @rule(name=NAMES)
+    def unload(self, name):
+        result = self.ledger.want_unload(name, self.now_s)
+        if isinstance(result, Success):
+            self.send(result.unwrap())
+
+    @precondition(lambda self: self.network)
+    @rule(data=st.data(), keep=st.booleans(), answered=st.booleans())
+    def deliver(self, data, keep, answered):
+        index = data.draw(st.integers(0, len(self.network) - 1))
+        order, _ = self.network[index]
+        if not keep:
+            del self.network[index]
+        accepted = self.engine.start(order)
+        if not answered:
+            return
+        if not accepted:
+            self.ledger.on_order_answer(order.order_id, OrderAnswer.REFUSED, self.now_s)
+        else:
+            key = (order.name, order.version)
+            if key in self.engine.copies:
+                self.engine.finish(key)
+            self.ledger.on_order_answer(order.order_id, OrderAnswer.OK, self.now_s)
+
+    @precondition(lambda self: self.network)
+    @rule(data=st.data())
+    def time_out(self, data):
+        """Report as lost an order that may still arrive."""
+        order, _ = data.draw(st.sampled_from(self.network))
+        self.ledger.on_order_answer(order.order_id, OrderAnswer.LOST, self.now_s)
+
+    @precondition(lambda self: self.network)
+    @rule(data=st.data())
+    def drop(self, data):
+        order, _ = self.network.pop(data.draw(st.integers(0, len(self.network) - 1)))
+        self.ledger.on_order_answer(order.order_id, OrderAnswer.LOST, self.now_s)
+
+    @precondition(lambda self: self.fences)
+    @rule(data=st.data())
+    def deliver_fence(self, data):
+        index = data.draw(st.integers(0, len(self.fences) - 1))
+        self.engine.fence(self.fences.pop(index))
+
+    @precondition(lambda self: self.engine.copies)
+    @rule()
+    def engine_works(self):
+        self.engine.finish_all()
+
+    @rule(step_s=st.sampled_from([0.5, 2.0, 5.0, 9.0]))
+    def advance(self, step_s):
+        self.now_s += step_s
+        if not self.engine.fenced:
+            self.network = [
+                (order, sent_s)
+                for order, sent_s in self.network
+                if sent_s + SETTLE_S > self.now_s
+            ]
+        self.tick()
+
+    @rule()
+    def tick(self):
+        for output in self.ledger.tick(self.now_s):
+            if isinstance(output, Order):
+                self.send(output)
+            elif isinstance(output, Fence):
+                self.fences.append(output.fencing)
+            else:
+                self.reads.append((self.engine.report(), self.now_s))
+
+    @precondition(lambda self: self.reads)
+    @rule(data=st.data())
+    def read_arrives(self, data):
+        index = data.draw(st.integers(0, len(self.reads) - 1))
+        report, requested_s = self.reads.pop(index)
+        self.ledger.on_engine_state(report, requested_s, self.now_s)
+
+    @rule()
+    def read_now(self):
+        report = self.engine.report()
+        self.ledger.on_engine_state(report, self.now_s, self.now_s)
+
+    @invariant()
+    def never_overcommitted(self):
+        if hasattr(self, "engine"):
+            assert self.engine.used() <= CAPACITY, "overcommitted"
+
+    def teardown(self):
+        """After faults stop, a wanted model is loaded once others are unloaded."""
+        if not hasattr(self, "engine"):
+            return
+        self.network, self.fences, self.reads = [], [], []
+        for order_id in self.sent:
+            self.ledger.on_order_answer(order_id, OrderAnswer.LOST, self.now_s)
+        for _ in range(60):
+            self.now_s += 2.0
+            self.fault_free_step()
+            if self.engine.copies.get(("d", "3"), [0, None])[1] is CopyState.LOADED:
+                return
+        raise AssertionError("the wanted model was not loaded")
+
+    def fault_free_step(self):
+        for output in self.ledger.tick(self.now_s):
+            if isinstance(output, Order):
+                self.run_order(output)
+            elif isinstance(output, Fence):
+                self.engine.fence(output.fencing)
+            else:
+                report = self.engine.report()
+                self.ledger.on_engine_state(report, self.now_s, self.now_s)
+        self.engine.finish_all()
+        for copy in self.ledger.resident():
+            if copy.version != "3":
+                result = self.ledger.want_unload(copy.name, self.now_s, copy.version)
+                result.map(self.run_order)
+        self.ledger.want_load("d", "3", SIZES["d"], self.now_s).map(self.run_order)
+        self.never_overcommitted()
+
+    def run_order(self, order):
+        accepted = self.engine.start(order)
+        self.engine.finish_all()
+        answer = OrderAnswer.OK if accepted else OrderAnswer.REFUSED
+        self.ledger.on_order_answer(order.order_id, answer, self.now_s)
+
+
+TestMemory = MemoryMachine.TestCase
+
+
+class FreesOnTimeout(MemoryLedger):
+    def on_order_answer(self, order_id, answer, now_s):
+        found = self._find_pending(order_id)
+        if answer is OrderAnswer.LOST and found:
+            self._remove(found[0], now_s)
+        else:
+            super().on_order_answer(order_id, answer, now_s)
+
+
+class StartsAtOnce(MemoryLedger):
+    def _check_ready(self, report, requested_at_s):
+        self._ready = True
+
+
+@pytest.mark.parametrize("broken", [FreesOnTimeout, StartsAtOnce])
+def test_machine_detects_broken_rule(broken):
+    """Guards against a state machine too weak to see the faults it is there for."""
+    machine = type("Broken", (MemoryMachine,), {"make_ledger": broken})
+    limits = settings(
+        max_examples=2000,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        verbosity=Verbosity.quiet,
+        suppress_health_check=list(HealthCheck),
+    )
+    with pytest.raises(AssertionError, match="overcommitted"):
+        run_state_machine_as_test(machine, settings=limits)
