Add choice of backend server, retry budget and prefix index

Cause: every process has to select servers alike from a lagging fleet view. Ruled out: hashing by incarnation, which moves models when a sidecar restarts. Change: rendezvous order with one server per zone at the front, power of two choices among holders, a retry budget, and a bounded index of cached prefixes that drops a server's entries after a gap in its events. The memory machine gets a rule that puts a fault between two loads, so that broken rules are found sooner.

--- a/chervilgw/placement/tests/test_memory.py
+++ b/chervilgw/placement/tests/test_memory.py
@@ -163,6 +163,23 @@
         index = data.draw(st.integers(0, len(self.fences) - 1))
         self.engine.fence(self.fences.pop(index))
 
+    @rule(first=NAMES, second=NAMES, fault=st.sampled_from(["restart", "lost"]))
+    def load_around_fault(self, first, second, fault):
+        """Load, let the order be late while a fault occurs, and load again."""
+        self.load(first, "1")
+        if fault == "restart":
+            self.restart()
+        else:
+            for order, _ in self.network:
+                self.ledger.on_order_answer(
+                    order.order_id, OrderAnswer.LOST, self.now_s
+                )
+        self.tick()
+        self.read_now()
+        self.load(second, "2")
+        for order, _ in self.network:
+            self.engine.start(order)
+
     @precondition(lambda self: self.engine.copies)
     @rule()
     def engine_works(self):
--- /dev/null
+++ b/chervilgw/routing/choice.py
@@ -0,0 +1,167 @@
+"""Selection of the backend server for one request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from chervilgw.core.fleet import ServerView
+from chervilgw.core.ids import CustomerId, ModelName, ServiceName, VmId, ZoneId
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import BackendKind, CopyState, RefusalReason, VmState
+from chervilgw.routing.order import preferred_order
+
+# Weights in units of one queued request. A resident adapter saves a cold start of up to
+# 20 ms, a fully cached prompt most of a prefill, the same zone about 1 ms.
+ADAPTER_BONUS = 1.0
+PREFIX_BONUS = 2.0
+ZONE_BONUS = 0.25
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What the choice needs to know of a request.
+
+    Either ``model`` (with ``pool`` and maybe ``adapter``) or ``service`` is set.
+    ``size_bytes`` is the model's weight size. ``prefix_share`` maps a VM to the share
+    of the prompt whose prefix it probably has cached, from the prefix index.
+    """
+
+    customer: CustomerId
+    zone: ZoneId
+    model: ModelName | None = None
+    service: ServiceName | None = None
+    adapter: str | None = None
+    pool: str = "default"
+    size_bytes: int = 0
+    prefix_share: Mapping[VmId, float] | None = None
+    excluded: frozenset[VmId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The selected server; ``needs_load`` if it must load the model first."""
+
+    vm: VmId
+    needs_load: bool = False
+
+
+def choose(
+    request: RouteRequest,
+    servers: Iterable[ServerView],
+    own_outstanding: Mapping[VmId, int],
+    now_s: float,
+    random_value: float,
+) -> Result[Choice, Refusal]:
+    """Return the backend server for a request, or a refusal.
+
+    Parameters
+    ----------
+    request : RouteRequest
+        What is asked for.
+    servers : iterable of ServerView
+        The fleet view; only live, connected servers are considered.
+    own_outstanding : mapping of VmId to int
+        Requests this process sent to a server since the server's last load report.
+    now_s : float
+        Present time.
+    random_value : float
+        Uniform in [0, 1); selects the two servers that are compared.
+
+    Returns
+    -------
+    Result[Choice, Refusal]
+
+    Examples
+    --------
+    >>> from chervilgw.core.ids import Incarnation
+    >>> from chervilgw.core.messages import Load
+    >>> def server(vm, running, resident):
+    ...     load = Load(BackendKind.ENGINE, 100, 50, running, 0, resident)
+    ...     return ServerView(
+    ...         Incarnation(VmId(vm), 1), ZoneId("z"), "", VmState.LIVE, load, 0.0, True
+    ...     )
+    >>> request = RouteRequest(CustomerId("c"), ZoneId("z"), ModelName("m"))
+    >>> fleet = [server("a", 9, {"m": "loaded"}), server("b", 1, {"m": "loaded"})]
+    >>> choose(request, fleet, {}, 0.0, 0.3).unwrap()
+    Choice(vm='b', needs_load=False)
+    """
+    usable = [
+        server
+        for server in servers
+        if server.state is VmState.LIVE
+        and server.connected
+        and server.vm not in request.excluded
+        and _serves(request, server)
+    ]
+    if request.service is not None:
+        holders = usable
+    else:
+        holders = [server for server in usable if server.holds(request.model or "")]
+    if holders:
+        # Sorted, so that a random value selects the same pair in each process.
+        holders.sort(key=lambda server: server.vm)
+        best = min(
+            _pick_two(holders, random_value),
+            key=lambda server: _cost(request, server, own_outstanding),
+        )
+        return Success(Choice(best.vm))
+    if request.service is not None or not usable:
+        text = f"no live backend server for {request.service or request.model}"
+        return Failure(
+            make_refusal(RefusalReason.NO_BACKEND_SERVER, text, RETRY_AFTER_S)
+        )
+    return _choose_loader(request, usable)
+
+
+def _serves(request: RouteRequest, server: ServerView) -> bool:
+    if request.service is not None:
+        is_service = server.load.kind is BackendKind.SERVICE
+        return is_service and request.service in server.load.services
+    return server.is_engine(request.pool)
+
+
+def _pick_two(holders: list[ServerView], random_value: float) -> list[ServerView]:
+    count = len(holders)
+    if count == 1:
+        return holders
+    pair = min(int(random_value * count * (count - 1)), count * (count - 1) - 1)
+    first, second = divmod(pair, count - 1)
+    return [holders[first], holders[second + (second >= first)]]
+
+
+def _cost(
+    request: RouteRequest, server: ServerView, own_outstanding: Mapping[VmId, int]
+) -> float:
+    load = server.load
+    cost = float(load.running + load.queued + own_outstanding.get(server.vm, 0))
+    if request.adapter is not None and server.holds(request.adapter):
+        cost -= ADAPTER_BONUS
+    cost -= PREFIX_BONUS * (request.prefix_share or {}).get(server.vm, 0.0)
+    if server.zone == request.zone:
+        cost -= ZONE_BONUS
+    return cost
+
+
+def _choose_loader(
+    request: RouteRequest, usable: list[ServerView]
+) -> Result[Choice, Refusal]:
+    name = request.model or ""
+    order = preferred_order(name, usable)
+    loading = CopyState.LOADING.value
+    for server in order:
+        if server.load.resident.get(name) == loading:
+            return Success(Choice(server.vm, needs_load=True))
+    for server in order:
+        if server.load.free_bytes >= request.size_bytes:
+            return Success(Choice(server.vm, needs_load=True))
+    # No server has free memory: the first that is large enough makes room by unloading
+    # an idle copy or one that another server holds as well.
+    for server in order:
+        if server.load.capacity_bytes >= request.size_bytes:
+            return Success(Choice(server.vm, needs_load=True))
+    text = f"{name} is larger than every live backend server of its pool"
+    return Failure(make_refusal(RefusalReason.NO_ROOM, text, RETRY_AFTER_S))
--- /dev/null
+++ b/chervilgw/routing/prefixes.py
@@ -0,0 +1,97 @@
+"""Approximate index of the prompt prefixes that each server has cached."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from chervilgw.core.ids import Digest, VmId
+
+
+class PrefixIndex:
+    """Cached prefixes per server; see :func:`make_prefix_index`."""
+
+    def __init__(self, per_server: int, age_s: float):
+        self._per_server = per_server
+        self._age_s = age_s
+        self._seen: dict[VmId, OrderedDict[Digest, float]] = {}
+        self._sequence: dict[VmId, int] = {}
+
+    def on_dispatch(self, vm: VmId, digests: Sequence[Digest], now_s: float) -> None:
+        """Expect that the server caches the prefixes of a request sent to it."""
+        known = self._seen.setdefault(vm, OrderedDict())
+        for digest in digests:
+            known[digest] = now_s
+            known.move_to_end(digest)
+        while len(known) > self._per_server:
+            known.popitem(last=False)
+
+    def on_event(
+        self,
+        vm: VmId,
+        sequence: int,
+        stored: Iterable[Digest],
+        evicted: Iterable[Digest],
+        now_s: float,
+    ) -> None:
+        """Apply a cache event of a server.
+
+        After a gap an eviction may have been missed, so what is known of the server is
+        dropped; a late event, older than one already applied, is ignored.
+        """
+        last = self._sequence.get(vm)
+        if last is not None and sequence <= last:
+            return
+        if last is not None and sequence != last + 1:
+            self._seen.pop(vm, None)
+        self._sequence[vm] = sequence
+        self.on_dispatch(vm, tuple(stored), now_s)
+        for digest in evicted:
+            self._seen[vm].pop(digest, None)
+
+    def forget(self, vm: VmId) -> None:
+        """Drop a server that is gone or whose engine restarted."""
+        self._seen.pop(vm, None)
+        self._sequence.pop(vm, None)
+
+    def share(
+        self, vms: Iterable[VmId], digests: Sequence[Digest], now_s: float
+    ) -> dict[VmId, float]:
+        """Return for each server the share of leading digests it has, where not 0."""
+        shares = {}
+        for vm in vms:
+            known = self._seen.get(vm)
+            length = 0
+            for digest in digests if known else ():
+                seen_s = known.get(digest)
+                if seen_s is None or now_s - seen_s > self._age_s:
+                    break
+                length += 1
+            if length:
+                shares[vm] = length / len(digests)
+        return shares
+
+
+def make_prefix_index(per_server: int = 4096, age_s: float = 300.0) -> PrefixIndex:
+    """Return an empty index.
+
+    Parameters
+    ----------
+    per_server : int
+        Most digests kept per server; the least recently used is dropped first.
+    age_s : float
+        Age at which an entry no longer counts, since its eviction may go unreported.
+
+    Returns
+    -------
+    PrefixIndex
+
+    Examples
+    --------
+    >>> index = make_prefix_index()
+    >>> index.on_dispatch(VmId("a"), [Digest("1"), Digest("2")], now_s=0.0)
+    >>> asked = [Digest("1"), Digest("2"), Digest("3"), Digest("4")]
+    >>> index.share([VmId("a"), VmId("b")], asked, now_s=1.0)
+    {'a': 0.5}
+    """
+    return PrefixIndex(per_server, age_s)
--- /dev/null
+++ b/chervilgw/routing/tests/test_routing.py
@@ -0,0 +1,161 @@
+"""Order, choice, retry budget and prefix index."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chervilgw.core.fleet import ServerView
+from chervilgw.core.ids import Incarnation, VmId
+from chervilgw.core.messages import Load
+from chervilgw.core.states import BackendKind, RefusalReason, RunState, VmState
+from chervilgw.routing.choice import RouteRequest, choose
+from chervilgw.routing.order import preferred_order
+from chervilgw.routing.prefixes import make_prefix_index
+from chervilgw.routing.retries import make_retry_budget
+
+
+def make_server(number, zones=3, state=VmState.LIVE, connected=True, **fields):
+    values = {"capacity_bytes": 100, "free_bytes": 50, "running": 0, "queued": 0}
+    load = Load(**{"kind": BackendKind.ENGINE, **values, **fields})
+    incarnation = Incarnation(VmId(f"b{number}"), 1)
+    zone = f"z{number % zones}"
+    return ServerView(incarnation, zone, "", state, load, 0.1, connected)
+
+
+def request_for(**fields):
+    return RouteRequest(**{"customer": "c", "zone": "z0", "model": "m", **fields})
+
+
+@given(name=st.text(max_size=8), count=st.integers(1, 12), zones=st.integers(1, 4))
+def test_front_of_order_has_one_server_per_zone(name, count, zones):
+    """Guards against losing a model's first two places with one zone."""
+    servers = [make_server(i, zones) for i in range(count)]
+    order = preferred_order(name, servers)
+    distinct = len({s.zone for s in servers})
+    assert len({s.zone for s in order[:distinct]}) == distinct
+    assert sorted(s.vm for s in order) == sorted(s.vm for s in servers)
+    assert preferred_order(name, servers[::-1]) == order
+
+
+@given(name=st.text(max_size=8), lost=st.integers(0, 11))
+def test_removal_keeps_first_of_others(name, lost):
+    """Guards against a lost server reshuffling models that it did not hold."""
+    servers = [make_server(i) for i in range(12)]
+    before = preferred_order(name, servers)
+    after = preferred_order(name, [s for i, s in enumerate(servers) if i != lost])
+    if before[0].vm != f"b{lost}":
+        assert after[0] == before[0]
+    # Within a zone the relative order never changes.
+    for zone in ("z0", "z1", "z2"):
+        kept = [s for s in before if s.zone == zone and s.vm != f"b{lost}"]
+        assert [s for s in after if s.zone == zone] == kept
+
+
+@given(
+    states=st.lists(
+        st.tuples(st.sampled_from(VmState), st.booleans(), st.booleans()), max_size=6
+    ),
+    random_value=st.floats(0, 1, exclude_max=True),
+    excluded=st.frozensets(st.sampled_from(["b0", "b1"])),
+)
+def test_choice_is_usable(states, random_value, excluded):
+    """Guards against work for a leaving, silent, gone, cut-off or excluded server."""
+    servers = [
+        make_server(
+            i, state=state, connected=up, resident={"m": "loaded"} if on else {}
+        )
+        for i, (state, up, on) in enumerate(states)
+    ]
+    usable = {
+        s.vm: s
+        for s in servers
+        if s.state is VmState.LIVE and s.connected and s.vm not in excluded
+    }
+    result = choose(request_for(excluded=excluded), servers, {}, 0.0, random_value)
+    if not usable:
+        assert result.failure().run is RunState.NOT_RUN
+        return
+    choice = result.unwrap()
+    assert choice.vm in usable
+    holders = [s for s in usable.values() if s.holds("m")]
+    assert choice.needs_load == (not holders)
+    if holders:
+        assert usable[choice.vm].holds("m")
+
+
+def test_loader_is_loading_server_then_first_with_memory():
+    """Guards against each entry starting its own load of the same model."""
+    servers = [make_server(i) for i in range(6)]
+    first, second, *_ = preferred_order("m", servers)
+    assert choose(request_for(), servers, {}, 0.0, 0.9).unwrap().vm == first.vm
+    index = int(first.vm[1:])
+    servers[index] = make_server(index, free_bytes=0)
+    sized = request_for(size_bytes=20)
+    assert choose(sized, servers, {}, 0.0, 0.1).unwrap().vm == second.vm
+    servers[5] = make_server(5, free_bytes=0, resident={"m": "loading"})
+    assert choose(sized, servers, {}, 0.0, 0.1).unwrap().vm == "b5"
+    large = choose(
+        request_for(model="n", size_bytes=101), servers, {}, 0.0, 0.1
+    ).failure()
+    assert large.reason is RefusalReason.NO_ROOM
+
+
+def test_bonuses_and_own_outstanding_decide_between_equals():
+    """Guards against cold starts and recomputed prefixes at equal load."""
+    held = {"m": "loaded"}
+    servers = [make_server(0, 1, resident=held), make_server(1, 1, resident=held)]
+    for value in (0.1, 0.9):
+        warm = [servers[0], make_server(1, 1, resident={**held, "x": "loaded"})]
+        adapted = choose(request_for(adapter="x"), warm, {}, 0.0, value)
+        assert adapted.unwrap().vm == "b1"
+        cached = request_for(prefix_share={"b1": 1.0})
+        assert choose(cached, servers, {}, 0.0, value).unwrap().vm == "b1"
+        assert choose(cached, servers, {"b1": 3}, 0.0, value).unwrap().vm == "b0"
+        near = [make_server(0, 2, resident=held), make_server(1, 2, resident=held)]
+        nearer = choose(request_for(zone="z1"), near, {}, 0.0, value)
+        assert nearer.unwrap().vm == "b1"
+
+
+def test_service_requests_go_to_its_servers():
+    """Guards against a service's request sent to an engine."""
+    servers = [
+        make_server(0),
+        make_server(1, kind=BackendKind.SERVICE, services=("book",)),
+    ]
+    asked = request_for(model=None, service="book")
+    assert choose(asked, servers, {}, 0.0, 0.5).unwrap().vm == "b1"
+    missing = choose(request_for(model=None, service="pay"), servers, {}, 0.0, 0.5)
+    assert missing.failure().reason is RefusalReason.NO_BACKEND_SERVER
+
+
+@given(st.lists(st.booleans(), max_size=300), st.floats(0, 1, exclude_max=True))
+def test_retries_stay_in_budget(steps, random_value):
+    """Guards against a retry storm after the loss of a server."""
+    budget = make_retry_budget(ratio=0.1, burst=3.0)
+    requests = retries = 0
+    for is_request in steps:
+        if is_request:
+            budget.on_request()
+            requests += 1
+        else:
+            delay_s = budget.try_retry(20, random_value)
+            if delay_s is not None:
+                retries += 1
+                assert 0.0 <= delay_s < 2.0
+        assert retries <= 0.1 * requests + 3.0 + 1e-6
+
+
+def test_prefix_index_drops_what_a_gap_may_hide():
+    """Guards against routing by prefixes that were evicted without notice."""
+    index = make_prefix_index(per_server=3, age_s=10.0)
+    index.on_event("a", 1, ["p", "q"], [], 0.0)
+    index.on_event("a", 1, ["z"], ["p"], 0.0)
+    assert index.share(["a"], ["p", "q"], 1.0) == {"a": 1.0}
+    index.on_event("a", 2, [], ["q"], 1.0)
+    assert index.share(["a"], ["p", "q"], 1.0) == {"a": 0.5}
+    index.on_event("a", 4, ["r"], [], 1.0)
+    assert index.share(["a"], ["p"], 1.0) == {}
+    assert index.share(["a"], ["r"], 12.0) == {}
+    index.on_dispatch("a", list("stuv"), 12.0)
+    assert index.share(["a"], ["s"], 12.0) == {}
+    index.forget("a")
+    assert index.share(["a"], ["v"], 12.0) == {}
