--- a/chervilgw/configuration/freshness.py
+++ b/chervilgw/configuration/freshness.py
@@ -127,18 +127,20 @@
         reached_vms : collection of VmId
             VMs to which this process has a working connection.
         """
+        if now_s <= self.until_s(live_vms, reached_vms):
+            return Success(None)
+        return Failure(refuse_stale())
+
+    def until_s(
+        self, live_vms: Collection[VmId], reached_vms: Collection[VmId]
+    ) -> float:
+        """Return the time until which the configuration may be used.
+
+        The parameters are those of :meth:`check`.
+        """
         quorum_s = self._heard_by_quorum_s(live_vms, reached_vms)
         self._quorum_s = max(self._quorum_s, quorum_s)
-        confirmed_s = max(self._confirmed_s, self._quorum_s)
-        if now_s - confirmed_s <= CONFIRM_WITHIN_S:
-            return Success(None)
-        return Failure(
-            make_refusal(
-                RefusalReason.CONFIGURATION_STALE,
-                f"the configuration was not confirmed for {CONFIRM_WITHIN_S} s",
-                retry_after_s=1.0,
-            )
-        )
+        return max(self._confirmed_s, self._quorum_s) + CONFIRM_WITHIN_S
 
     def _heard_by_quorum_s(
         self, live_vms: Collection[VmId], reached_vms: Collection[VmId]
@@ -170,6 +172,15 @@
         return quorum_s
 
 
+def refuse_stale() -> Refusal:
+    """Return the refusal of a process whose configuration is not confirmed."""
+    return make_refusal(
+        RefusalReason.CONFIGURATION_STALE,
+        f"the configuration was not confirmed for {CONFIRM_WITHIN_S} s",
+        retry_after_s=1.0,
+    )
+
+
 def make_freshness(me: VmId) -> Freshness:
     """Return a tracker without evidence, which refuses.
 
--- a/chervilgw/platform/__init__.py
+++ b/chervilgw/platform/__init__.py
@@ -2,6 +2,5 @@
 
 from chervilgw.platform.errors import PlatformError, RecordsExpired
 from chervilgw.platform.log import LogPage, Stream
-from chervilgw.platform.vm_list import ListedVm
 
-__all__ = ["ListedVm", "LogPage", "PlatformError", "RecordsExpired", "Stream"]
+__all__ = ["LogPage", "PlatformError", "RecordsExpired", "Stream"]
--- /dev/null
+++ b/chervilgw/platform/engine.py
@@ -0,0 +1,155 @@
+"""Requests to a model engine's control interface, and its state reports."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from chervilgw.core.ids import ModelName
+from chervilgw.core.states import CopyState
+from chervilgw.placement.orders import EngineCopy, EngineReport, Fence, Order
+from chervilgw.platform.errors import PlatformError
+from chervilgw.runtime.events import CallDone, HttpCall
+
+CONTROL_TIMEOUT_S = 2.0
+_JSON = (("Content-Type", "application/json"),)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What the engine says of itself.
+
+    ``orders`` maps an order id to the engine's word for its state.
+    """
+
+    capacity_bytes: int
+    report: EngineReport
+    adapters: frozenset[str]
+    orders: Mapping[str, str] = field(default_factory=dict)
+    crashes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineClientSpec:
+    """Where a task reaches the engine, and under which channel it gets answers."""
+
+    address: str
+    reply_to: str
+
+
+def make_state_call(spec: EngineClientSpec, call: str) -> HttpCall:
+    """Return the call that reads the engine's state."""
+    return HttpCall(
+        call,
+        spec.reply_to,
+        spec.address,
+        "GET",
+        "/state",
+        timeout_s=CONTROL_TIMEOUT_S,
+        fresh=True,
+    )
+
+
+def make_order_call(
+    spec: EngineClientSpec, call: str, order: Order, base_model: str | None
+) -> HttpCall:
+    """Return the call that gives the engine an order.
+
+    Parameters
+    ----------
+    spec : EngineClientSpec
+        Address of the engine and channel for the answer.
+    call : str
+        Call id.
+    order : Order
+        What to load or unload.
+    base_model : str or None
+        Model of an adapter, None for a model.
+
+    Returns
+    -------
+    HttpCall
+    """
+    body = {
+        "order_id": order.order_id,
+        "action": order.kind.value,
+        "kind": "model" if base_model is None else "adapter",
+        "name": order.name,
+        "version": order.version,
+        "base_model": base_model or "",
+        "size_bytes": order.size_bytes,
+        "fencing": order.fencing,
+    }
+    return _post(spec, call, "/orders", body)
+
+
+def make_fence_call(spec: EngineClientSpec, call: str, fence: Fence) -> HttpCall:
+    """Return the call that raises the engine's fencing number."""
+    return _post(spec, call, "/fence", {"fencing": fence.fencing})
+
+
+def parse_state(answer: CallDone) -> Result[EngineState, PlatformError]:
+    """Parse the engine's state.
+
+    Parameters
+    ----------
+    answer : CallDone
+        Answer of the engine.
+
+    Returns
+    -------
+    Result of EngineState or PlatformError
+
+    Examples
+    --------
+    >>> body = b'{"capacity_bytes": 10, "resident": [], "highest_fencing": null}'
+    >>> parse_state(CallDone("1", 200, (), body)).unwrap().report.highest_fencing
+    0
+    """
+    if answer.status != 200:
+        text = f"the engine answered with status {answer.status}"
+        return Failure(PlatformError(text, may_have_run=False))
+    try:
+        body = json.loads(answer.body)
+        resident = body["resident"]
+        copies = tuple(
+            EngineCopy(
+                ModelName(item["name"]),
+                str(item["version"]),
+                int(item["size_bytes"]),
+                CopyState(item["state"]),
+                str(item["order_id"]),
+            )
+            for item in resident
+        )
+        adapters = {item["name"] for item in resident if item["kind"] == "adapter"}
+        report = EngineReport(copies, int(body.get("highest_fencing") or 0))
+        return Success(
+            EngineState(
+                int(body["capacity_bytes"]),
+                report,
+                frozenset(adapters),
+                dict(body.get("orders", {})),
+                int(body.get("crashes", 0)),
+            )
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        text = f"malformed answer of the engine: {error}"
+        return Failure(PlatformError(text, may_have_run=False))
+
+
+def _post(spec: EngineClientSpec, call: str, path: str, body) -> HttpCall:
+    return HttpCall(
+        call,
+        spec.reply_to,
+        spec.address,
+        "POST",
+        path,
+        _JSON,
+        json.dumps(body).encode(),
+        timeout_s=CONTROL_TIMEOUT_S,
+        fresh=True,
+    )
--- a/chervilgw/platform/vm_list.py
+++ b/chervilgw/platform/vm_list.py
@@ -3,27 +3,16 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
 from chervilgw.core.ids import VmId, ZoneId
-from chervilgw.core.states import Role, VmState
+from chervilgw.core.states import VmState
+from chervilgw.membership.view import ListedVm
 from chervilgw.platform.errors import PlatformError
 from chervilgw.runtime.events import CallDone, HttpCall
 
 
-@dataclass(frozen=True, slots=True)
-class ListedVm:
-    """One VM of the platform's list."""
-
-    vm: VmId
-    role: Role
-    zone: ZoneId
-    address: str
-    state: VmState
-
-
 def make_list_call(address: str, call: str, reply_to: str) -> HttpCall:
     """Return the call that reads the list.
 
@@ -68,10 +57,9 @@
             tuple(
                 ListedVm(
                     VmId(item["vm"]),
-                    Role(item["role"]),
                     ZoneId(item["zone"]),
-                    item["address"],
-                    VmState(item["state"]),
+                    str(item["address"]),
+                    VmState(item["state"]) is VmState.LEAVING,
                 )
                 for item in json.loads(answer.body)["vms"]
             )
