--- a/chervilgw/configuration/source.py
+++ b/chervilgw/configuration/source.py
@@ -296,7 +296,7 @@
     ----------
     snapshot_jitter_s : float
         Delay between seeing that a snapshot is due and writing it. The caller draws it
-        at random, in proportion to the fleet's size, so that usually one process writes.
+        at random, in proportion to the fleet's size, so that usually one writes.
     snapshot_every : int
         Records after which a snapshot is due.
 
--- a/chervilgw/configuration/values.py
+++ b/chervilgw/configuration/values.py
@@ -21,7 +21,8 @@
     tuple[Annotated[str, Field(max_length=128)], ...],
     Field(strict=False, max_length=2_000),
 ]
-Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{16,128}$")]
+Salt = Annotated[str, Field(pattern=r"^([0-9a-f]{2}){8,64}$")]
+Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 Bytes = Annotated[int, Field(ge=0, le=10**15)]
 Milliseconds = Annotated[int, Field(ge=1, le=7 * 86_400_000)]
 
@@ -69,8 +70,8 @@
     """An API key; the secret itself is never stored."""
 
     customer: Name
-    salt: Hex
-    digest: Hex
+    salt: Salt
+    digest: Sha256
     label: str = Field(default="", max_length=200)
     withdrawn: bool = False
 
--- /dev/null
+++ b/chervilgw/membership/tests/test_view.py
@@ -0,0 +1,147 @@
+"""The fleet view against an oracle: newest incarnation and sequence, leaving stays."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from chervilgw.core.ids import Incarnation, VmId, ZoneId
+from chervilgw.core.messages import Load, VmReport
+from chervilgw.core.states import BackendKind, Role, VmState
+from chervilgw.membership import ListedVm, make_fleet_view
+from chervilgw.membership.view import GONE_AFTER_S
+
+ME = Incarnation(VmId("e0"), 1)
+VMS = st.sampled_from([VmId("b0"), VmId("b1")])
+STARTS = st.integers(1, 3)
+LOAD = Load(BackendKind.ENGINE, 100, 50, 0, 0)
+
+
+def report(incarnation, sequence, state=VmState.LIVE, load=LOAD):
+    address = f"10.0.0.1:{incarnation.start_ms}"
+    return VmReport(
+        incarnation, Role.SIDECAR, ZoneId("z"), address, state, sequence, load
+    )
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """Two views that exchange ``reports_since``; the oracle keeps all events."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.view = make_fleet_view(ME)
+        self.other = make_fleet_view(Incarnation(VmId("e1"), 1))
+        self.version = 0
+        self.reported = {}
+        self.leaving = set()
+        self.missing_s = {}
+        self.listed = set()
+        self.heard_s = {}
+
+    @rule(vm=VMS, start=STARTS, sequence=st.integers(0, 5), leaving=st.booleans())
+    def receive_report(self, vm, start, sequence, leaving):
+        incarnation = Incarnation(vm, start)
+        state = VmState.LEAVING if leaving else VmState.LIVE
+        self.view.on_report(report(incarnation, sequence, state), self.now_s)
+        before = max(self.reported.get(vm, {}), default=0)
+        sequences = self.reported.setdefault(vm, {}).setdefault(start, [])
+        if start > before or start == before and sequence > max(sequences, default=-1):
+            self.heard_s[vm] = self.now_s
+        sequences.append(sequence)
+        if leaving:
+            self.leaving.add(incarnation)
+
+    @rule(vm=VMS, start=STARTS)
+    def receive_leaving(self, vm, start):
+        self.view.on_leaving(Incarnation(vm, start), self.now_s)
+        self.leaving.add(Incarnation(vm, start))
+
+    @rule(vms=st.sets(VMS))
+    def receive_list(self, vms):
+        self.view.on_list([ListedVm(vm, ZoneId("z"), "x") for vm in vms], self.now_s)
+        for vm in self.listed - vms:
+            self.missing_s.setdefault(vm, self.now_s)
+        for vm in vms:
+            self.missing_s.pop(vm, None)
+        self.listed = set(vms)
+
+    @rule(step_s=st.sampled_from([0.1, 1.5, 6.0]))
+    def wait(self, step_s):
+        self.now_s += step_s
+
+    @rule()
+    def pass_on(self):
+        self.version, reports = self.view.reports_since(self.version)
+        for each in reports:
+            self.other.on_report(each, self.now_s)
+
+    def gone(self, vm):
+        since_s = self.missing_s.get(vm)
+        if since_s is None:
+            return False
+        return self.now_s - max(since_s, self.heard_s.get(vm, 0.0)) > GONE_AFTER_S
+
+    @invariant()
+    def the_view_matches_the_oracle(self):
+        """Guards against an older report or list undoing newer knowledge."""
+        present = {vm for vm in self.reported if not self.gone(vm)}
+        servers = {server.vm: server for server in self.view.servers(self.now_s)}
+        assert set(servers) == present
+        for vm, server in servers.items():
+            newest = Incarnation(vm, max(self.reported[vm]))
+            assert server.incarnation == newest
+            assert (server.state is VmState.LEAVING) == (newest in self.leaving)
+
+    @invariant()
+    def replaced_and_unlisted_incarnations_are_gone(self):
+        """Guards against taking a running incarnation for dead, or a dead one for live."""
+        expected = set()
+        for vm, starts in self.reported.items():
+            newest = max(starts)
+            expected |= {Incarnation(vm, s) for s in starts if s < newest}
+            if self.gone(vm):
+                expected.add(Incarnation(vm, newest))
+        assert self.view.gone_incarnations(self.now_s) == expected
+
+    @invariant()
+    def passing_on_reaches_the_same_states(self):
+        """Guards against a change that ``reports_since`` leaves out."""
+        self.pass_on()
+        mine = {r.incarnation: r.state for r in self.view.reports()}
+        assert {r.incarnation: r.state for r in self.other.reports()} == mine
+
+
+TestView = ViewMachine.TestCase
+
+
+def test_unchanged_reports_are_not_passed_on_again():
+    """Guards against heartbeats whose size grows with the fleet instead of changes."""
+    view = make_fleet_view(ME)
+    server = Incarnation(VmId("b0"), 1)
+    view.on_report(report(server, 1), 0.0)
+    version, reports = view.reports_since(0)
+    assert len(reports) == 1
+    view.on_report(report(server, 2, load=Load(BackendKind.ENGINE, 100, 9, 1, 1)), 0.5)
+    assert view.reports_since(version) == (version, ())
+    view.on_report(report(server, 3), 1.0)
+    assert len(view.reports_since(version)[1]) == 1
+
+
+def test_connections_decide_between_live_and_silent():
+    """Guards against choosing a server whose connection went silent."""
+    view = make_fleet_view(ME)
+    server = Incarnation(VmId("b0"), 1)
+    view.on_report(report(server, 1), 0.0)
+    view.on_connected(server)
+    assert view.servers(100.0)[0].state is VmState.LIVE
+    assert view.reached_vms() == {"b0"}
+    view.on_silent(server)
+    assert view.servers(0.0)[0].state is VmState.SILENT
+    assert view.reached_vms() == frozenset()
+
+
+def test_a_listed_vm_can_be_connected_to_before_its_first_report():
+    """Guards against a fleet that cannot form because nobody has reported yet."""
+    view = make_fleet_view(ME)
+    view.on_list([ListedVm(VmId(v), ZoneId("z"), f"{v}:1") for v in ("e0", "b0")], 0.0)
+    assert [target.address for target in view.dial_targets(0.0)] == ["b0:1"]
+    assert view.live_vms(0.0) == {"e0", "b0"}
