Add settings of both roles with examples

Cause: a wrong setting must stop the daemon at start with a useful text. Ruled out: host names for addresses, since processes connect by IP address and a resolver would be one more part that can fail.

--- a/chervilgw/membership/tests/test_view.py
+++ b/chervilgw/membership/tests/test_view.py
@@ -93,7 +93,7 @@
 
     @invariant()
     def replaced_and_unlisted_incarnations_are_gone(self):
-        """Guards against taking a running incarnation for dead, or a dead one for live."""
+        """Guards against confusing running and dead incarnations."""
         expected = set()
         for vm, starts in self.reported.items():
             newest = max(starts)
--- /dev/null
+++ b/chervilgw/settings/__init__.py
@@ -0,0 +1,13 @@
+"""Settings of the daemon roles, loaded from YAML."""
+
+from chervilgw.settings.load import SettingsError, load_entry, load_sidecar
+from chervilgw.settings.models import EntrySettings, Limits, SidecarSettings
+
+__all__ = [
+    "EntrySettings",
+    "Limits",
+    "SettingsError",
+    "SidecarSettings",
+    "load_entry",
+    "load_sidecar",
+]
