--- /dev/null
+++ b/chervilgw/telemetry/page.py
@@ -0,0 +1,8 @@
+"""Prints the page of metrics."""
+
+import sys
+
+from chervilgw.telemetry.table import metrics_page
+
+if __name__ == "__main__":
+    sys.stdout.write(metrics_page())
