--- a/standins/http.py
+++ b/standins/http.py
@@ -140,13 +140,6 @@
 
     # Incoming
 
-    @handler("write", priority=1)
-    def _drop_write_to_closed(self, event: Event, sock: Any, data: bytes) -> None:
-        # The caller may leave while a write is queued; the poller raises for a closed
-        # socket.
-        if sock.fileno() < 0:
-            event.stop()
-
     @handler("disconnect")
     def _on_disconnect(self, sock: Any) -> None:
         call_id = self._calls_of_socket.pop(sock, None)
--- a/standins/tcp.py
+++ b/standins/tcp.py
@@ -5,13 +5,14 @@
 import socket
 import struct
 
+from circuits import handler
 from circuits.net.sockets import TCPServer
 
 CONNECT_TIMEOUT_S = 0.2
 
 
 class PromptTCPServer(TCPServer):
-    """TCP server that accepts at once.
+    """TCP server that accepts and sends at once.
 
     ``TCPServer`` accepts in a generator, which circuits resumes only after an idle tick
     of up to 100 ms. It also leaves TCP_NODELAY off on accepted sockets.
@@ -25,6 +26,27 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._on_accept_done(sock)
 
+    @handler("write", override=True)
+    def write(self, sock: socket.socket, data: bytes) -> None:
+        """Send at once what the kernel takes; queue only the rest.
+
+        The inherited handler registers the socket with the poller for each write.
+        """
+        # The caller may leave while a write is queued; the poller raises for a closed
+        # socket.
+        if sock.fileno() < 0:
+            return
+        if not self._buffers[sock]:
+            try:
+                data = data[sock.send(data) :]
+            except BlockingIOError:
+                pass
+            except OSError:
+                self._close(sock)
+                return
+        if data:
+            super().write(sock, data)
+
     def adopt(self, sock: socket.socket) -> None:
         """Own a connected socket like an accepted one."""
         self._on_accept_done(sock, fire_connect_event=False)
