--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 from circuits import Event, handler
 
 from standins import engine_format as formats
+from standins.client import Fetch
 from standins.engine_batch import Batch, BatchLimits, Generation, Step, StepKind
 from standins.engine_batch import GenerationId as BatchId
 from standins.engine_cache import PrefixCache
@@ -28,7 +29,6 @@
 from standins.engine_text import make_output
 from standins.faults import make_faults
 from standins.http import Answer, Call, CallId, HttpFront, Routes, serve
-from standins.store_client import Fetch
 
 DEFAULT_MAX_TOKENS = 128
 TRUNCATED_AT_TOKENS = 3
@@ -373,13 +373,17 @@
     def _fetch(self, order: Order) -> None:
         body = {"name": order.name, "size_bytes": order.size_bytes}
         try:
-            Fetch(order, self._store_address, body, self.channel).register(self)
+            fetch = Fetch(
+                order, self._store_address, "POST", "/loads", body, self.channel
+            )
         except OSError:
             self._memory.finish(order, succeeded=False)
+        else:
+            fetch.register(self)
 
     @handler("fetched")
-    def _on_fetched(self, order: Order, succeeded: bool) -> None:
-        self._memory.finish(order, succeeded)
+    def _on_fetched(self, order: Order, status: int) -> None:
+        self._memory.finish(order, succeeded=status == 200)
 
     @handler("finish_order")
     def _on_finish_order(self, order: Order) -> None:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -32,7 +32,8 @@
     Parameters
     ----------
     defaults : mapping of str to value
-        Every fault that exists, with the value that means "off".
+        Every fault that exists, with the value that means "off". A boolean is a switch,
+        an integer a number, an enum member one of its values.
 
     Examples
     --------
@@ -68,7 +69,10 @@
 
     def values(self) -> dict[str, Any]:
         """Return all faults with their current values."""
-        return dict(self._values)
+        return {
+            name: value.value if isinstance(value, Enum) else value
+            for name, value in self._values.items()
+        }
 
     def value(self, name: str) -> Any:
         """Return the current value of one fault."""
@@ -110,7 +114,7 @@
             and not name.endswith("_ms")
         )
     else:
-        valid = isinstance(value, str)
+        valid = value in [member.value for member in type(default)]
     if not valid:
         raise ValueError(f"invalid value for fault {name!r}: {value!r}")
 
