--- /dev/null
+++ b/chervilgw/codec/openai_answers.py
@@ -0,0 +1,342 @@
+"""Response bodies of the OpenAI endpoints: chunks, whole answers, models, errors."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from chervilgw.codec import sse
+from chervilgw.codec.openai import Endpoint
+from chervilgw.core.ids import ModelName
+from chervilgw.core.refusals import Refusal
+from chervilgw.core.states import RefusalReason, RunState
+
+_INVALID = "invalid_request_error"
+_AUTHENTICATION = "authentication_error"
+_SERVER = "server_error"
+
+# Status and error type of each reason. 429 is only for the customer's own rate:
+# clients treat it as their fault. A block after crashes is 422 because a repeat of the
+# same content cannot succeed before the block ends.
+_STATUS: dict[RefusalReason, tuple[int, str]] = {
+    RefusalReason.BAD_REQUEST: (400, _INVALID),
+    RefusalReason.LARGER_THAN_BURST: (400, _INVALID),
+    RefusalReason.NO_KEY: (401, _AUTHENTICATION),
+    RefusalReason.WRONG_KEY: (401, _AUTHENTICATION),
+    RefusalReason.KEY_WITHDRAWN: (401, _AUTHENTICATION),
+    RefusalReason.NOT_ALLOWED: (403, "permission_error"),
+    RefusalReason.UNKNOWN_MODEL: (404, _INVALID),
+    RefusalReason.UNKNOWN_SERVICE: (404, _INVALID),
+    RefusalReason.UNKNOWN_ROUTE: (404, _INVALID),
+    RefusalReason.REQUEST_TIMEOUT: (408, _INVALID),
+    RefusalReason.DUPLICATE_REQUEST: (409, "conflict_error"),
+    RefusalReason.CONFLICT: (409, "conflict_error"),
+    RefusalReason.BODY_TOO_LARGE: (413, _INVALID),
+    RefusalReason.BLOCKED_AFTER_CRASHES: (422, _INVALID),
+    RefusalReason.RATE_EXCEEDED: (429, "rate_limit_error"),
+    RefusalReason.HEADERS_TOO_LARGE: (431, _INVALID),
+    RefusalReason.CANCELLED: (499, "cancelled"),
+    RefusalReason.BACKEND_LOST: (502, _SERVER),
+    RefusalReason.BACKEND_ERROR: (502, _SERVER),
+    RefusalReason.QUEUE_FULL: (503, _SERVER),
+    RefusalReason.DEADLINE_UNREACHABLE: (503, _SERVER),
+    RefusalReason.NO_BACKEND_SERVER: (503, _SERVER),
+    RefusalReason.MODEL_NOT_LOADED: (503, _SERVER),
+    RefusalReason.NO_ROOM: (503, _SERVER),
+    RefusalReason.CONFIGURATION_STALE: (503, _SERVER),
+    RefusalReason.LEAVING: (503, _SERVER),
+    RefusalReason.SUSPECT_BUSY: (503, _SERVER),
+    RefusalReason.LOG_UNAVAILABLE: (503, _SERVER),
+    RefusalReason.DEAD_ORIGIN: (503, _SERVER),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Status, headers and body of one HTTP response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def _dump(value: Any) -> bytes:
+    return json.dumps(value, ensure_ascii=False, separators=(",", ":")).encode()
+
+
+def error_body(refusal: Refusal, param: str | None = None) -> bytes:
+    """Return the error object of a refusal.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    param : str or None
+        Name of the invalid parameter.
+
+    Returns
+    -------
+    bytes
+    """
+    error = {
+        "message": refusal.detail,
+        "type": _STATUS[refusal.reason][1],
+        "param": param,
+        "code": refusal.reason.value,
+    }
+    return _dump({"error": error})
+
+
+def error_answer(refusal: Refusal, param: str | None = None) -> HttpAnswer:
+    """Return the HTTP response of a refusal.
+
+    OpenAI client libraries repeat 408, 409, 429 and 5xx by themselves;
+    ``x-should-retry`` stops that where the request may have run.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    param : str or None
+        Name of the invalid parameter.
+
+    Returns
+    -------
+    HttpAnswer
+
+    Examples
+    --------
+    >>> from chervilgw.core.refusals import make_refusal
+    >>> answer = error_answer(make_refusal(RefusalReason.QUEUE_FULL, "full", 1.2))
+    >>> answer.status, dict(answer.headers)["retry-after"]
+    (503, '2')
+    """
+    not_run = refusal.run is RunState.NOT_RUN
+    headers = [
+        ("content-type", "application/json"),
+        ("x-chervil-run", "not_run" if not_run else "unknown"),
+    ]
+    if refusal.retry_after_s is not None:
+        headers.append(("retry-after", str(max(1, math.ceil(refusal.retry_after_s)))))
+    if not not_run:
+        headers.append(("x-should-retry", "false"))
+    status = _STATUS[refusal.reason][0]
+    return HttpAnswer(status, tuple(headers), error_body(refusal, param))
+
+
+def model_body(name: ModelName, created: int) -> dict[str, Any]:
+    """Return the object that describes one model.
+
+    Parameters
+    ----------
+    name : ModelName
+    created : int
+        Seconds since the epoch.
+
+    Returns
+    -------
+    dict
+    """
+    return {"id": name, "object": "model", "created": created, "owned_by": "chervilgw"}
+
+
+def model_list_body(names: Iterable[ModelName], created: int) -> bytes:
+    """Return the body of ``GET /v1/models``.
+
+    Parameters
+    ----------
+    names : iterable of ModelName
+    created : int
+        Seconds since the epoch.
+
+    Returns
+    -------
+    bytes
+
+    Examples
+    --------
+    >>> model_list_body([], 0)
+    b'{"object":"list","data":[]}'
+    """
+    data = [model_body(name, created) for name in names]
+    return _dump({"object": "list", "data": data})
+
+
+class AnswerWriter:
+    """Builds the events, or the whole body, of one answer."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        answer_id: str,
+        created: int,
+        model: str,
+        include_usage: bool,
+    ) -> None:
+        self._chat = endpoint is Endpoint.CHAT
+        self._include_usage = include_usage
+        self._head = {"id": answer_id, "created": created, "model": model}
+        # The part before and after a token's text is the same in every chunk.
+        mark = "\x00"
+        before, after = _dump(self._chunk(mark, None)).rsplit(_dump(mark), 1)
+        self._before, self._after = b"data: " + before, after + b"\n\n"
+
+    def _chunk(self, text: str | None, finish_reason: str | None) -> dict[str, Any]:
+        choice: dict[str, Any] = {"index": 0}
+        if self._chat:
+            choice["delta"] = {} if text is None else {"content": text}
+        else:
+            choice["text"] = text or ""
+        choice |= {"logprobs": None, "finish_reason": finish_reason}
+        return self._with_choices([choice])
+
+    def _with_choices(self, choices: list[Any]) -> dict[str, Any]:
+        kind = "chat.completion.chunk" if self._chat else "text_completion"
+        body = {**self._head, "object": kind, "choices": choices}
+        if self._include_usage:
+            body["usage"] = None
+        return body
+
+    def first(self) -> bytes:
+        """Return the event that opens a chat stream; empty for text completions."""
+        if not self._chat:
+            return b""
+        body = self._chunk("", None)
+        body["choices"][0]["delta"] = {"role": "assistant", "content": ""}
+        return sse.event(_dump(body))
+
+    def part(self, text: str) -> bytes:
+        """Return the event of the next part of the text."""
+        return self._before + json.dumps(text).encode() + self._after
+
+    def end(
+        self, finish_reason: str, prompt_tokens: int, completion_tokens: int
+    ) -> bytes:
+        """Return the events that complete a stream, ``[DONE]`` included."""
+        events = sse.event(_dump(self._chunk(None, finish_reason)))
+        if self._include_usage:
+            body = self._with_choices([])
+            body["usage"] = _usage(prompt_tokens, completion_tokens)
+            events += sse.event(_dump(body))
+        return events + sse.DONE
+
+    def error(self, refusal: Refusal) -> bytes:
+        """Return the event that ends a stream with an error, without ``[DONE]``."""
+        return sse.event(error_body(refusal))
+
+    def whole(
+        self, text: str, finish_reason: str, prompt_tokens: int, completion_tokens: int
+    ) -> bytes:
+        """Return the body of an answer that is not a stream."""
+        choice: dict[str, Any] = {"index": 0}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        choice |= {"logprobs": None, "finish_reason": finish_reason}
+        body = {
+            **self._head,
+            "object": "chat.completion" if self._chat else "text_completion",
+            "choices": [choice],
+            "usage": _usage(prompt_tokens, completion_tokens),
+        }
+        return _dump(body)
+
+
+def _usage(prompt_tokens: int, completion_tokens: int) -> dict[str, int]:
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": prompt_tokens + completion_tokens,
+    }
+
+
+def make_answer_writer(
+    endpoint: Endpoint,
+    answer_id: str,
+    created: int,
+    model: str,
+    include_usage: bool = False,
+) -> AnswerWriter:
+    r"""Return a writer for one answer.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    answer_id : str
+        ``id`` of every chunk.
+    created : int
+        Seconds since the epoch.
+    model : str
+        Name as the caller sent it.
+    include_usage : bool
+        Whether the stream ends with a chunk that holds the usage.
+
+    Returns
+    -------
+    AnswerWriter
+
+    Examples
+    --------
+    >>> writer = make_answer_writer(Endpoint.TEXT, "c1", 0, "m")
+    >>> writer.first()
+    b''
+    >>> writer.part("Hi").endswith(b'\n\n')
+    True
+    """
+    return AnswerWriter(endpoint, answer_id, created, model, include_usage)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEvent:
+    """What one event of an engine's stream says.
+
+    ``finish_reason`` and ``error`` are empty, and ``prompt_tokens`` None, if absent.
+    """
+
+    text: str = ""
+    finish_reason: str = ""
+    prompt_tokens: int | None = None
+    error: str = ""
+
+
+def parse_engine_event(data: str) -> EngineEvent:
+    """Read one event of an engine's stream, of either endpoint.
+
+    Parameters
+    ----------
+    data : str
+        Data of the event; not ``[DONE]``.
+
+    Returns
+    -------
+    EngineEvent
+
+    Raises
+    ------
+    chervilgw.codec.sse.SseError
+        If the event is not of the expected form.
+
+    Examples
+    --------
+    >>> parse_engine_event('{"choices": [{"delta": {"content": "Hi"}}]}').text
+    'Hi'
+    """
+    try:
+        body = json.loads(data)
+        if body.get("error"):
+            return EngineEvent(error=str(body["error"].get("message", "engine error")))
+        usage = body.get("usage") or {}
+        choice = (body.get("choices") or [{}])[0]
+        text = (choice.get("delta") or {}).get("content") or choice.get("text") or ""
+        event = EngineEvent(
+            text, choice.get("finish_reason") or "", usage.get("prompt_tokens")
+        )
+    except (ValueError, AttributeError, TypeError, KeyError, RecursionError) as error:
+        raise sse.SseError("engine event has an unexpected form") from error
+    if type(event.text) is not str or type(event.finish_reason) is not str:
+        raise sse.SseError("engine event has a field of a wrong type")
+    if type(event.prompt_tokens) not in (int, type(None)):
+        raise sse.SseError("engine event has a wrong token count")
+    return event
--- /dev/null
+++ b/chervilgw/codec/sse.py
@@ -0,0 +1,128 @@
+"""Server-sent events: writing, and an incremental bounded parser."""
+
+from __future__ import annotations
+
+from chervilgw.core.errors import ChervilError
+
+DONE = b"data: [DONE]\n\n"
+DONE_DATA = "[DONE]"
+DEFAULT_MAX_EVENT_BYTES = 1024 * 1024
+
+
+class SseError(ChervilError):
+    """An event stream is malformed or an event too long."""
+
+
+def event(data: bytes) -> bytes:
+    r"""Return one event.
+
+    Parameters
+    ----------
+    data : bytes
+        JSON on one line.
+
+    Returns
+    -------
+    bytes
+
+    Examples
+    --------
+    >>> event(b"{}")
+    b'data: {}\n\n'
+    """
+    return b"data: " + data + b"\n\n"
+
+
+class SseParser:
+    """Parser of one event stream; yields the data of each complete event.
+
+    Comments, event names, ids and retry times are skipped. An event that the stream's
+    end cuts is never returned, as the format demands.
+    """
+
+    def __init__(self, max_event_bytes: int) -> None:
+        self._max_event_bytes = max_event_bytes
+        self._rest = b""
+        self._data: list[bytes] = []
+        self._data_bytes = 0
+        self._after_cr = False
+        self._at_start = True
+
+    def feed(self, chunk: bytes) -> list[str]:
+        """Return the data of the events that the bytes so far complete.
+
+        Parameters
+        ----------
+        chunk : bytes
+            The next bytes, cut anywhere.
+
+        Returns
+        -------
+        list of str
+
+        Raises
+        ------
+        SseError
+            If an event is too long or not UTF-8.
+        """
+        if self._after_cr and chunk:
+            # The CR before this chunk ended a line; its LF must not end another.
+            self._after_cr = False
+            chunk = chunk.removeprefix(b"\n")
+        if not chunk:
+            return []
+        self._after_cr = chunk.endswith(b"\r")
+        # Only the new bytes are searched for line ends, so long lines cost linear time.
+        lines = chunk.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
+        lines[0] = self._rest + lines[0]
+        self._rest = lines.pop()
+        found = []
+        for line in lines:
+            found += self._line(line)
+        if self._data_bytes + len(self._rest) > self._max_event_bytes:
+            raise SseError(f"event exceeds {self._max_event_bytes} bytes")
+        return found
+
+    def _line(self, line: bytes) -> list[str]:
+        if self._at_start:
+            self._at_start = False
+            line = line.removeprefix(b"\xef\xbb\xbf")
+        if line:
+            name, _, value = line.partition(b":")
+            if name == b"data":
+                self._data.append(value.removeprefix(b" "))
+                self._data_bytes += len(value) + 1
+                if self._data_bytes > self._max_event_bytes:
+                    raise SseError(f"event exceeds {self._max_event_bytes} bytes")
+            return []
+        if not self._data:
+            return []
+        data = b"\n".join(self._data)
+        self._data, self._data_bytes = [], 0
+        try:
+            return [data.decode()]
+        except UnicodeDecodeError as error:
+            raise SseError("event is not UTF-8") from error
+
+
+def make_sse_parser(max_event_bytes: int = DEFAULT_MAX_EVENT_BYTES) -> SseParser:
+    r"""Return a parser for one event stream.
+
+    Parameters
+    ----------
+    max_event_bytes : int
+        Longest accepted event; also bounds the memory of the parser.
+
+    Returns
+    -------
+    SseParser
+
+    Examples
+    --------
+    >>> parser = make_sse_parser()
+    >>> parser.feed(b'data: {"a"')
+    []
+    >>> parser.feed(b': 1}\n\ndata: [DONE]\n\n')
+    ['{"a": 1}', '[DONE]']
+    """
+    return SseParser(max_event_bytes)
