Add the first sidecar and entry tasks

Cause: the whole path as separate processes needs tasks around the decision modules. Not run yet: the modules for quota, crashes and bookings were still missing.

--- a/chervilgw/codec/openai_answers.py
+++ b/chervilgw/codec/openai_answers.py
@@ -292,13 +292,16 @@
 class EngineEvent:
     """What one event of an engine's stream says.
 
-    ``finish_reason`` and ``error`` are empty, and ``prompt_tokens`` None, if absent.
+    ``finish_reason``, ``error`` and ``answer_id`` are empty, and the token counts None,
+    if absent.
     """
 
     text: str = ""
     finish_reason: str = ""
     prompt_tokens: int | None = None
     error: str = ""
+    completion_tokens: int | None = None
+    answer_id: str = ""
 
 
 def parse_engine_event(data: str) -> EngineEvent:
@@ -331,12 +334,17 @@
         choice = (body.get("choices") or [{}])[0]
         text = (choice.get("delta") or {}).get("content") or choice.get("text") or ""
         event = EngineEvent(
-            text, choice.get("finish_reason") or "", usage.get("prompt_tokens")
+            text,
+            choice.get("finish_reason") or "",
+            usage.get("prompt_tokens"),
+            completion_tokens=usage.get("completion_tokens"),
+            answer_id=str(body.get("id") or ""),
         )
     except (ValueError, AttributeError, TypeError, KeyError, RecursionError) as error:
         raise sse.SseError("engine event has an unexpected form") from error
     if type(event.text) is not str or type(event.finish_reason) is not str:
         raise sse.SseError("engine event has a field of a wrong type")
-    if type(event.prompt_tokens) not in (int, type(None)):
+    counts = (event.prompt_tokens, event.completion_tokens)
+    if any(type(count) not in (int, type(None)) for count in counts):
         raise sse.SseError("engine event has a wrong token count")
     return event
--- /dev/null
+++ b/chervilgw/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: takes callers' requests through the filters and relays the answers."""
--- /dev/null
+++ b/chervilgw/entry/gateway.py
@@ -0,0 +1,536 @@
+"""Gateway task: owns the requests in flight and moves them along the path."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from itertools import count
+
+from absl import logging
+from circuits import BaseComponent, handler
+from returns.pipeline import is_successful
+
+from chervilgw.codec.openai_answers import model_body, model_list_body
+from chervilgw.configuration.freshness import refuse_stale
+from chervilgw.configuration.lookups import models_of
+from chervilgw.configuration.state import ConfigurationState, empty_state
+from chervilgw.configuration.values import Kind
+from chervilgw.core.ids import CrashId, Incarnation, RequestId, VmId, ZoneId
+from chervilgw.core.messages import Cancel, CrashReport, Refused, Started
+from chervilgw.core.pipeline import make_pipeline
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason, RunState
+from chervilgw.crashes import make_crash_tracker
+from chervilgw.entry.filters import accept, authenticate, choose, dispatch, price
+from chervilgw.entry.inflight import Inflight, Stage, refuse_without_budget
+from chervilgw.entry.messages import Attempt, Incoming, ListTarget, Priced
+from chervilgw.entry.writers import REQUEST_ID_HEADER, error_reply, make_writer
+from chervilgw.keys.authenticate import check_identity
+from chervilgw.membership.task import FleetSnapshot
+from chervilgw.relay.outputs import Ask, Complete, Deliver, Fail, Resume, Stop
+from chervilgw.relay.stream import make_stream
+from chervilgw.routing.prefixes import make_prefix_index
+from chervilgw.routing.retries import make_retry_budget
+from chervilgw.runtime.control_events import (
+    crash_seen,
+    drained,
+    quota_abandon,
+    quota_cancel,
+    quota_reserve,
+    quota_settle,
+    quota_started,
+)
+from chervilgw.runtime.events import HttpReply, HttpRequest, http_reply, peer_send
+from chervilgw.telemetry import make_metrics
+
+PARK_S = 1.0
+"""How long a request waits for the configuration to be confirmed before it is refused."""
+LOST_KEPT_S = 60.0
+GAP_WAIT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayOptions:
+    """Options of the gateway task."""
+
+    me: Incarnation
+    zone: ZoneId
+
+
+class Gateway(BaseComponent):
+    """Gateway task; see :func:`make_gateway`."""
+
+    def __init__(self, options: GatewayOptions, metrics, channel):
+        super().__init__(channel=channel)
+        self._options = options
+        self._metrics = metrics
+        self._state: ConfigurationState = empty_state()
+        self._fresh_until_s = float("-inf")
+        self._fleet = FleetSnapshot()
+        self._identify = make_pipeline(accept, authenticate)
+        self._route = make_pipeline(choose, dispatch)
+        self._parked: list[tuple[HttpRequest, float]] = []
+        self._requests: dict[int, Inflight] = {}
+        self._attempts: dict[RequestId, int] = {}
+        self._numbers = count(1)
+        self._outstanding: Counter[VmId] = Counter()
+        self._retries = make_retry_budget()
+        self._prefixes = make_prefix_index()
+        self._crashes = make_crash_tracker()
+        self._lost: dict[Incarnation, tuple[float, set]] = {}
+        self._linked: set[Incarnation] = set()
+        self._leaving = self._drained = False
+
+    # Arrival: accept, authenticate, price, reserve.
+
+    @handler("http_request")
+    def _on_request(self, http: HttpRequest):
+        now_s = time.monotonic()
+        if http.path in ("/healthz", "/readyz"):
+            self._probe(http, now_s)
+        elif http.path.startswith("/admin/"):
+            self.fire(admin_request(http), "admin")
+        elif now_s > self._fresh_until_s:
+            self._parked.append((http, now_s + PARK_S))
+        else:
+            self._consider(http, now_s)
+
+    def _probe(self, http: HttpRequest, now_s):
+        ready = now_s <= self._fresh_until_s and not self._leaving
+        ok = ready or http.path == "/healthz"
+        status, body = (200, b'{"status":"ok"}') if ok else (503, b'{"status":"no"}')
+        headers = (("content-type", "application/json"),)
+        self.fire(http_reply(HttpReply(http.exchange, status, headers, body)), "http")
+
+    def _consider(self, http: HttpRequest, now_s):
+        request_id = f"{self._options.me}/x{http.exchange}"
+        result = self._identify(Incoming(http, self._state), now_s)
+        if not is_successful(result):
+            self._refuse(http.exchange, request_id, result.failure())
+            return
+        message = result.unwrap()
+        if isinstance(message.target, ListTarget):
+            self._list_models(message, request_id)
+            return
+        priced = price(message, now_s).bind(self._check_block)
+        if not is_successful(priced):
+            self._refuse(http.exchange, request_id, priced.failure())
+            return
+        self._reserve(priced.unwrap(), request_id, now_s)
+
+    def _check_block(self, priced: Priced):
+        lifted = self._state.items[Kind.BLOCK_LIFT]
+        checked = self._crashes.check(priced.digest, _wall_ms(), lifted)
+        return checked.map(lambda _: priced)
+
+    def _list_models(self, message, request_id):
+        names = models_of(self._state, message.identity.customer)
+        wanted = message.target.name
+        if wanted is None:
+            body = model_list_body(names, 0)
+        elif wanted in names:
+            body = _dump(model_body(wanted, 0))
+        else:
+            detail = f"there is no model {wanted!r}"
+            refusal = make_refusal(RefusalReason.UNKNOWN_MODEL, detail)
+            self._refuse(message.http.exchange, request_id, refusal)
+            return
+        headers = (("content-type", "application/json"),)
+        headers += ((REQUEST_ID_HEADER, request_id),)
+        reply = HttpReply(message.http.exchange, 200, headers, body)
+        self.fire(http_reply(reply), "http")
+
+    def _reserve(self, priced: Priced, request_id, now_s):
+        writer = make_writer(priced, request_id)
+        request = Inflight(priced, request_id, writer, now_s)
+        request.suspect_of = self._crashes.suspect_crashes(priced.digest)
+        self._requests[priced.exchange] = request
+        self._retries.on_request()
+        self._metrics.count("requests")
+        if priced.budget is None:
+            self._attempt(request, now_s)
+            return
+        reserve = (request.token, priced.budget, priced.charge_tokens, self.channel)
+        self.fire(quota_reserve(*reserve), "quota")
+
+    def _request_of_token(self, token: str) -> Inflight | None:
+        return self._requests.get(int(token.rpartition("/")[2]))
+
+    @handler("quota_granted")
+    def _on_granted(self, token, debit):
+        request = self._request_of_token(token)
+        if request is None:
+            self.fire(quota_cancel(debit), "quota")
+            return
+        request.debit = debit
+        self._attempt(request, time.monotonic())
+
+    @handler("quota_denied")
+    def _on_denied(self, token, refusal):
+        request = self._request_of_token(token)
+        if request is not None:
+            self._metrics.count("refused_rate")
+            self._fail(request, refusal)
+
+    # Attempts: choose, dispatch.
+
+    def _attempt(self, request: Inflight, now_s):
+        priced = request.priced
+        request_id = RequestId(self._options.me, next(self._numbers))
+        attempt = Attempt(
+            priced,
+            request_id,
+            self._fleet,
+            self._options.zone,
+            self._outstanding,
+            self._prefix_share(priced, now_s),
+            frozenset(request.excluded),
+            request.suspect_of,
+            random.random(),
+            request.resume.position if request.resume else 0,
+            request.resume.text if request.resume else "",
+            request.deadline_left_s(now_s),
+        )
+        result = self._route(attempt, now_s)
+        if not is_successful(result):
+            self._no_server(request, result.failure(), now_s)
+            return
+        vm = choose(attempt, now_s).unwrap().choice.vm
+        self._send(request, request_id, vm, result.unwrap(), now_s)
+
+    def _prefix_share(self, priced: Priced, now_s):
+        if not priced.prefixes:
+            return {}
+        return {
+            server.vm: self._prefixes.share(server.vm, priced.prefixes, now_s)
+            for server in self._fleet.servers
+        }
+
+    def _send(self, request: Inflight, request_id, vm, message, now_s):
+        server = next(s for s in self._fleet.servers if s.vm == vm)
+        if request.stream is None:
+            request.stream = make_stream(
+                request_id,
+                request.priced.kind,
+                deliver=request.priced.stream,
+                idempotent=request.priced.idempotent,
+                gap_wait_s=GAP_WAIT_S,
+            )
+        else:
+            request.stream.next_attempt(request_id)
+        request.attempt, request.server = request_id, server.incarnation
+        request.attempts += 1
+        request.stage = Stage.ATTEMPTING
+        self._attempts[request_id] = request.priced.exchange
+        self._outstanding[vm] += 1
+        self._prefixes.on_dispatch(vm, request.priced.prefixes, now_s)
+        self._metrics.count("attempts")
+        self.fire(peer_send(server.incarnation, message), "links")
+
+    def _no_server(self, request: Inflight, refusal: Refusal, now_s):
+        if request.excluded:
+            # Every other server failed as well; the excluded ones may have recovered.
+            request.excluded.clear()
+        if request.stream is not None and not request.stream.ended:
+            self._apply(request, request.stream.give_up(refusal), now_s)
+        else:
+            self._fail(request, refusal)
+
+    # Answers: relay, account.
+
+    @handler("peer_messages")
+    def _on_messages(self, peer, messages):
+        now_s = time.monotonic()
+        for message in messages:
+            exchange = self._attempts.get(message.request_id)
+            request = self._requests.get(exchange) if exchange is not None else None
+            if request is not None and message.request_id == request.attempt:
+                self._on_answer(request, message, now_s)
+
+    def _on_answer(self, request: Inflight, message, now_s):
+        if request.stage is Stage.STOPPING:
+            self._on_stopped(request, message, now_s)
+            return
+        if not isinstance(message, Refused) and not request.started:
+            self._on_started(request, message)
+        if isinstance(message, Refused) and message.crash is not None:
+            self._on_crash(request, message, now_s)
+        self._apply(request, request.stream.on_message(message, now_s), now_s)
+
+    def _on_started(self, request: Inflight, message):
+        if isinstance(message, Started):
+            request.started = True
+            request.stage = Stage.RUNNING
+            if request.debit is not None:
+                self.fire(quota_started(request.debit), "quota")
+
+    def _on_crash(self, request: Inflight, message: Refused, now_s):
+        if message.crash not in request.suspect_of:
+            request.suspect_of = (*request.suspect_of, message.crash)
+        report = CrashReport(
+            message.crash, request.server.vm, (request.priced.digest,), _wall_ms()
+        )
+        self._crashes.on_crash_report(report, _wall_ms())
+        blocked = self._check_block(request.priced)
+        if not is_successful(blocked):
+            cause = blocked.failure()
+            self._apply(request, request.stream.give_up(cause), now_s)
+
+    def _apply(self, request: Inflight, outputs, now_s):
+        for output in outputs:
+            match output:
+                case Deliver(data):
+                    if request.first_token_s is None:
+                        request.first_token_s = now_s
+                        self._metrics.timing("first_token", now_s - request.arrived_s)
+                    self._fire_all(request.writer.part(data))
+                case Ask(message) | Stop(message):
+                    self.fire(peer_send(request.server, message), "links")
+                case Resume():
+                    self._resume(request, output, now_s)
+                case Complete():
+                    self._complete(request, output, now_s)
+                case Fail(refusal):
+                    self._fail(request, refusal)
+
+    def _resume(self, request: Inflight, resume: Resume, now_s):
+        request.resume = resume
+        self._forget_attempt(request)
+        request.excluded.add(request.server.vm)
+        refusal = request.may_repeat()
+        if refusal is None:
+            delay_s = self._retries.try_retry(request.attempts, random.random())
+            if delay_s is not None:
+                request.stage = Stage.WAITING_TO_RETRY
+                request.retry_at_s = now_s + delay_s
+                self._metrics.count("retries")
+                return
+            refusal = refuse_without_budget()
+        cause = Refusal(
+            refusal.reason, resume.cause.run, resume.cause.detail, refusal.retry_after_s
+        )
+        self._apply(request, request.stream.give_up(cause), now_s)
+
+    def _complete(self, request: Inflight, answer: Complete, now_s):
+        self._metrics.count("completed")
+        self._metrics.count("tokens", answer.tokens)
+        self._metrics.timing("request", now_s - request.arrived_s)
+        self._fire_all(request.writer.complete(answer))
+        self._end(request, request.used_tokens(answer.prompt_tokens))
+
+    def _fail(self, request: Inflight, refusal: Refusal):
+        self._metrics.count(f"refused.{refusal.reason.value}")
+        self._fire_all(request.writer.fail(refusal))
+        ran = request.started or refusal.run is not RunState.NOT_RUN
+        self._end(request, request.used_tokens(0) if ran else None)
+
+    def _end(self, request: Inflight, used_tokens: int | None):
+        """Settle the account; None says that the request was certainly not run."""
+        if request.debit is not None:
+            if used_tokens is None:
+                self.fire(quota_cancel(request.debit), "quota")
+            else:
+                self.fire(quota_settle(request.debit, used_tokens), "quota")
+        elif request.priced.budget is not None:
+            abandon = quota_abandon(request.token, request.priced.budget)
+            self.fire(abandon, "quota")
+        self._forget_attempt(request)
+        del self._requests[request.priced.exchange]
+        if self._leaving:
+            self._check_drained()
+
+    def _forget_attempt(self, request: Inflight):
+        if self._attempts.pop(request.attempt, None) is None:
+            return
+        vm = request.server.vm
+        self._outstanding[vm] = max(0, self._outstanding[vm] - 1)
+
+    def _refuse(self, exchange, request_id, refusal: Refusal):
+        self._metrics.count(f"refused.{refusal.reason.value}")
+        self.fire(error_reply(exchange, request_id, refusal), "http")
+
+    def _fire_all(self, events):
+        for event in events:
+            self.fire(event, "http")
+
+    # Callers that leave, keys that are withdrawn.
+
+    @handler("http_gone")
+    def _on_gone(self, exchange):
+        self._parked = [item for item in self._parked if item[0].exchange != exchange]
+        request = self._requests.get(exchange)
+        if request is not None:
+            self._stop(request)
+
+    def _stop(self, request: Inflight):
+        if request.stage in (Stage.ATTEMPTING, Stage.RUNNING):
+            # The charge is settled when the sidecar confirms the end, so that tokens
+            # produced until then are counted.
+            request.stage = Stage.STOPPING
+            cancel = Cancel(request.attempt)
+            self.fire(peer_send(request.server, cancel), "links")
+        elif request.stage is not Stage.STOPPING:
+            self._end(request, request.used_tokens(0) if request.started else None)
+
+    def _on_stopped(self, request: Inflight, message, now_s):
+        request.stream.on_message(message, now_s)
+        if isinstance(message, Started):
+            self._on_started(request, message)
+            request.stage = Stage.STOPPING
+        if isinstance(message, Refused) or request.stream.ended:
+            not_run = isinstance(message, Refused) and message.run is RunState.NOT_RUN
+            never_ran = not_run and not request.started
+            self._end(request, None if never_ran else request.used_tokens(0))
+
+    @handler("config_applied", channel="*")
+    def _on_config(self, state):
+        self._state = state
+        for request in list(self._requests.values()):
+            identity = request.priced.identity
+            if identity is None or request.stage is Stage.STOPPING:
+                continue
+            checked = check_identity(state, identity.key_id, identity.customer)
+            if not is_successful(checked):
+                self._withdraw(request, checked.failure())
+
+    def _withdraw(self, request: Inflight, refusal: Refusal):
+        """End a request whose key no longer works; a sent booking runs to its end."""
+        if request.attempt in self._attempts and request.priced.request is None:
+            return
+        run = RunState.RUN if request.started else RunState.NOT_RUN
+        known = Refusal(refusal.reason, run, refusal.detail)
+        self._fire_all(request.writer.fail(known))
+        self._stop(request)
+
+    # Changes around the requests.
+
+    @handler("config_fresh", channel="*")
+    def _on_fresh(self, until_s):
+        self._fresh_until_s = until_s
+        now_s = time.monotonic()
+        if now_s > until_s:
+            return
+        parked, self._parked = self._parked, []
+        for http, _ in parked:
+            self._consider(http, now_s)
+
+    @handler("fleet_changed", channel="*")
+    def _on_fleet(self, fleet: FleetSnapshot):
+        self._fleet = fleet
+        now_s = time.monotonic()
+        current = {server.incarnation for server in fleet.servers}
+        for request in list(self._requests.values()):
+            if request.attempt not in self._attempts:
+                continue
+            if request.server not in current and request.server not in self._linked:
+                self._on_server_lost(request, now_s)
+        self._report_lost(fleet)
+
+    def _on_server_lost(self, request: Inflight, now_s):
+        if request.stage is Stage.STOPPING:
+            self._end(request, request.used_tokens(0))
+            return
+        self._note_lost(request, now_s)
+        detail = "the backend server was lost"
+        self._apply(request, request.stream.on_server_lost(detail), now_s)
+
+    def _note_lost(self, request: Inflight, now_s):
+        """Treat the request as a suspect: it may be what brought the server down."""
+        crash = CrashId(f"{request.server}/lost")
+        if request.started and crash not in request.suspect_of:
+            request.suspect_of = (*request.suspect_of, crash)
+            _, digests = self._lost.setdefault(request.server, (now_s, set()))
+            digests.add(request.priced.digest)
+
+    def _report_lost(self, fleet: FleetSnapshot):
+        """Report a crash once the list or a new incarnation shows that the VM failed."""
+        now_s = time.monotonic()
+        newest = {server.vm: server.incarnation for server in fleet.servers}
+        for server, (since_s, digests) in list(self._lost.items()):
+            replaced = newest.get(server.vm, server) != server
+            if replaced or server in fleet.gone:
+                crash = CrashId(f"{server}/lost")
+                report = CrashReport(crash, server.vm, tuple(digests), _wall_ms())
+                self.fire(crash_seen(report), "crashes")
+            if replaced or server in fleet.gone or now_s - since_s > LOST_KEPT_S:
+                del self._lost[server]
+
+    @handler("crash_known", channel="*")
+    def _on_crash_known(self, report):
+        self._crashes.on_crash_report(report, _wall_ms())
+
+    @handler("peer_up", channel="*")
+    def _on_peer_up(self, peer):
+        self._linked.add(peer.incarnation)
+        now_s = time.monotonic()
+        for request in self._requests_at(peer.incarnation):
+            if request.stage is Stage.STOPPING:
+                self.fire(peer_send(request.server, Cancel(request.attempt)), "links")
+            else:
+                outputs = request.stream.on_connection_lost(now_s)
+                self._apply(request, outputs, now_s)
+
+    @handler("peer_down", channel="*")
+    def _on_peer_down(self, peer):
+        self._linked.discard(peer.incarnation)
+        now_s = time.monotonic()
+        for request in self._requests_at(peer.incarnation):
+            if request.stage is not Stage.STOPPING:
+                request.stream.on_connection_lost(now_s)
+
+    def _requests_at(self, incarnation) -> list[Inflight]:
+        return [
+            request
+            for request in self._requests.values()
+            if request.server == incarnation and request.attempt in self._attempts
+        ]
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        for request in list(self._requests.values()):
+            if request.stage is Stage.WAITING_TO_RETRY:
+                if now_s >= request.retry_at_s:
+                    self._attempt(request, now_s)
+            elif request.stage in (Stage.ATTEMPTING, Stage.RUNNING):
+                outputs = request.stream.tick(now_s)
+                if any(isinstance(output, Resume) for output in outputs):
+                    self._note_lost(request, now_s)
+                self._apply(request, outputs, now_s)
+        expired = [item for item in self._parked if now_s >= item[1]]
+        if expired:
+            self._parked = [item for item in self._parked if now_s < item[1]]
+        for http, _ in expired:
+            self._refuse(http.exchange, f"x{http.exchange}", refuse_stale())
+        self._metrics.gauge("requests_in_flight", len(self._requests))
+
+    @handler("drain", channel="*")
+    def _on_drain(self):
+        self._leaving = True
+        self._check_drained()
+
+    def _check_drained(self):
+        if not self._requests and not self._parked and not self._drained:
+            self._drained = True
+            logging.info("gateway_drained")
+            self.fire(drained("gateway"), "role")
+
+
+def make_gateway(options: GatewayOptions, metrics, channel="gateway") -> Gateway:
+    """Return a gateway task.
+
+    Parameters
+    ----------
+    options : GatewayOptions
+        Identity of this entry.
+    metrics : Metrics
+        Where the task counts.
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    Gateway
+    """
+    return Gateway(options, metrics, channel)
--- /dev/null
+++ b/chervilgw/entry/inflight.py
@@ -0,0 +1,89 @@
+"""One request between its reservation and its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from chervilgw.core.ids import CrashId, Incarnation, RequestId, VmId
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason
+from chervilgw.entry.messages import Priced
+from chervilgw.entry.writers import CallerWriter
+from chervilgw.relay.outputs import Resume
+from chervilgw.relay.stream import Stream
+
+MAX_ATTEMPTS = 4
+
+
+class Stage(Enum):
+    """Where a request is on its path."""
+
+    RESERVING = "reserving"
+    ATTEMPTING = "attempting"
+    RUNNING = "running"
+    WAITING_TO_RETRY = "waiting_to_retry"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class Inflight:
+    """State of one request; the gateway task owns it.
+
+    ``server`` is the sidecar process of the present attempt, ``suspect_of`` the crashes
+    at which the request was running.
+    """
+
+    priced: Priced
+    request_id: str
+    writer: CallerWriter
+    arrived_s: float
+    stage: Stage = Stage.RESERVING
+    debit: Any = None
+    stream: Stream | None = None
+    attempt: RequestId | None = None
+    server: Incarnation | None = None
+    attempts: int = 0
+    excluded: set[VmId] = field(default_factory=set)
+    suspect_of: tuple[CrashId, ...] = ()
+    started: bool = False
+    resume: Resume | None = None
+    retry_at_s: float = 0.0
+    first_token_s: float | None = None
+
+    @property
+    def token(self) -> str:
+        """Return the token of the quota reservation."""
+        return f"exchange/{self.priced.exchange}"
+
+    def deadline_left_s(self, now_s: float) -> float | None:
+        """Return the time left until the request's deadline."""
+        if self.priced.deadline_s is None:
+            return None
+        return max(0.0, self.arrived_s + self.priced.deadline_s - now_s)
+
+    def used_tokens(self, prompt_tokens: int) -> int:
+        """Return the tokens to charge at the end.
+
+        A run that started costs its prompt, in the engine's own count if known, and the
+        tokens that were produced for it.
+        """
+        if self.priced.request is None:
+            return self.priced.charge_tokens
+        tokens = self.stream.tokens if self.stream is not None else 0
+        prompt = prompt_tokens or self.priced.prompt_tokens
+        return min(self.priced.charge_tokens, prompt + tokens)
+
+    def may_repeat(self) -> Refusal | None:
+        """Return a refusal if no further attempt is allowed."""
+        if self.attempts < MAX_ATTEMPTS:
+            return None
+        detail = f"{self.attempts} attempts failed"
+        return make_refusal(RefusalReason.BACKEND_LOST, detail, 1.0)
+
+
+def refuse_without_budget() -> Refusal:
+    """Return the refusal of a retry that the budget does not allow."""
+    detail = "the retry budget of this entry is spent"
+    return make_refusal(RefusalReason.BACKEND_LOST, detail, 1.0)
--- /dev/null
+++ b/chervilgw/entry/messages.py
@@ -0,0 +1,142 @@
+"""Messages between the entry's filters, in the order of the path."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from chervilgw.codec.openai import CompletionRequest
+from chervilgw.configuration.state import ConfigurationState
+from chervilgw.configuration.values import Route
+from chervilgw.core.ids import (
+    BudgetName,
+    CrashId,
+    Digest,
+    RequestId,
+    VmId,
+)
+from chervilgw.core.states import BackendKind, Urgency
+from chervilgw.keys.authenticate import KeyIdentity
+from chervilgw.membership.task import FleetSnapshot
+from chervilgw.routing.choice import Choice
+from chervilgw.runtime.events import HttpRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A caller's request with the configuration at its arrival."""
+
+    http: HttpRequest
+    state: ConfigurationState
+
+
+@dataclass(frozen=True, slots=True)
+class ModelTarget:
+    """A completion request."""
+
+    request: CompletionRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTarget:
+    """A call of a plain service; ``path`` is the service's own, with the query."""
+
+    service: str
+    path: str
+    route: Route
+
+
+@dataclass(frozen=True, slots=True)
+class ListTarget:
+    """``GET /v1/models``, or one of them if ``name`` is set."""
+
+    name: str | None = None
+
+
+Target = ModelTarget | ServiceTarget | ListTarget
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A well-formed request with a known route."""
+
+    http: HttpRequest
+    state: ConfigurationState
+    target: Target
+    key_text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Authenticated:
+    """A request whose key was checked; ``identity`` is None on an open route."""
+
+    http: HttpRequest
+    state: ConfigurationState
+    target: Target
+    identity: KeyIdentity | None
+
+
+@dataclass(frozen=True, slots=True)
+class Priced:
+    """A permitted request with its price; what follows needs no key and no prompt.
+
+    ``charge_tokens`` is the prompt's estimate plus ``max_tokens``. ``target_name`` is
+    the adapter's name for a request to an adapter, ``model`` always the model's.
+    """
+
+    exchange: int
+    identity: KeyIdentity | None
+    config_offset: int
+    kind: BackendKind
+    target_name: str
+    model: str
+    adapter: str | None
+    pool: str
+    size_bytes: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    stream: bool
+    urgency: Urgency
+    deadline_s: float | None
+    prompt_tokens: int
+    charge_tokens: int
+    digest: Digest
+    prefixes: tuple[Digest, ...]
+    idempotency_key: str
+    idempotent: bool
+    request: CompletionRequest | None = None
+
+    @property
+    def budget(self) -> BudgetName | None:
+        """Return the customer's budget, or None on an open route."""
+        if self.identity is None:
+            return None
+        return BudgetName(self.identity.customer)
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What the choice of a backend server for one attempt depends on."""
+
+    priced: Priced
+    request_id: RequestId
+    fleet: FleetSnapshot
+    zone: str
+    outstanding: Mapping[VmId, int]
+    prefix_share: Mapping[VmId, float]
+    excluded: frozenset[VmId]
+    suspect_of: tuple[CrashId, ...]
+    random_value: float
+    resume_position: int = 0
+    resume_text: str = ""
+    deadline_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """An attempt with its backend server."""
+
+    attempt: Attempt
+    choice: Choice
--- /dev/null
+++ b/chervilgw/entry/writers.py
@@ -0,0 +1,193 @@
+"""How an answer reaches the caller: as a stream, as one body, or a service's as it is."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+from chervilgw.codec.openai_answers import (
+    AnswerWriter,
+    HttpAnswer,
+    error_answer,
+    make_answer_writer,
+)
+from chervilgw.core.refusals import Refusal
+from chervilgw.entry.messages import Priced
+from chervilgw.relay.outputs import Complete
+from chervilgw.runtime.events import (
+    HttpPushStart,
+    HttpReply,
+    http_push_data,
+    http_push_end,
+    http_push_start,
+    http_reply,
+)
+
+REQUEST_ID_HEADER = "x-request-id"
+
+
+class CallerWriter(Protocol):
+    """Turns parts and the end of an answer into events for the HTTP server task."""
+
+    def part(self, data: bytes) -> list:
+        """Return events for a part of the answer."""
+        ...
+
+    def complete(self, answer: Complete) -> list:
+        """Return events for the end of a whole answer."""
+        ...
+
+    def fail(self, refusal: Refusal) -> list:
+        """Return events for an answer that cannot be completed."""
+        ...
+
+
+class StreamWriter:
+    """Server-sent events; the head goes out with the first part."""
+
+    def __init__(self, exchange: int, request_id: str, writer: AnswerWriter):
+        self._exchange = exchange
+        self._request_id = request_id
+        self._writer = writer
+        self._begun = False
+
+    def part(self, data: bytes) -> list:
+        """Return the event of one token."""
+        text = self._writer.part(data.decode())
+        return [*self._head(), http_push_data(self._exchange, text)]
+
+    def complete(self, answer: Complete) -> list:
+        """Return the final events, ``[DONE]`` included."""
+        tail = self._writer.end(
+            answer.finish_reason, answer.prompt_tokens, answer.tokens
+        )
+        return [
+            *self._head(),
+            http_push_data(self._exchange, tail),
+            http_push_end(self._exchange),
+        ]
+
+    def fail(self, refusal: Refusal) -> list:
+        """Return an error answer, or within a stream an error event and a cut end."""
+        if not self._begun:
+            return [error_reply(self._exchange, self._request_id, refusal)]
+        error = self._writer.error(refusal)
+        return [
+            http_push_data(self._exchange, error),
+            http_push_end(self._exchange, False),
+        ]
+
+    def _head(self) -> list:
+        if self._begun:
+            return []
+        self._begun = True
+        headers = (
+            ("content-type", "text/event-stream"),
+            ("cache-control", "no-cache"),
+            (REQUEST_ID_HEADER, self._request_id),
+        )
+        start = http_push_start(HttpPushStart(self._exchange, 200, headers))
+        first = self._writer.first()
+        return [start, http_push_data(self._exchange, first)] if first else [start]
+
+
+class WholeWriter:
+    """One JSON body at the end."""
+
+    def __init__(self, exchange: int, request_id: str, writer: AnswerWriter):
+        self._exchange = exchange
+        self._request_id = request_id
+        self._writer = writer
+
+    def part(self, data: bytes) -> list:
+        """Return nothing; the relay keeps the text."""
+        return []
+
+    def complete(self, answer: Complete) -> list:
+        """Return the whole answer."""
+        body = self._writer.whole(
+            answer.body.decode(),
+            answer.finish_reason,
+            answer.prompt_tokens,
+            answer.tokens,
+        )
+        headers = (("content-type", "application/json"),)
+        reply = HttpAnswer(answer.status, headers, body)
+        return [_reply(self._exchange, self._request_id, reply)]
+
+    def fail(self, refusal: Refusal) -> list:
+        """Return an error answer."""
+        return [error_reply(self._exchange, self._request_id, refusal)]
+
+
+class ServiceWriter:
+    """A plain service's own status, headers and body."""
+
+    def __init__(self, exchange: int, request_id: str):
+        self._exchange = exchange
+        self._request_id = request_id
+
+    def part(self, data: bytes) -> list:
+        """Return nothing; the body is sent when it is known to be whole."""
+        return []
+
+    def complete(self, answer: Complete) -> list:
+        """Return the whole answer."""
+        reply = HttpAnswer(answer.status, answer.headers, answer.body)
+        return [_reply(self._exchange, self._request_id, reply)]
+
+    def fail(self, refusal: Refusal) -> list:
+        """Return an error answer."""
+        return [error_reply(self._exchange, self._request_id, refusal)]
+
+
+def make_writer(priced: Priced, request_id: str) -> CallerWriter:
+    """Return the writer that fits a request.
+
+    Parameters
+    ----------
+    priced : Priced
+        The request.
+    request_id : str
+        Id that the caller sees.
+
+    Returns
+    -------
+    CallerWriter
+    """
+    if priced.request is None:
+        return ServiceWriter(priced.exchange, request_id)
+    request = priced.request
+    writer = make_answer_writer(
+        request.endpoint,
+        f"chatcmpl-{request_id}",
+        int(time.time()),
+        request.model,
+        request.include_usage,
+    )
+    kind = StreamWriter if request.stream else WholeWriter
+    return kind(priced.exchange, request_id, writer)
+
+
+def error_reply(exchange: int, request_id: str, refusal: Refusal):
+    """Return the event that answers a request with an error.
+
+    Parameters
+    ----------
+    exchange : int
+        Exchange at the HTTP server task.
+    request_id : str
+        Id that the caller sees.
+    refusal : Refusal
+        Why there is no answer.
+
+    Returns
+    -------
+    http_reply
+    """
+    return _reply(exchange, request_id, error_answer(refusal))
+
+
+def _reply(exchange: int, request_id: str, answer: HttpAnswer):
+    headers = (*answer.headers, (REQUEST_ID_HEADER, request_id))
+    return http_reply(HttpReply(exchange, answer.status, headers, answer.body))
--- a/chervilgw/runtime/control_events.py
+++ b/chervilgw/runtime/control_events.py
@@ -79,3 +79,7 @@
 
 class drained(Event):  # noqa: N801
     """A task has finished its work after ``drain``: name of the task."""
+
+
+class crash_seen(Event):  # noqa: N801
+    """A backend server crashed, as this process saw: ``CrashReport``."""
--- /dev/null
+++ b/chervilgw/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: queues, runs and answers requests beside one backend server."""
--- /dev/null
+++ b/chervilgw/sidecar/errors.py
@@ -0,0 +1,7 @@
+"""Errors of the sidecar."""
+
+from chervilgw.core.errors import ChervilError
+
+
+class DamagedAnswer(ChervilError):
+    """The engine's answer is malformed, cut, or has missing or doubled tokens."""
--- /dev/null
+++ b/chervilgw/sidecar/events.py
@@ -0,0 +1,74 @@
+"""Events between the sidecar's tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from circuits import Event
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """The engine as its task knows it.
+
+    ``resident`` maps a model or adapter name to a copy state value; a name counts as
+    loaded if one of its versions is.
+    """
+
+    up: bool = False
+    capacity_bytes: int = 0
+    free_bytes: int = 0
+    resident: Mapping[str, str] = field(default_factory=dict)
+
+
+class engine_view(Event):  # noqa: N801
+    """The engine's copies changed: ``EngineView``."""
+
+
+class engine_want(Event):  # noqa: N801
+    """Requests wait for these models and adapters: tuple of names."""
+
+
+class engine_retire(Event):  # noqa: N801
+    """Ask to start no more requests on a copy that is to be unloaded: name."""
+
+
+class engine_retired(Event):  # noqa: N801
+    """Answer to ``engine_retire``: name, whether no request uses the copy."""
+
+
+class engine_probe(Event):  # noqa: N801
+    """A call to the engine broke off; find out whether the engine died."""
+
+
+class engine_verdict(Event):  # noqa: N801
+    """Answer to ``engine_probe``: id of the crash, or None if the engine is alive."""
+
+
+class permits_granted(Event):  # noqa: N801
+    """Messages about permits: list of ``PermitGrant``."""
+
+
+class run_booking(Event):  # noqa: N801
+    """The booking task lets an attempt run: request id."""
+
+
+class answer_booking(Event):  # noqa: N801
+    """The booking task answers an attempt itself: request id, recorded answer."""
+
+
+class refuse_booking(Event):  # noqa: N801
+    """The booking task refuses an attempt: request id, ``Refusal``."""
+
+
+class booking_request(Event):  # noqa: N801
+    """Ask to run a keyed booking: ``Dispatch``."""
+
+
+class booking_finished(Event):  # noqa: N801
+    """The service answered an attempt: request id, status, headers, body."""
+
+
+class booking_lost(Event):  # noqa: N801
+    """The service gave no answer: request id, whether it may have run."""
--- /dev/null
+++ b/chervilgw/sidecar/loading.py
@@ -0,0 +1,203 @@
+"""Decisions on one engine's copies: what to load, with which permit, what to evict."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from chervilgw.configuration.lookups import resolve_model
+from chervilgw.configuration.state import ConfigurationState
+from chervilgw.configuration.values import Kind
+from chervilgw.core.fleet import ServerView
+from chervilgw.core.ids import BudgetName, ModelName, VmId
+from chervilgw.core.states import CopyState, VmState
+from chervilgw.placement.copies import ModelSpec
+from chervilgw.placement.memory import ResidentCopy
+from chervilgw.routing.order import rank
+
+STORE_RATE = BudgetName("store:loads-per-s")
+STORE_COUNT = BudgetName("store:loads-at-once")
+ADAPTER_COUNT = BudgetName("adapter:cold-starts-at-once")
+WANT_LASTS_S = 10.0
+"""A want is repeated by the runner while requests wait; an old one is dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class CopySpec:
+    """What a load needs to know; ``base_model`` is None for a model."""
+
+    name: ModelName
+    version: str
+    size_bytes: int
+    base_model: str | None = None
+
+    @property
+    def budgets(self) -> tuple[BudgetName, ...]:
+        """Return the fleet-wide budgets that a load uses."""
+        if self.base_model is not None:
+            return (ADAPTER_COUNT,)
+        return (STORE_RATE, STORE_COUNT)
+
+
+@dataclass(slots=True)
+class Wants:
+    """Names that requests wait for, with the time of the last mention."""
+
+    since_s: dict[str, float] = field(default_factory=dict)
+
+    def add(self, names: Iterable[str], now_s: float) -> None:
+        """Note that requests wait for these names."""
+        self.since_s.update(dict.fromkeys(names, now_s))
+
+    def current(self, now_s: float) -> tuple[str, ...]:
+        """Return the names that are still wanted."""
+        for name, since_s in list(self.since_s.items()):
+            if now_s - since_s > WANT_LASTS_S:
+                del self.since_s[name]
+        return tuple(self.since_s)
+
+
+def copy_spec(state: ConfigurationState, name: str) -> CopySpec | None:
+    """Return the configured copy of a model or adapter, or None.
+
+    Parameters
+    ----------
+    state : ConfigurationState
+        Current configuration.
+    name : str
+        Model or adapter name.
+
+    Returns
+    -------
+    CopySpec or None
+    """
+    resolved = resolve_model(state, name)
+    if resolved is None:
+        return None
+    if resolved.adapter is not None:
+        adapter = resolved.adapter
+        return CopySpec(
+            ModelName(name), adapter.version, adapter.size_bytes, adapter.base_model
+        )
+    model = resolved.model
+    return CopySpec(ModelName(name), model.version, model.size_bytes)
+
+
+def model_specs(state: ConfigurationState) -> tuple[ModelSpec, ...]:
+    """Return all configured models in the form that the placement uses."""
+    return tuple(
+        ModelSpec(
+            ModelName(name),
+            item.value.version,
+            item.value.size_bytes,
+            item.value.pool,
+            item.value.min_copies,
+        )
+        for name, item in sorted(state.items[Kind.MODEL].items())
+    )
+
+
+def reachable_servers(
+    servers: Iterable[ServerView], me: VmId
+) -> tuple[ServerView, ...]:
+    """Return the fleet view with live servers marked as connected.
+
+    Sidecars have no links to each other; they know of one another by the reports that
+    entries pass on, whose age already decides between live and silent.
+
+    Parameters
+    ----------
+    servers : iterable of ServerView
+        This sidecar's fleet view.
+    me : VmId
+        This sidecar's VM.
+
+    Returns
+    -------
+    tuple of ServerView
+    """
+    return tuple(
+        replace(server, connected=True, load_age_s=0.0)
+        if server.vm == me
+        else replace(server, connected=server.state is VmState.LIVE)
+        for server in servers
+    )
+
+
+def choose_eviction(
+    state: ConfigurationState,
+    copies: Iterable[ResidentCopy],
+    servers: Iterable[ServerView],
+    me: VmId,
+    last_used_s: Mapping[str, float],
+    missing_bytes: int,
+) -> ResidentCopy | None:
+    """Return the copy to unload next to make room for a wanted one, or None.
+
+    Adapters go first, since their cold start takes milliseconds. A model goes only if a
+    live server of earlier rank has it loaded, so that its last copy stays.
+
+    Parameters
+    ----------
+    state : ConfigurationState
+        Current configuration.
+    copies : iterable of ResidentCopy
+        Copies on this server.
+    servers : iterable of ServerView
+        Fleet view, other servers' copies included.
+    me : VmId
+        This sidecar's VM.
+    last_used_s : mapping of str to float
+        When a request last used a copy.
+    missing_bytes : int
+        Memory that has to be freed.
+
+    Returns
+    -------
+    ResidentCopy or None
+    """
+    loaded = [copy for copy in copies if copy.state is CopyState.LOADED]
+    by_age = sorted(loaded, key=lambda copy: last_used_s.get(copy.name, 0.0))
+    adapters = [copy for copy in by_age if copy.name in state.items[Kind.ADAPTER]]
+    unknown = [copy for copy in by_age if copy_spec(state, copy.name) is None]
+    spare = [
+        copy
+        for copy in by_age
+        if copy.name in state.items[Kind.MODEL]
+        and has_earlier_holder(copy.name, servers, me)
+    ]
+    candidates = [*unknown, *adapters, *spare]
+    if sum(copy.size_bytes for copy in candidates) < missing_bytes:
+        return None
+    return candidates[0] if candidates else None
+
+
+def has_earlier_holder(name: str, servers: Iterable[ServerView], me: VmId) -> bool:
+    """Return whether a live server that precedes this one has the model loaded."""
+    own_rank = rank(name, me)
+    return any(
+        server.vm != me
+        and server.state is VmState.LIVE
+        and server.holds(name)
+        and rank(name, server.vm) < own_rank
+        for server in servers
+    )
+
+
+def merge_versions(copies: Iterable[ResidentCopy]) -> dict[str, str]:
+    """Return one state per name: loaded wins over loading, and that over unloading.
+
+    Examples
+    --------
+    >>> old = ResidentCopy("m", "1", 5, CopyState.LOADED)
+    >>> new = ResidentCopy("m", "2", 5, CopyState.LOADING)
+    >>> merge_versions([new, old])
+    {'m': 'loaded'}
+    """
+    order = (CopyState.UNLOADING, CopyState.LOADING, CopyState.LOADED)
+    merged: dict[str, CopyState] = {}
+    for copy in copies:
+        known = merged.get(copy.name)
+        if known is None or order.index(copy.state) > order.index(known):
+            merged[copy.name] = copy.state
+    return {name: state.value for name, state in merged.items()}
