--- /dev/null
+++ b/chervilgw/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' interface: ``/admin/v1``."""
--- /dev/null
+++ b/chervilgw/bookings/task.py
@@ -0,0 +1,169 @@
+"""Booking task: lets each keyed booking run at most once over the whole fleet."""
+
+from __future__ import annotations
+
+import time
+from itertools import count
+
+from circuits import BaseComponent, handler
+from returns.pipeline import is_successful
+
+from chervilgw.bookings.decisions import make_bookings
+from chervilgw.bookings.outputs import Answer, Append, Read, Refuse, Run
+from chervilgw.bookings.records import (
+    Booking,
+    RecordedAnswer,
+    from_value,
+    to_value,
+)
+from chervilgw.core.ids import Digest, Incarnation, Offset
+from chervilgw.core.messages import Dispatch
+from chervilgw.crashes import request_digest
+from chervilgw.platform.errors import RecordsExpired
+from chervilgw.platform.log import (
+    LogClientSpec,
+    Stream,
+    make_append_call,
+    make_read_call,
+    parse_append,
+    parse_page,
+)
+from chervilgw.runtime.events import http_call
+from chervilgw.sidecar.events import answer_booking, refuse_booking, run_booking
+
+
+class BookingTask(BaseComponent):
+    """Booking task; see :func:`make_booking_task`."""
+
+    def __init__(self, me: Incarnation, log_address: str, channel):
+        super().__init__(channel=channel)
+        self._spec = LogClientSpec(log_address, channel)
+        self._bookings = make_bookings(me)
+        self._calls: dict[str, Append | Read] = {}
+        self._numbers = count(1)
+
+    @handler("booking_request")
+    def _on_request(self, dispatch: Dispatch):
+        booking = Booking(
+            booking_digest(dispatch),
+            dispatch.digest,
+            dispatch.request_id,
+            int(time.time() * 1000),
+        )
+        self._perform(self._bookings.request(booking, time.monotonic()))
+
+    @handler("booking_finished")
+    def _on_finished(self, request_id, status, headers, body):
+        answer = RecordedAnswer(status, headers, body)
+        outputs = self._bookings.on_finished(request_id, answer, time.monotonic())
+        # The runner has the answer already.
+        self._perform(output for output in outputs if not isinstance(output, Answer))
+
+    @handler("booking_lost")
+    def _on_lost(self, request_id, may_have_run):
+        outputs = self._bookings.on_service_lost(
+            request_id, may_have_run, time.monotonic()
+        )
+        self._perform(output for output in outputs if not isinstance(output, Refuse))
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        self._perform(self._bookings.tick(now_s))
+
+    @handler("call_done")
+    def _on_call_done(self, answer):
+        operation = self._calls.pop(answer.call, None)
+        now_s = time.monotonic()
+        if isinstance(operation, Append):
+            if is_successful(parse_append(answer)):
+                self._perform(self._bookings.on_append_answer(operation, now_s))
+            else:
+                self._perform(self._bookings.on_log_failed(operation, now_s))
+        elif isinstance(operation, Read):
+            self._on_page(operation, parse_page(answer), now_s)
+
+    def _on_page(self, read: Read, result, now_s):
+        if not is_successful(result):
+            error = result.failure()
+            if isinstance(error, RecordsExpired):
+                # What the log no longer keeps is older than the idempotency window.
+                self._read(read, error.oldest)
+            else:
+                self._perform(self._bookings.on_log_failed(read, now_s))
+            return
+        records = [
+            (Offset(offset), from_value(mapping))
+            for offset, _, mapping in result.unwrap().records
+        ]
+        self._perform(self._bookings.on_records(read, records, now_s))
+
+    @handler("call_failed")
+    def _on_call_failed(self, failed):
+        operation = self._calls.pop(failed.call, None)
+        if operation is not None:
+            outputs = self._bookings.on_log_failed(operation, time.monotonic())
+            self._perform(outputs)
+
+    def _perform(self, outputs):
+        for output in outputs:
+            match output:
+                case Append(_, records):
+                    call = f"booking-append-{next(self._numbers)}"
+                    self._calls[call] = output
+                    mappings = [to_value(record) for record in records]
+                    append = make_append_call(
+                        self._spec, call, Stream.BOOKINGS, mappings
+                    )
+                    self.fire(http_call(append), "http-client")
+                case Read(_, start):
+                    self._read(output, start)
+                case Run(attempt):
+                    self.fire(run_booking(attempt), "runner")
+                case Answer(attempt, answer):
+                    self.fire(answer_booking(attempt, answer), "runner")
+                case Refuse(attempt, refusal):
+                    self.fire(refuse_booking(attempt, refusal), "runner")
+
+    def _read(self, operation: Read, start: int):
+        call = f"booking-read-{next(self._numbers)}"
+        self._calls[call] = operation
+        read = make_read_call(self._spec, call, Stream.BOOKINGS, start, 0)
+        self.fire(http_call(read), "http-client")
+
+
+def booking_digest(dispatch: Dispatch) -> Digest:
+    """Return what identifies a booking: customer, service and idempotency key.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+        Attempt with an idempotency key.
+
+    Returns
+    -------
+    Digest
+    """
+    return request_digest(
+        dispatch.customer, dispatch.target, dispatch.idempotency_key.encode()
+    )
+
+
+def make_booking_task(
+    me: Incarnation, log_address: str, channel: str = "bookings"
+) -> BookingTask:
+    """Return a booking task.
+
+    Parameters
+    ----------
+    me : Incarnation
+        This process.
+    log_address : str
+        Address of the append-only log.
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    BookingTask
+    """
+    return BookingTask(me, log_address, channel)
--- a/chervilgw/configuration/task.py
+++ b/chervilgw/configuration/task.py
@@ -5,7 +5,6 @@
 import time
 from itertools import count
 
-from absl import logging
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
@@ -42,6 +41,7 @@
     control_status,
 )
 from chervilgw.runtime.events import http_call, peer_send
+from chervilgw.telemetry import log_event
 
 READ_WAIT_MS = 300
 
@@ -215,7 +215,7 @@
 
     def _decided(self, outcome):
         reply_to = self._submitters.pop(outcome.change_id, None)
-        logging.info("config_change_decided", extra={"outcome": str(outcome)})
+        log_event("config_change_decided", outcome=str(outcome))
         if reply_to is not None:
             self.fire(config_decided(outcome), reply_to)
 
--- /dev/null
+++ b/chervilgw/entry/app.py
@@ -0,0 +1,127 @@
+"""Assembly of the entry's tasks."""
+
+from __future__ import annotations
+
+import random
+
+from chervilgw.admin.task import make_admin_task
+from chervilgw.codec.openai_answers import error_answer
+from chervilgw.configuration.task import make_config_task
+from chervilgw.core.messages import (
+    Chunk,
+    ConfigRecords,
+    ConfigRequest,
+    ConfigSnapshot,
+    CrashReport,
+    End,
+    Heartbeat,
+    Leaving,
+    PermitRelease,
+    PermitRequest,
+    Refused,
+    ShareReply,
+    ShareRequest,
+    ShareSnapshot,
+    ShareTransfer,
+    Started,
+)
+from chervilgw.core.states import Role
+from chervilgw.crashes.task import make_crash_task
+from chervilgw.entry.gateway import GatewayOptions, make_gateway
+from chervilgw.membership.task import make_fleet_task
+from chervilgw.platform.log import Stream
+from chervilgw.platform.log_task import make_log_task
+from chervilgw.quota.task import make_quota_task, quota_hand_over
+from chervilgw.runtime.app import App, make_app
+from chervilgw.runtime.clock import make_clock
+from chervilgw.runtime.http_client import make_http_client
+from chervilgw.runtime.http_guard import GuardLimits
+from chervilgw.runtime.http_server import HttpServerOptions, make_http_server
+from chervilgw.runtime.role import make_links, make_ready_task, make_shutdown_task
+from chervilgw.runtime.router import make_message_router
+from chervilgw.settings import EntrySettings
+from chervilgw.telemetry import make_metrics
+
+ROUTES = {
+    Heartbeat: "fleet",
+    Leaving: "fleet",
+    ConfigRequest: "config",
+    ConfigRecords: "config",
+    ConfigSnapshot: "config",
+    ShareRequest: "quota",
+    ShareTransfer: "quota",
+    ShareReply: "quota",
+    ShareSnapshot: "quota",
+    PermitRequest: "quota",
+    PermitRelease: "quota",
+    CrashReport: "crashes",
+    Started: "gateway",
+    Chunk: "gateway",
+    End: "gateway",
+    Refused: "gateway",
+}
+SNAPSHOT_JITTER_S = 5.0
+
+
+def make_entry_app(settings: EntrySettings) -> App:
+    """Return an entry process that serves when it is run.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+
+    Returns
+    -------
+    App
+    """
+    links = make_links(settings, Role.ENTRY)
+    me = links.me.incarnation
+    metrics = make_metrics(settings.statsd, settings.vm)
+    http = make_http_server(_http_options(settings), _write_refusal)
+    jitter_s = random.uniform(0.0, SNAPSHOT_JITTER_S)
+    readers = {Stream.SHARES: "quota", Stream.CRASHES: "crashes"}
+    addresses = {"http": f"{http.host}:{http.port}", "peer": links.me.address}
+    return make_app(
+        make_clock(),
+        http,
+        make_http_client(),
+        links,
+        make_message_router(ROUTES),
+        make_config_task(me, settings.platform.log, jitter_s),
+        make_log_task(settings.platform.log, readers),
+        make_fleet_task(links.me, settings.platform.list),
+        make_quota_task(me, metrics),
+        make_crash_task(),
+        make_gateway(GatewayOptions(me, links.me.zone), metrics),
+        make_admin_task(me, settings.operators),
+        make_shutdown_task(
+            (("gateway", quota_hand_over()), ("quota", None)), settings.notice_s
+        ),
+        make_ready_task(addresses),
+    )
+
+
+def _http_options(settings: EntrySettings) -> HttpServerOptions:
+    host, _, port = settings.http_listen.rpartition(":")
+    limits, tls = settings.limits, settings.tls
+    return HttpServerOptions(
+        host,
+        int(port),
+        "gateway",
+        GuardLimits(
+            limits.max_headers_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.body_timeout_s,
+        ),
+        limits.max_connections,
+        limits.write_buffer_bytes,
+        tls.certificate_file if tls else None,
+        tls.private_key_file if tls else None,
+    )
+
+
+def _write_refusal(refusal):
+    answer = error_answer(refusal)
+    return answer.status, answer.headers, answer.body
--- a/chervilgw/entry/filters/choose.py
+++ b/chervilgw/entry/filters/choose.py
@@ -8,7 +8,7 @@
 from chervilgw.core.messages import Dispatch
 from chervilgw.core.refusals import Refusal
 from chervilgw.core.states import BackendKind
-from chervilgw.entry.messages import Attempt, Chosen
+from chervilgw.entry.messages import Attempt, Chosen, Routed
 from chervilgw.routing.choice import RouteRequest
 from chervilgw.routing.choice import choose as choose_server
 
@@ -49,8 +49,8 @@
     ).map(lambda choice: Chosen(message, choice))
 
 
-def dispatch(message: Chosen, now_s: float) -> Result[Dispatch, Refusal]:
-    """Return the message for the sidecar.
+def dispatch(message: Chosen, now_s: float) -> Result[Routed, Refusal]:
+    """Return the message for the sidecar, with its VM.
 
     Parameters
     ----------
@@ -61,31 +61,34 @@
 
     Returns
     -------
-    Result of Dispatch or Refusal
+    Result of Routed or Refusal
     """
     attempt, priced = message.attempt, message.attempt.priced
     identity = priced.identity
     return Success(
-        Dispatch(
-            attempt.request_id,
-            CustomerId(identity.customer if identity else ""),
-            KeyId(identity.key_id if identity else ""),
-            Offset(priced.config_offset),
-            priced.target_name,
-            priced.kind,
-            priced.method,
-            priced.path,
-            priced.headers,
-            priced.body,
-            priced.stream,
-            priced.urgency,
-            priced.charge_tokens,
-            priced.digest,
-            priced.idempotency_key,
-            priced.idempotent,
-            attempt.deadline_s,
-            attempt.resume_position,
-            attempt.resume_text,
-            attempt.suspect_of,
+        Routed(
+            message.choice.vm,
+            Dispatch(
+                attempt.request_id,
+                CustomerId(identity.customer if identity else ""),
+                KeyId(identity.key_id if identity else ""),
+                Offset(priced.config_offset),
+                priced.target_name,
+                priced.kind,
+                priced.method,
+                priced.path,
+                priced.headers,
+                priced.body,
+                priced.stream,
+                priced.urgency,
+                priced.charge_tokens,
+                priced.digest,
+                priced.idempotency_key,
+                priced.idempotent,
+                attempt.deadline_s,
+                attempt.resume_position,
+                attempt.resume_text,
+                attempt.suspect_of,
+            ),
         )
     )
--- a/chervilgw/entry/filters/price.py
+++ b/chervilgw/entry/filters/price.py
@@ -222,4 +222,3 @@
 
 def _too_large(detail: str) -> Result[Priced, Refusal]:
     return Failure(make_refusal(RefusalReason.BAD_REQUEST, detail))
-
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import random
 import time
-from collections import Counter, defaultdict
+from collections import Counter
 from dataclasses import dataclass
 from itertools import count
 
-from absl import logging
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
@@ -34,6 +34,7 @@
 from chervilgw.routing.prefixes import make_prefix_index
 from chervilgw.routing.retries import make_retry_budget
 from chervilgw.runtime.control_events import (
+    admin_request,
     crash_seen,
     drained,
     quota_abandon,
@@ -43,10 +44,10 @@
     quota_started,
 )
 from chervilgw.runtime.events import HttpReply, HttpRequest, http_reply, peer_send
-from chervilgw.telemetry import make_metrics
+from chervilgw.telemetry import Metrics, log_event, table
 
 PARK_S = 1.0
-"""How long a request waits for the configuration to be confirmed before it is refused."""
+"""How long a request waits for the configuration to be confirmed."""
 LOST_KEPT_S = 60.0
 GAP_WAIT_S = 2.0
 
@@ -62,7 +63,7 @@
 class Gateway(BaseComponent):
     """Gateway task; see :func:`make_gateway`."""
 
-    def __init__(self, options: GatewayOptions, metrics, channel):
+    def __init__(self, options: GatewayOptions, metrics: Metrics, channel):
         super().__init__(channel=channel)
         self._options = options
         self._metrics = metrics
@@ -81,7 +82,7 @@
         self._crashes = make_crash_tracker()
         self._lost: dict[Incarnation, tuple[float, set]] = {}
         self._linked: set[Incarnation] = set()
-        self._leaving = self._drained = False
+        self._leaving = self._closing = self._drained = False
 
     # Arrival: accept, authenticate, price, reserve.
 
@@ -131,7 +132,7 @@
         if wanted is None:
             body = model_list_body(names, 0)
         elif wanted in names:
-            body = _dump(model_body(wanted, 0))
+            body = json.dumps(model_body(wanted, 0)).encode()
         else:
             detail = f"there is no model {wanted!r}"
             refusal = make_refusal(RefusalReason.UNKNOWN_MODEL, detail)
@@ -148,7 +149,7 @@
         request.suspect_of = self._crashes.suspect_crashes(priced.digest)
         self._requests[priced.exchange] = request
         self._retries.on_request()
-        self._metrics.count("requests")
+        self._metrics.record(table.REQUESTS, label=priced.budget or "open")
         if priced.budget is None:
             self._attempt(request, now_s)
             return
@@ -171,7 +172,6 @@
     def _on_denied(self, token, refusal):
         request = self._request_of_token(token)
         if request is not None:
-            self._metrics.count("refused_rate")
             self._fail(request, refusal)
 
     # Attempts: choose, dispatch.
@@ -197,8 +197,8 @@
         if not is_successful(result):
             self._no_server(request, result.failure(), now_s)
             return
-        vm = choose(attempt, now_s).unwrap().choice.vm
-        self._send(request, request_id, vm, result.unwrap(), now_s)
+        routed = result.unwrap()
+        self._send(request, request_id, routed.vm, routed.message, now_s)
 
     def _prefix_share(self, priced: Priced, now_s):
         if not priced.prefixes:
@@ -226,7 +226,7 @@
         self._attempts[request_id] = request.priced.exchange
         self._outstanding[vm] += 1
         self._prefixes.on_dispatch(vm, request.priced.prefixes, now_s)
-        self._metrics.count("attempts")
+        self._metrics.record(table.ATTEMPTS)
         self.fire(peer_send(server.incarnation, message), "links")
 
     def _no_server(self, request: Inflight, refusal: Refusal, now_s):
@@ -284,7 +284,7 @@
                 case Deliver(data):
                     if request.first_token_s is None:
                         request.first_token_s = now_s
-                        self._metrics.timing("first_token", now_s - request.arrived_s)
+                        self._note_first_token(request, now_s)
                     self._fire_all(request.writer.part(data))
                 case Ask(message) | Stop(message):
                     self.fire(peer_send(request.server, message), "links")
@@ -295,6 +295,20 @@
                 case Fail(refusal):
                     self._fail(request, refusal)
 
+    def _note_first_token(self, request: Inflight, now_s):
+        waited_s = now_s - request.arrived_s
+        self._metrics.record(table.FIRST_TOKEN, waited_s * 1000)
+        model = self._state.items[Kind.MODEL].get(request.priced.model)
+        if model is not None and request.priced.budget is not None:
+            met = waited_s * 1000 <= model.value.target_first_token_ms
+            metric = table.TARGET_MET if met else table.TARGET_MISSED
+            self._metrics.record(metric, label=request.priced.budget)
+
+    def _count_refusal(self, refusal: Refusal):
+        self._metrics.record(table.REFUSALS, label=refusal.reason.value)
+        if refusal.run is RunState.UNKNOWN:
+            self._metrics.record(table.UNKNOWN_OUTCOMES)
+
     def _resume(self, request: Inflight, resume: Resume, now_s):
         request.resume = resume
         self._forget_attempt(request)
@@ -305,7 +319,7 @@
             if delay_s is not None:
                 request.stage = Stage.WAITING_TO_RETRY
                 request.retry_at_s = now_s + delay_s
-                self._metrics.count("retries")
+                self._metrics.record(table.RETRIES)
                 return
             refusal = refuse_without_budget()
         cause = Refusal(
@@ -314,14 +328,11 @@
         self._apply(request, request.stream.give_up(cause), now_s)
 
     def _complete(self, request: Inflight, answer: Complete, now_s):
-        self._metrics.count("completed")
-        self._metrics.count("tokens", answer.tokens)
-        self._metrics.timing("request", now_s - request.arrived_s)
         self._fire_all(request.writer.complete(answer))
         self._end(request, request.used_tokens(answer.prompt_tokens))
 
     def _fail(self, request: Inflight, refusal: Refusal):
-        self._metrics.count(f"refused.{refusal.reason.value}")
+        self._count_refusal(refusal)
         self._fire_all(request.writer.fail(refusal))
         ran = request.started or refusal.run is not RunState.NOT_RUN
         self._end(request, request.used_tokens(0) if ran else None)
@@ -333,13 +344,14 @@
                 self.fire(quota_cancel(request.debit), "quota")
             else:
                 self.fire(quota_settle(request.debit, used_tokens), "quota")
+                label = request.priced.budget
+                self._metrics.record(table.TOKENS, used_tokens, label)
         elif request.priced.budget is not None:
             abandon = quota_abandon(request.token, request.priced.budget)
             self.fire(abandon, "quota")
         self._forget_attempt(request)
         del self._requests[request.priced.exchange]
-        if self._leaving:
-            self._check_drained()
+        self._check_drained()
 
     def _forget_attempt(self, request: Inflight):
         if self._attempts.pop(request.attempt, None) is None:
@@ -348,7 +360,7 @@
         self._outstanding[vm] = max(0, self._outstanding[vm] - 1)
 
     def _refuse(self, exchange, request_id, refusal: Refusal):
-        self._metrics.count(f"refused.{refusal.reason.value}")
+        self._count_refusal(refusal)
         self.fire(error_reply(exchange, request_id, refusal), "http")
 
     def _fire_all(self, events):
@@ -445,7 +457,7 @@
             digests.add(request.priced.digest)
 
     def _report_lost(self, fleet: FleetSnapshot):
-        """Report a crash once the list or a new incarnation shows that the VM failed."""
+        """Report a crash once the list or a new incarnation shows the VM's failure."""
         now_s = time.monotonic()
         newest = {server.vm: server.incarnation for server in fleet.servers}
         for server, (since_s, digests) in list(self._lost.items()):
@@ -503,20 +515,29 @@
             self._parked = [item for item in self._parked if now_s < item[1]]
         for http, _ in expired:
             self._refuse(http.exchange, f"x{http.exchange}", refuse_stale())
-        self._metrics.gauge("requests_in_flight", len(self._requests))
+        self._metrics.record(table.STREAMS, len(self._requests))
 
     @handler("drain", channel="*")
     def _on_drain(self):
         self._leaving = True
+
+    @handler("http_stop_listening", channel="*")
+    def _on_stop_listening(self):
+        self._closing = True
         self._check_drained()
 
     def _check_drained(self):
-        if not self._requests and not self._parked and not self._drained:
+        idle = not self._requests and not self._parked
+        if self._closing and idle and not self._drained:
             self._drained = True
-            logging.info("gateway_drained")
+            log_event("gateway_drained")
             self.fire(drained("gateway"), "role")
 
 
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def make_gateway(options: GatewayOptions, metrics, channel="gateway") -> Gateway:
     """Return a gateway task.
 
--- a/chervilgw/entry/messages.py
+++ b/chervilgw/entry/messages.py
@@ -15,9 +15,11 @@
     RequestId,
     VmId,
 )
+from chervilgw.core.messages import Dispatch
 from chervilgw.core.states import BackendKind, Urgency
 from chervilgw.keys.authenticate import KeyIdentity
 from chervilgw.membership.task import FleetSnapshot
+from chervilgw.quota.budget_names import customer_budget
 from chervilgw.routing.choice import Choice
 from chervilgw.runtime.events import HttpRequest
 
@@ -113,7 +115,7 @@
         """Return the customer's budget, or None on an open route."""
         if self.identity is None:
             return None
-        return BudgetName(self.identity.customer)
+        return customer_budget(self.identity.customer)
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,3 +142,11 @@
 
     attempt: Attempt
     choice: Choice
+
+
+@dataclass(frozen=True, slots=True)
+class Routed:
+    """The message of an attempt and the VM that gets it."""
+
+    vm: VmId
+    message: Dispatch
--- a/chervilgw/entry/writers.py
+++ b/chervilgw/entry/writers.py
@@ -1,4 +1,4 @@
-"""How an answer reaches the caller: as a stream, as one body, or a service's as it is."""
+"""Forms of an answer to the caller: a stream, one body, or a service's own body."""
 
 from __future__ import annotations
 
--- a/chervilgw/membership/task.py
+++ b/chervilgw/membership/task.py
@@ -26,13 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetSnapshot:
-    """The fleet view at one moment."""
+    """The fleet view at one moment.
+
+    ``complete`` says that the platform's list was read and each VM on it is known.
+    """
 
     servers: tuple[ServerView, ...] = ()
     entries: tuple[EntryView, ...] = ()
     live_vms: frozenset[VmId] = frozenset()
     reached_vms: frozenset[VmId] = frozenset()
     gone: frozenset[Incarnation] = frozenset()
+    complete: bool = False
 
 
 @dataclass(slots=True)
@@ -57,6 +61,7 @@
         self._numbers = count(1)
         self._sequences = count(1)
         self._list_call = ""
+        self._list_read = False
         self._next_list_s = self._next_beat_s = 0.0
         self._config = (NO_OFFSET, float("-inf"))
         self._ledger_offset = NO_OFFSET
@@ -127,12 +132,16 @@
         self._dialed = wanted
 
     def _publish(self, now_s):
+        servers, entries = self._view.servers(now_s), self._view.entries(now_s)
+        live = self._view.live_vms(now_s)
+        known = {s.vm for s in servers} | {e.incarnation.vm for e in entries}
         snapshot = FleetSnapshot(
-            self._view.servers(now_s),
-            self._view.entries(now_s),
-            self._view.live_vms(now_s),
+            servers,
+            entries,
+            live,
             self._view.reached_vms(),
             self._view.gone_incarnations(now_s),
+            self._list_read and live <= known,
         )
         self.fire(fleet_changed(snapshot), "*")
 
@@ -143,6 +152,7 @@
         self._list_call = ""
         result = parse_list(answer)
         if is_successful(result):
+            self._list_read = True
             self._view.on_list(result.unwrap(), time.monotonic())
 
     @handler("call_failed")
@@ -191,7 +201,7 @@
             if report.incarnation in self._peers:
                 self._view.on_connected(report.incarnation)
         echoed_s = state.sent_s.get(heartbeat.echo)
-        for channel in ("config", "quota"):
+        for channel in ("config", "dead"):
             self.fire(peer_heartbeat(peer, heartbeat, echoed_s), channel)
 
     @handler("control_status")
--- a/chervilgw/runtime/control_events.py
+++ b/chervilgw/runtime/control_events.py
@@ -46,7 +46,7 @@
 
 
 class dead_incarnations(Event):  # noqa: N801
-    """Incarnations whose requests must be refused: frozenset of ``Incarnation``."""
+    """Entries whose requests are refused: frozenset, whether it may be incomplete."""
 
 
 class quota_reserve(Event):  # noqa: N801
@@ -54,7 +54,7 @@
 
 
 class quota_granted(Event):  # noqa: N801
-    """The reservation was granted: token, debit id."""
+    """The reservation was granted: token, ``Debit``."""
 
 
 class quota_denied(Event):  # noqa: N801
@@ -62,15 +62,15 @@
 
 
 class quota_started(Event):  # noqa: N801
-    """The run of a debit has started: budget, debit id."""
+    """The run of a debit has started: ``Debit``."""
 
 
 class quota_settle(Event):  # noqa: N801
-    """The run of a debit has ended: budget, debit id, used amount."""
+    """The run of a debit has ended: ``Debit``, used amount."""
 
 
 class quota_cancel(Event):  # noqa: N801
-    """A debit was certainly not run: budget, debit id."""
+    """A debit was certainly not run: ``Debit``."""
 
 
 class drain(Event):  # noqa: N801
@@ -83,3 +83,15 @@
 
 class crash_seen(Event):  # noqa: N801
     """A backend server crashed, as this process saw: ``CrashReport``."""
+
+
+class crash_known(Event):  # noqa: N801
+    """A crash that this process learned of, once each: ``CrashReport``."""
+
+
+class quota_abandon(Event):  # noqa: N801
+    """Nobody needs a waiting reservation any more: token, budget."""
+
+
+class admin_request(Event):  # noqa: N801
+    """A request to the operators' interface: ``HttpRequest``."""
--- a/chervilgw/runtime/http_server.py
+++ b/chervilgw/runtime/http_server.py
@@ -27,6 +27,7 @@
 )
 from chervilgw.runtime.http_guard import (
     GuardLimits,
+    GuardPhase,
     RequestGuard,
     make_request_guard,
 )
@@ -302,6 +303,9 @@
     @handler("http_stop_listening")
     def _on_stop_listening(self):
         self.server.stop_listening()
+        for sock, connection in list(self._connections.items()):
+            if connection.guard.phase is GuardPhase.IDLE:
+                self.server.close(sock)
 
 
 def make_http_server(options, refusal_writer, channel="http") -> HttpServer:
--- a/chervilgw/runtime/links.py
+++ b/chervilgw/runtime/links.py
@@ -11,10 +11,9 @@
 import random
 import secrets
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
-from absl import logging
 from circuits import BaseComponent, handler
 
 from chervilgw.codec.frames import FrameError, encode, make_decoder
@@ -23,6 +22,7 @@
 from chervilgw.core.states import Role
 from chervilgw.runtime.events import peer_down, peer_messages, peer_up
 from chervilgw.runtime.sockets import Dialer, DirectServer
+from chervilgw.telemetry import log_event
 
 SILENCE_S = 2.0
 HANDSHAKE_S = 2.0
@@ -48,7 +48,7 @@
     Parameters
     ----------
     me : Peer
-        Identity of this process.
+        Identity of this process; an empty address stands for the one listened on.
     host, port : str, int
         Address to listen on for peers.
     secret : bytes
@@ -122,6 +122,9 @@
         limit = options.write_limit_bytes
         bind = (options.host, options.port)
         self.server = DirectServer(bind, "links.in", limit).register(self)
+        # With port 0 the kernel chooses, so the address is known only now.
+        address = options.me.address or f"{options.host}:{self.server.port}"
+        self.me = replace(options.me, address=address)
         self._dialer = Dialer("links.out", write_limit_bytes=limit).register(self)
 
     # Connections that this process opens.
@@ -182,7 +185,7 @@
         try:
             messages = link.decoder.feed(data)
         except FrameError as error:
-            logging.warning("peer_frame_error", extra={"detail": str(error)})
+            log_event("peer_frame_error", level="warning", detail=str(error))
             self._close(link)
             return
         if link.peer is None:
@@ -198,13 +201,13 @@
             elif isinstance(message, Hello) and self._accept(link, message):
                 return messages[position + 1 :]
             else:
-                logging.warning("peer_refused", extra={"detail": "handshake failed"})
+                log_event("peer_refused", level="warning", detail="handshake failed")
                 self._close(link)
                 return []
         return []
 
     def _send_hello(self, link: _Link, nonce: bytes):
-        me = self._options.me
+        me = self.me
         proof = sign_hello(self._options.secret, nonce, me)
         hello = Hello(me.incarnation, me.role, me.zone, me.address, link.nonce, proof)
         self._write(link, hello)
@@ -267,7 +270,7 @@
                 link.last_data_s = now_s
             limit_s = SILENCE_S if link.peer is not None else HANDSHAKE_S
             if now_s - link.last_data_s > limit_s:
-                logging.info("peer_silent", extra={"peer": str(link.peer)})
+                log_event("peer_silent", peer=str(link.peer))
                 self._close(link)
         self._dial_due(now_s)
 
--- a/chervilgw/settings/__init__.py
+++ b/chervilgw/settings/__init__.py
@@ -1,6 +1,11 @@
 """Settings of the daemon roles, loaded from YAML."""
 
-from chervilgw.settings.load import SettingsError, load_entry, load_sidecar
+from chervilgw.settings.load import (
+    SettingsError,
+    load_entry,
+    load_settings,
+    load_sidecar,
+)
 from chervilgw.settings.models import EntrySettings, Limits, SidecarSettings
 
 __all__ = [
@@ -9,5 +14,6 @@
     "SettingsError",
     "SidecarSettings",
     "load_entry",
+    "load_settings",
     "load_sidecar",
 ]
--- a/chervilgw/settings/load.py
+++ b/chervilgw/settings/load.py
@@ -59,7 +59,20 @@
     return _load(Path(path), SidecarSettings)
 
 
-def _load(path: Path, kind: type[S]) -> S:
+def load_settings(path: str | Path) -> EntrySettings | SidecarSettings:
+    """Return the settings of either role; ``backend`` is the key of a sidecar.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or has a wrong key or value.
+    """
+    mapping = _read(Path(path))
+    kind = SidecarSettings if "backend" in mapping else EntrySettings
+    return _load(Path(path), kind)
+
+
+def _read(path: Path) -> dict[str, Any]:
     try:
         mapping = yaml.load(path.read_text(encoding="utf-8"), _UniqueKeyLoader)
     except (OSError, UnicodeError) as error:
@@ -68,6 +81,11 @@
         raise SettingsError(f"{path}: not valid YAML: {error}") from error
     if not isinstance(mapping, dict):
         raise SettingsError(f"{path}: not a mapping of keys to values")
+    return mapping
+
+
+def _load(path: Path, kind: type[S]) -> S:
+    mapping = _read(path)
     try:
         settings = kind.model_validate(mapping)
     except ValidationError as error:
--- a/chervilgw/settings/models.py
+++ b/chervilgw/settings/models.py
@@ -111,6 +111,7 @@
     http_listen: Address
     admin_listen: Address | None = None
     operators: tuple[OperatorSettings, ...] = ()
+    notice_s: Seconds = 5.0
 
 
 class SidecarSettings(Common):
@@ -124,6 +125,7 @@
     pool: Identifier = "default"
     fenced: bool = False
     order_settle_s: Seconds = 30.0
+    max_running: int = Field(default=16, ge=1, le=10_000)
     services: tuple[Identifier, ...] = ()
 
     @model_validator(mode="after")
--- /dev/null
+++ b/chervilgw/sidecar/app.py
@@ -0,0 +1,96 @@
+"""Assembly of the sidecar's tasks."""
+
+from __future__ import annotations
+
+import random
+
+from chervilgw.bookings.task import make_booking_task
+from chervilgw.configuration.task import make_config_task
+from chervilgw.core.messages import (
+    Cancel,
+    ConfigRecords,
+    ConfigRequest,
+    ConfigSnapshot,
+    CrashReport,
+    Dispatch,
+    Heartbeat,
+    Leaving,
+    LookUp,
+    PermitGrant,
+)
+from chervilgw.core.states import BackendKind, Role
+from chervilgw.crashes.task import make_crash_task
+from chervilgw.membership.task import make_fleet_task
+from chervilgw.platform.log import Stream
+from chervilgw.platform.log_task import make_log_task
+from chervilgw.quota.dead_task import make_dead_task
+from chervilgw.runtime.app import App, make_app
+from chervilgw.runtime.clock import make_clock
+from chervilgw.runtime.http_client import make_http_client
+from chervilgw.runtime.role import make_links, make_ready_task, make_shutdown_task
+from chervilgw.runtime.router import make_message_router
+from chervilgw.settings import SidecarSettings
+from chervilgw.sidecar.engine_task import EngineOptions, make_engine_task
+from chervilgw.sidecar.runner import RunnerOptions, make_runner
+
+ROUTES = {
+    Heartbeat: "fleet",
+    Leaving: "fleet",
+    ConfigRequest: "config",
+    ConfigRecords: "config",
+    ConfigSnapshot: "config",
+    PermitGrant: "engine",
+    CrashReport: "crashes",
+    Dispatch: "runner",
+    Cancel: "runner",
+    LookUp: "runner",
+}
+SNAPSHOT_JITTER_S = (5.0, 60.0)
+"""Later than the entries' jitter, so that usually an entry writes the snapshot."""
+
+
+def make_sidecar_app(settings: SidecarSettings) -> App:
+    """Return a sidecar process that serves when it is run.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+
+    Returns
+    -------
+    App
+    """
+    links = make_links(settings, Role.SIDECAR)
+    me = links.me.incarnation
+    readers = {Stream.SHARES: "dead", Stream.CRASHES: "crashes"}
+    runner = RunnerOptions(
+        me,
+        settings.backend,
+        settings.backend_address,
+        settings.pool,
+        settings.services,
+        settings.max_running,
+    )
+    if settings.backend is BackendKind.ENGINE:
+        engine = EngineOptions(
+            me, settings.backend_address, settings.fenced, settings.order_settle_s
+        )
+        backend_task = make_engine_task(engine)
+    else:
+        backend_task = make_booking_task(me, settings.platform.log)
+    return make_app(
+        make_clock(),
+        make_http_client(),
+        links,
+        make_message_router(ROUTES),
+        make_config_task(me, settings.platform.log, random.uniform(*SNAPSHOT_JITTER_S)),
+        make_log_task(settings.platform.log, readers),
+        make_fleet_task(links.me, settings.platform.list),
+        make_dead_task(),
+        make_crash_task(),
+        make_runner(runner),
+        backend_task,
+        make_shutdown_task((("runner", None),), 0.0),
+        make_ready_task({"peer": links.me.address}),
+    )
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from itertools import count
 
-from absl import logging
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
@@ -44,6 +43,7 @@
     model_specs,
     reachable_servers,
 )
+from chervilgw.telemetry import log_event
 
 DECIDE_S = 0.5
 BUSY_READ_S = 0.1
@@ -253,7 +253,7 @@
         """The engine refuses connections: its memory and its requests are gone."""
         if self._ledger is not None or self._probing:
             crash = CrashId(f"{self._options.me}/{next(self._crashes)}")
-            logging.warning("engine_crashed", extra={"crash": crash})
+            log_event("engine_crashed", level="warning", crash=crash)
             self.fire(engine_verdict(crash), "runner")
         self._probing = False
         self._ledger = None
--- a/chervilgw/sidecar/loading.py
+++ b/chervilgw/sidecar/loading.py
@@ -13,11 +13,9 @@
 from chervilgw.core.states import CopyState, VmState
 from chervilgw.placement.copies import ModelSpec
 from chervilgw.placement.memory import ResidentCopy
+from chervilgw.quota.budget_names import ADAPTER_COUNT, STORE_COUNT, STORE_RATE
 from chervilgw.routing.order import rank
 
-STORE_RATE = BudgetName("store:loads-per-s")
-STORE_COUNT = BudgetName("store:loads-at-once")
-ADAPTER_COUNT = BudgetName("adapter:cold-starts-at-once")
 WANT_LASTS_S = 10.0
 """A want is repeated by the runner while requests wait; an old one is dropped."""
 
--- a/chervilgw/sidecar/runner.py
+++ b/chervilgw/sidecar/runner.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from absl import logging
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
@@ -25,7 +24,7 @@
     Started,
 )
 from chervilgw.core.refusals import Refusal, make_refusal
-from chervilgw.core.states import BackendKind, CopyState, RefusalReason, Role, RunState
+from chervilgw.core.states import BackendKind, CopyState, RefusalReason, RunState
 from chervilgw.crashes import make_crash_tracker
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.relay.answers import make_answer_store
@@ -49,11 +48,15 @@
     make_generation,
     service_messages,
 )
+from chervilgw.telemetry import log_event
 
 PARK_S = 1.0
 """How long an attempt waits for newer configuration records before it is refused."""
 ORPHAN_S = 3.0
 """How long a run goes on without a connection to its entry, which may look it up."""
+LEAVING_GRACE_S = 1.5
+"""Entries need this long to learn that the server is leaving; what they send until then
+is accepted, so that a planned stop costs no retries."""
 ANSWERS_BYTES = 8_000_000
 ANSWERS_KEPT_S = 30.0
 FIRST_TOKEN_TIMEOUT_S = 60.0
@@ -115,6 +118,7 @@
         self._state: ConfigurationState = empty_state()
         self._fresh_until_s = float("-inf")
         self._dead: frozenset[Incarnation] = frozenset()
+        self._dead_unsure = False
         self._admit = make_admission()
         self._weights: dict = {}
         self._queue = make_fair_queue(
@@ -129,9 +133,9 @@
         self._crashes = make_crash_tracker()
         self._engine = EngineView()
         self._retiring: set[str] = set()
-        self._peers: dict[Incarnation, Role] = {}
         self._orphans: dict[Incarnation, float] = {}
         self._load: Load | None = None
+        self._refuse_from_s = float("inf")
         self._leaving = self._drained = False
 
     # Arrival.
@@ -147,8 +151,6 @@
             elif isinstance(message, LookUp):
                 for answer in self._answers.look_up(message, now_s):
                     self.fire(peer_send(peer.incarnation, answer), "links")
-            elif isinstance(message, CrashReport):
-                self._crashes.on_crash_report(message, _wall_ms())
         self._pump(now_s)
 
     def _on_dispatch(self, dispatch: Dispatch, now_s):
@@ -160,7 +162,7 @@
         arrival = Arrival(
             dispatch,
             self._state,
-            self._fresh_until_s,
+            float("-inf") if self._dead_unsure else self._fresh_until_s,
             self._dead,
             self._leaving,
             self._check_block,
@@ -403,11 +405,7 @@
 
     def _report_crash(self, crash: CrashId, digests: tuple[Digest, ...]):
         report = CrashReport(crash, self._options.me.vm, digests, _wall_ms())
-        self._crashes.on_crash_report(report, _wall_ms())
         self.fire(crash_seen(report), "crashes")
-        for incarnation, role in self._peers.items():
-            if role is Role.ENTRY:
-                self.fire(peer_send(incarnation, report), "links")
 
     @handler("engine_view")
     def _on_engine_view(self, view: EngineView):
@@ -521,19 +519,21 @@
         self._retry_parked(time.monotonic())
 
     @handler("dead_incarnations", channel="*")
-    def _on_dead(self, dead):
-        self._dead = dead
+    def _on_dead(self, dead, behind):
+        self._dead, self._dead_unsure = dead, behind
+
+    @handler("crash_known", channel="*")
+    def _on_crash_known(self, report: CrashReport):
+        self._crashes.on_crash_report(report, _wall_ms())
 
     @handler("peer_up", channel="*")
     def _on_peer_up(self, peer):
-        self._peers[peer.incarnation] = peer.role
         self._orphans.pop(peer.incarnation, None)
 
     @handler("peer_down", channel="*")
     def _on_peer_down(self, peer):
         now_s = time.monotonic()
         origin = peer.incarnation
-        self._peers.pop(origin, None)
         self._orphans[origin] = now_s
         detail = "the connection to the entry was lost before the run"
         refusal = make_refusal(RefusalReason.BACKEND_LOST, detail, 0.0)
@@ -557,6 +557,7 @@
             refusal = make_refusal(RefusalReason.DEADLINE_UNREACHABLE, detail)
             self._refuse(item.request_id, refusal, now_s)
         self._stop_orphans(now_s)
+        self._leaving = now_s >= self._refuse_from_s
         self._pump(now_s)
         self._report_load()
 
@@ -588,14 +589,13 @@
 
     @handler("drain", channel="*")
     def _on_drain(self):
-        self._leaving = True
-        self._check_drained()
+        self._refuse_from_s = time.monotonic() + LEAVING_GRACE_S
 
     def _check_drained(self):
         if self._runs or self._waiting or self._parked or self._drained:
             return
         self._drained = True
-        logging.info("runner_drained")
+        log_event("runner_drained")
         self.fire(drained("runner"), "role")
 
 
--- /dev/null
+++ b/fleet/launcher.py
@@ -0,0 +1,374 @@
+"""Starts the processes of a local fleet, configures it, and can break its parts."""
+
+from __future__ import annotations
+
+import json
+import os
+import secrets
+import tempfile
+import time
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+from chervilgw.keys.operators import issue_operator_key
+from fleet.client import Answer, call
+from fleet.plan import FleetPlan
+from fleet.process import Process, python_command
+
+POLL_S = 0.05
+BOUND_S = 60.0
+
+
+class FleetError(Exception):
+    """The fleet could not be brought into the wanted state."""
+
+
+@dataclass
+class Vm:
+    """A VM of the fleet: one daemon process, and the backend beside a sidecar."""
+
+    name: str
+    role: str
+    zone: str
+    settings_path: Path
+    daemon: Process | None = None
+    backend: Process | None = None
+    backend_command: list[str] = field(default_factory=list)
+
+
+class Fleet:
+    """A running local fleet; see :func:`start_fleet`."""
+
+    def __init__(self, plan: FleetPlan, folder: Path):
+        self.plan = plan
+        self.folder = folder
+        self.vms: dict[str, Vm] = {}
+        self.stand_ins: dict[str, Process] = {}
+        self.keys: dict[str, str] = {}
+        self.operator, issued = issue_operator_key("launcher")
+        self.operator_key = issued.text
+        self.secret = secrets.token_hex(16)
+
+    # Starting.
+
+    def start(self) -> None:
+        """Start everything and configure customers, models and services."""
+        (self.folder / "logs").mkdir(parents=True, exist_ok=True)
+        store_options = {
+            "loads_per_s": self.plan.store_loads_per_s,
+            "at_once": self.plan.store_loads_at_once,
+        }
+        self._start_stand_in("log", **self.plan.log_options)
+        self._start_stand_in("store", **store_options)
+        self._start_stand_in("vmlist")
+        for index in range(self.plan.engines):
+            self.add_engine(f"engine-{index + 1}", self.plan.zone(index))
+        for index in range(self.plan.services):
+            self.add_service(f"casework-{index + 1}", self.plan.zone(index))
+        for index in range(self.plan.entries):
+            self.add_entry(f"entry-{index + 1}", self.plan.zone(index))
+        self.wait_ready()
+        self.configure()
+        self.write_description()
+
+    def _start_stand_in(self, name: str, **options) -> None:
+        options = {"listen": "127.0.0.1:0", **options}
+        command = python_command(f"standins.{name}", **options)
+        self.stand_ins[name] = self._process(name, command).start()
+
+    def _process(self, name: str, command: list[str]) -> Process:
+        return Process(name, command, self.folder / "logs" / f"{name}.log")
+
+    def add_engine(self, name: str, zone: str, **options) -> Vm:
+        """Start a VM with a model engine and its sidecar."""
+        options = {
+            "listen": "127.0.0.1:0",
+            "store_address": self.stand_ins["store"].address,
+            **self.plan.engine_options,
+            **options,
+        }
+        if not self.plan.fenced:
+            options["no_fenced"] = True
+        settings = {
+            "backend": "engine",
+            "fenced": self.plan.fenced,
+            "order_settle_s": self.plan.settle_s,
+            "max_running": self.plan.max_running,
+        }
+        command = python_command("standins.engine", **options)
+        return self._add_backend_server(name, zone, command, settings)
+
+    def add_service(self, name: str, zone: str) -> Vm:
+        """Start a VM with a plain service and its sidecar."""
+        command = python_command("standins.service", listen="127.0.0.1:0")
+        settings = {"backend": "service", "services": ["casework"]}
+        return self._add_backend_server(name, zone, command, settings)
+
+    def _add_backend_server(self, name, zone, command, settings) -> Vm:
+        vm = Vm(name, "sidecar", zone, self.folder / f"{name}.yaml")
+        vm.backend_command = command
+        vm.backend = self._process(f"{name}-backend", command).start()
+        address = vm.backend.address
+        self._write_settings(vm, {**settings, "backend_address": address})
+        return self._add(vm)
+
+    def add_entry(self, name: str, zone: str) -> Vm:
+        """Start an entry VM."""
+        vm = Vm(name, "entry", zone, self.folder / f"{name}.yaml")
+        operator = {
+            "name": self.operator.name,
+            "salt": self.operator.salt,
+            "digest": self.operator.digest,
+        }
+        settings = {
+            "http_listen": "127.0.0.1:0",
+            "operators": [operator],
+            "notice_s": self.plan.notice_s,
+        }
+        self._write_settings(vm, settings)
+        return self._add(vm)
+
+    def _write_settings(self, vm: Vm, settings: dict) -> None:
+        common = {
+            "vm": vm.name,
+            "zone": vm.zone,
+            "peer_listen": "127.0.0.1:0",
+            "fleet_secret": self.secret,
+            "platform": {
+                "log": self.stand_ins["log"].address,
+                "store": self.stand_ins["store"].address,
+                "list": self.stand_ins["vmlist"].address,
+            },
+        }
+        vm.settings_path.write_text(yaml.safe_dump({**common, **settings}))
+
+    def _add(self, vm: Vm) -> Vm:
+        self.vms[vm.name] = vm
+        self.start_daemon(vm.name)
+        return vm
+
+    def start_daemon(self, name: str) -> None:
+        """Start, or start again, the daemon of a VM and list the VM."""
+        vm = self.vms[name]
+        command = python_command("chervilgw.daemon", settings=vm.settings_path)
+        vm.daemon = self._process(name, command).start()
+        self.list_vm(name, "live")
+
+    def start_backend(self, name: str) -> None:
+        """Start the engine or service of a VM again, at its former address."""
+        vm = self.vms[name]
+        listen = f"--listen={vm.backend.address}"
+        command = [
+            listen if option.startswith("--listen=") else option
+            for option in vm.backend_command
+        ]
+        vm.backend = self._process(f"{name}-backend", command).start()
+
+    # The platform's list.
+
+    def list_vm(self, name: str, state: str) -> None:
+        """Set the state of a VM in the platform's list."""
+        vm = self.vms[name]
+        body = {
+            "role": vm.role,
+            "zone": vm.zone,
+            "address": vm.daemon.addresses["peer"],
+            "state": state,
+        }
+        call(self.stand_ins["vmlist"].address, "PUT", f"/vms/{name}", body)
+
+    def unlist_vm(self, name: str) -> None:
+        """Remove a VM from the platform's list."""
+        call(self.stand_ins["vmlist"].address, "DELETE", f"/vms/{name}")
+
+    # Waiting.
+
+    def wait_for(self, condition, what: str, bound_s: float = BOUND_S) -> None:
+        """Wait until a condition holds."""
+        deadline_s = time.monotonic() + bound_s
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise FleetError(f"{what}: not so after {bound_s} s; see {self.folder}")
+            time.sleep(POLL_S)
+
+    def wait_ready(self) -> None:
+        """Wait until all entries are ready and connected to all servers."""
+        servers = {name for name, vm in self.vms.items() if vm.role == "sidecar"}
+        for address in self.entry_addresses():
+            self.wait_for(
+                lambda address=address: self._connected(address) >= servers,
+                f"{address} connected to {sorted(servers)}",
+            )
+
+    def _connected(self, address: str) -> set[str]:
+        try:
+            if call(address, "GET", "/readyz").status != 200:
+                return set()
+        except OSError:
+            return set()
+        fleet = self.admin("GET", "fleet", address=address).json()
+        return {server["vm"] for server in fleet["servers"] if server["connected"]}
+
+    def wait_loaded(self, names=None, bound_s: float = BOUND_S) -> None:
+        """Wait until each model has a loaded copy on a live server."""
+        wanted = set(names or (model.name for model in self.plan.models))
+        self.wait_for(
+            lambda: wanted <= self.loaded(), f"{sorted(wanted)} loaded", bound_s
+        )
+
+    def loaded(self) -> set[str]:
+        """Return the names of models and adapters that a live server has loaded."""
+        fleet = self.admin("GET", "fleet").json()
+        return {
+            name
+            for server in fleet["servers"]
+            if server["state"] == "live"
+            for name, state in server["resident"].items()
+            if state == "loaded"
+        }
+
+    # Configuration.
+
+    def entry_addresses(self) -> list[str]:
+        """Return the callers' addresses of all running entries."""
+        return [
+            vm.daemon.addresses["http"]
+            for vm in self.vms.values()
+            if vm.role == "entry" and vm.daemon.running
+        ]
+
+    def admin(self, method: str, path: str, body=None, address=None) -> Answer:
+        """Send a request to the operators' interface."""
+        address = address or self.entry_addresses()[0]
+        return call(address, method, f"/admin/v1/{path}", body, self.operator_key)
+
+    def set_item(self, path: str, value: dict, reason: str = "set up") -> None:
+        """Create or replace a configuration item and check that it was accepted."""
+        answer = self.admin("PUT", path, {"value": value, "reason": reason})
+        if answer.status not in (200, 201):
+            raise FleetError(f"{path}: {answer.status} {answer.body.decode()}")
+
+    def configure(self) -> None:
+        """Create the customers, keys, models, adapters and services of the plan."""
+        defaults = {
+            "store_loads_per_s": self.plan.store_loads_per_s,
+            "store_loads_at_once": self.plan.store_loads_at_once,
+        }
+        self.set_item("defaults", defaults)
+        for customer in self.plan.customers:
+            value = {
+                "rate_tokens_per_s": customer.rate_tokens_per_s,
+                "burst_tokens": customer.burst_tokens,
+                "weight": customer.weight,
+            }
+            self.set_item(f"customers/{customer.name}", value)
+            self.keys[customer.name] = self.issue_key(customer.name)[1]
+        for model in self.plan.models:
+            value = {"size_bytes": model.size_bytes, "min_copies": model.min_copies}
+            self.set_item(f"models/{model.name}", value)
+        for name, base_model in self.plan.adapters:
+            value = {"base_model": base_model, "size_bytes": 200_000_000}
+            self.set_item(f"adapters/{name}", value)
+        self.set_item("services/casework", {"routes": CASEWORK_ROUTES})
+
+    def issue_key(self, customer: str) -> tuple[str, str]:
+        """Issue a key; return its id and the key."""
+        body = {"label": "launcher", "reason": "set up"}
+        answer = self.admin("POST", f"customers/{customer}/keys", body)
+        if answer.status not in (200, 201):
+            raise FleetError(f"key of {customer}: {answer.body.decode()}")
+        return answer.json()["key_id"], answer.json()["key"]
+
+    def write_description(self) -> Path:
+        """Write ``fleet.json``, which tells other tools how to reach the fleet."""
+        processes = [
+            {
+                "role": role,
+                "vm": name,
+                "zone": zone,
+                "pid": process.pid,
+                "address": next(iter(addresses.values())),
+                "addresses": addresses,
+            }
+            for role, name, zone, process in self._all_processes()
+            for addresses in [self._plain_addresses(process)]
+        ]
+        urls = [f"http://{address}" for address in self.entry_addresses()]
+        description = {
+            "processes": processes,
+            "entries": urls,
+            "customer_keys": self.keys,
+            "operator_key": self.operator_key,
+        }
+        path = self.folder / "fleet.json"
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        with os.fdopen(descriptor, "w") as file:
+            json.dump(description, file, indent=2)
+        return path
+
+    @staticmethod
+    def _plain_addresses(process: Process) -> dict[str, str]:
+        return {k: v for k, v in process.addresses.items() if k != "event"}
+
+    def _all_processes(self):
+        for name, process in self.stand_ins.items():
+            yield f"stand-in {name}", name, "", process
+        for vm in self.vms.values():
+            if vm.backend is not None:
+                kind = vm.backend_command[2].removeprefix("standins.")
+                yield f"stand-in {kind}", vm.name, vm.zone, vm.backend
+            yield vm.role, vm.name, vm.zone, vm.daemon
+
+    # Ending.
+
+    def stop(self) -> dict[str, int]:
+        """Stop all daemons gracefully, then the stand-ins; return exit statuses."""
+        statuses = {}
+        daemons = [vm.daemon for vm in self.vms.values() if vm.daemon.running]
+        for process in daemons:
+            process.thaw()
+            process.signal(15)
+        for process in daemons:
+            statuses[process.name] = process.stop()
+        self.kill()
+        return statuses
+
+    def kill(self) -> None:
+        """End every process that still runs."""
+        for _, _, _, process in self._all_processes():
+            process.thaw()
+            process.kill()
+
+
+CASEWORK_ROUTES = [
+    {"method": "GET", "path_prefix": "/", "idempotent": True},
+    {"method": "POST", "path_prefix": "/bookings", "idempotent": False},
+    {"method": "GET", "path_prefix": "/open", "idempotent": True, "open": True},
+]
+
+
+@contextmanager
+def start_fleet(plan: FleetPlan | None = None, folder: Path | None = None):
+    """Start a local fleet and end all its processes at the exit.
+
+    Parameters
+    ----------
+    plan : FleetPlan or None
+        What to start.
+    folder : Path or None
+        Folder for settings and logs; None for a new temporary one.
+
+    Yields
+    ------
+    Fleet
+    """
+    folder = folder or Path(tempfile.mkdtemp(prefix="chervilgw-"))
+    fleet = Fleet(plan or FleetPlan(), folder)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.kill()
