Ignore an engine report of the same instant as a load

Cause: the fuzz profile found a copy freed by a report that was requested at the very time of the load but made before it; the ledger treated equal times as newer. Ruled out: ordering by arrival, since reports overtake each other. Change: a report frees a copy only if requested strictly after the copy was seen. A unit test covers the case.

--- a/chervilgw/placement/memory.py
+++ b/chervilgw/placement/memory.py
@@ -198,7 +198,7 @@
         for key in [key for key in self._copies if key not in listed]:
             self._apply_missing(key, report, requested_at_s, now_s)
         for order_id, removed_s in list(self._removed_s.items()):
-            if removed_s <= requested_at_s:
+            if removed_s < requested_at_s:
                 del self._removed_s[order_id]
         if not self._ready:
             self._check_ready(report, requested_at_s)
@@ -294,7 +294,8 @@
         copy = self._copies[key]
         if copy.seen_at_s is not None:
             # The engine had it, and does its load order only once: it cannot return.
-            if copy.seen_at_s <= requested_at_s:
+            # Strictly before: at equal times the report may be older than the load.
+            if copy.seen_at_s < requested_at_s:
                 self._remove(key, now_s)
             return
         pending = copy.pending
--- a/chervilgw/placement/tests/test_memory.py
+++ b/chervilgw/placement/tests/test_memory.py
@@ -293,3 +293,13 @@
     )
     with pytest.raises(AssertionError, match="overcommitted"):
         run_state_machine_as_test(machine, settings=limits)
+
+
+def test_report_of_the_instant_of_a_load_does_not_free_it():
+    """Guards against a report that was made just before a load on a coarse clock."""
+    ledger = MemoryLedger(CAPACITY, False, SETTLE_S, 1, 0.0)
+    ledger.on_engine_state(EngineReport(()), SETTLE_S, SETTLE_S)
+    order = ledger.want_load("a", "1", 6, SETTLE_S).unwrap()
+    ledger.on_order_answer(order.order_id, OrderAnswer.OK, SETTLE_S)
+    ledger.on_engine_state(EngineReport(()), SETTLE_S, SETTLE_S + 1)
+    assert ledger.free_bytes == CAPACITY - 6
