--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; they are no tests."""
--- a/chervilgw/scheduling/fair_queue.py
+++ b/chervilgw/scheduling/fair_queue.py
@@ -99,6 +99,10 @@
         """Return the tokens waiting."""
         return self._total_tokens
 
+    def waiting(self) -> tuple[QueuedItem, ...]:
+        """Return the waiting requests in the order of their arrival."""
+        return tuple(self._where.values())
+
     def tokens_by_target(self) -> dict[str, int]:
         """Return the tokens waiting for each model, for the load report."""
         sums: dict[str, int] = {}
