Mend the handshake of peer links; rename a field that circuits uses

Cause: circuits takes one channel a handler, so that reads of both sides were lost; its manager owns the name _queue.

--- a/chervilgw/runtime/links.py
+++ b/chervilgw/runtime/links.py
@@ -176,8 +176,15 @@
 
     # Received bytes.
 
-    @handler("read", channel=("links.in", "links.out"))
-    def _on_read(self, sock, data):
+    @handler("read", channel="links.in")
+    def _on_read_in(self, sock, data):
+        self._receive(sock, data)
+
+    @handler("read", channel="links.out")
+    def _on_read_out(self, sock, data):
+        self._receive(sock, data)
+
+    def _receive(self, sock, data):
         link = self._links.get(sock)
         if link is None:
             return
@@ -257,8 +264,12 @@
             del self._by_peer[link.peer.incarnation]
             self.fire(peer_down(link.peer), self._options.owner)
 
-    @handler("disconnect", channel=("links.in", "links.out"))
-    def _on_disconnect(self, sock):
+    @handler("disconnect", channel="links.in")
+    def _on_disconnect_in(self, sock):
+        self._forget(sock)
+
+    @handler("disconnect", channel="links.out")
+    def _on_disconnect_out(self, sock):
         self._forget(sock)
 
     @handler("clock_tick", channel="*")
--- a/chervilgw/sidecar/runner.py
+++ b/chervilgw/sidecar/runner.py
@@ -121,7 +121,7 @@
         self._dead_unsure = False
         self._admit = make_admission()
         self._weights: dict = {}
-        self._queue = make_fair_queue(
+        self._fair_queue = make_fair_queue(
             QueueLimits(options.queue_tokens, options.queue_tokens, self._weights)
         )
         self._parked: dict[RequestId, tuple[Dispatch, float]] = {}
@@ -192,7 +192,7 @@
             dispatch.urgency,
             deadline_s,
         )
-        result = self._queue.push(item, now_s)
+        result = self._fair_queue.push(item, now_s)
         if is_successful(result):
             self._waiting[dispatch.request_id] = dispatch
         return result
@@ -206,7 +206,7 @@
 
     def _pump(self, now_s):
         while len(self._runs) < self._options.max_running:
-            item = self._queue.pop(now_s, self._can_run)
+            item = self._fair_queue.pop(now_s, self._can_run)
             if item is None:
                 break
             dispatch = self._waiting.pop(item.request_id)
@@ -447,7 +447,7 @@
         self._end_run(run, Refusal(reason, RunState.RUN, "the request was stopped"))
 
     def _take_waiting(self, request_id) -> Dispatch:
-        self._queue.remove(request_id)
+        self._fair_queue.remove(request_id)
         return self._waiting.pop(request_id)
 
     def _end_run(self, run: _Run, refusal: Refusal, crash: CrashId | None = None):
@@ -462,7 +462,7 @@
     def _finish(self, run: _Run, used_tokens: int, now_s):
         del self._runs[run.dispatch.request_id]
         self._calls.pop(run.call, None)
-        self._queue.settle(run.item, used_tokens, now_s)
+        self._fair_queue.settle(run.item, used_tokens, now_s)
         self._pump(now_s)
 
     def _refuse(self, request_id, refusal: Refusal, now_s, crash=None):
@@ -551,7 +551,7 @@
             if now_s >= until_s:
                 del self._parked[request_id]
                 self._consider(dispatch, now_s, until_s)
-        for item in self._queue.expire(now_s):
+        for item in self._fair_queue.expire(now_s):
             self._waiting.pop(item.request_id)
             detail = "the deadline passed while the request was queued"
             refusal = make_refusal(RefusalReason.DEADLINE_UNREACHABLE, detail)
@@ -577,9 +577,9 @@
             self._engine.capacity_bytes,
             self._engine.free_bytes,
             len(self._runs),
-            len(self._queue),
+            len(self._fair_queue),
             dict(self._engine.resident),
-            self._queue.tokens_by_target(),
+            self._fair_queue.tokens_by_target(),
             options.services,
             options.pool,
         )
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -320,7 +320,8 @@
             if vm.backend is not None:
                 kind = vm.backend_command[2].removeprefix("standins.")
                 yield f"stand-in {kind}", vm.name, vm.zone, vm.backend
-            yield vm.role, vm.name, vm.zone, vm.daemon
+            if vm.daemon is not None:
+                yield vm.role, vm.name, vm.zone, vm.daemon
 
     # Ending.
 
