--- /dev/null
+++ b/chervilgw/bookings/tests/test_bookings.py
@@ -0,0 +1,379 @@
+"""At most one run: the fold in tables, and sidecars over a faulty log."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from chervilgw.bookings import (
+    Answer,
+    Append,
+    Booking,
+    Intent,
+    Read,
+    RecordedAnswer,
+    Refuse,
+    Result,
+    Run,
+    empty_state,
+    fold,
+    from_value,
+    make_bookings,
+    to_value,
+)
+from chervilgw.bookings.decisions import MAX_BODY_BYTES
+from chervilgw.bookings.fold import CLOCK_MARGIN_MS
+from chervilgw.core.ids import Incarnation, Offset, RequestId, VmId
+from chervilgw.core.refusals import make_refusal
+from chervilgw.core.states import RefusalReason, RunState
+
+ENTRY = Incarnation(VmId("e1"), 1)
+ME = Incarnation(VmId("b1"), 1)
+ANSWER = RecordedAnswer(201, (("a", "b"),), b"booked")
+WINDOW_S = 3600
+A, B, C = (RequestId(ENTRY, number) for number in (1, 2, 3))
+
+
+def intent(attempt, time_ms=0, content="c"):
+    return Intent("d", content, attempt, ME, time_ms)
+
+
+def result(attempt, run):
+    answer = ANSWER if run is RunState.RUN else None
+    return Result("d", attempt, run, answer)
+
+
+def winner(records):
+    state = empty_state(WINDOW_S)
+    for offset, record in enumerate(records):
+        state = fold(state, Offset(offset), record)
+    return state.entries["d"].winner
+
+
+NOT_RUN, RAN, UNKNOWN = RunState.NOT_RUN, RunState.RUN, RunState.UNKNOWN
+LATE = WINDOW_S * 1000 + 1
+
+
+@pytest.mark.parametrize(
+    ("records", "expected"),
+    [
+        ([intent(A), intent(B)], A),
+        ([intent(A), result(A, NOT_RUN)], None),
+        ([intent(A), result(A, NOT_RUN), intent(B)], B),
+        ([intent(A), intent(B), result(A, NOT_RUN)], None),
+        ([intent(A), result(A, NOT_RUN), intent(A)], None),
+        ([result(A, NOT_RUN), intent(A), intent(B)], B),
+        ([intent(A), result(B, NOT_RUN), intent(C)], A),
+        ([intent(A), result(A, RAN), result(A, NOT_RUN), intent(B)], A),
+        ([intent(A), result(A, UNKNOWN), intent(B)], A),
+        ([intent(A), None, intent(B)], A),
+        ([intent(A), intent(B, LATE - 1)], A),
+        ([intent(A), intent(B, LATE)], B),
+        ([intent(A), intent(B, LATE), intent(A, LATE)], B),
+        ([intent(A, CLOCK_MARGIN_MS + 1), result(A, NOT_RUN), intent(B)], None),
+    ],
+)
+def test_fold(records, expected):
+    assert winner(records) == expected
+
+
+def test_fold_ignores_offsets_it_has_applied():
+    state = fold(empty_state(WINDOW_S), Offset(5), intent(A))
+    assert fold(state, Offset(5), result(A, NOT_RUN)).entries["d"].winner == A
+
+
+def test_fold_forgets_old_digests():
+    state = empty_state(1)
+    for number in range(5000):
+        record = Intent(f"d{number}", "c", RequestId(ENTRY, number), ME, number * 1000)
+        fold(state, Offset(number), record)
+    assert len(state.entries) <= 2 * CLOCK_MARGIN_MS / 1000 + 2
+
+
+@pytest.mark.parametrize("record", [intent(A, 7), result(A, RAN), result(B, NOT_RUN)])
+def test_record_round_trip(record):
+    assert from_value(to_value(record)) == record
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"type": 5}, {"origin": 5}, {"counter": "x"}, {"run": "x"}, {"headers": [5]}],
+)
+def test_malformed_record_is_none(change):
+    assert from_value(to_value(result(A, RAN)) | change) is None
+
+
+class Log:
+    """A log that answers at once."""
+
+    def __init__(self):
+        self.records = []
+
+    def drive(self, bookings, outputs, now_s=0.0):
+        """Carry out appends and reads; return the other outputs."""
+        found, outputs = [], list(outputs)
+        while outputs:
+            output = outputs.pop(0)
+            if isinstance(output, Append):
+                self.records += output.records
+                outputs += bookings.on_append_answer(output, now_s)
+            elif isinstance(output, Read):
+                records = list(enumerate(self.records))[output.start :]
+                outputs += bookings.on_records(output, records, now_s)
+            else:
+                found.append(output)
+        return found
+
+
+def booking(attempt, content="c", time_ms=0):
+    return Booking("d", content, attempt, time_ms)
+
+
+def test_repeat_gets_the_recorded_answer_from_another_sidecar():
+    log, first = Log(), make_bookings(ME)
+    second = make_bookings(Incarnation(VmId("b2"), 1))
+    assert log.drive(first, first.request(booking(A), 0)) == [Run(A)]
+    [refuse] = log.drive(second, second.request(booking(B), 0))
+    assert refuse.refusal.reason is RefusalReason.DUPLICATE_REQUEST
+    assert (refuse.refusal.run, refuse.refusal.retry_after_s) == (UNKNOWN, 1.0)
+    assert log.drive(first, first.on_finished(A, ANSWER, 0)) == [Answer(A, ANSWER)]
+    log.drive(second, second.tick(5))
+    assert log.drive(second, second.request(booking(C), 5)) == [Answer(C, ANSWER)]
+
+
+@pytest.mark.parametrize("finished", [False, True])
+def test_other_content_conflicts(finished):
+    log, bookings = Log(), make_bookings(ME)
+    log.drive(bookings, bookings.request(booking(A), 0))
+    if finished:
+        log.drive(bookings, bookings.on_finished(A, ANSWER, 0))
+    [refuse] = log.drive(bookings, bookings.request(booking(B, "other"), 0))
+    assert (refuse.refusal.reason, refuse.refusal.run) == (
+        RefusalReason.CONFLICT,
+        NOT_RUN,
+    )
+
+
+def test_too_large_answer_is_unknown_to_repeats():
+    log, bookings = Log(), make_bookings(ME)
+    log.drive(bookings, bookings.request(booking(A), 0))
+    large = RecordedAnswer(200, (), b"x" * (MAX_BODY_BYTES + 1))
+    assert log.drive(bookings, bookings.on_finished(A, large, 0)) == [Answer(A, large)]
+    [refuse] = log.drive(bookings, bookings.request(booking(B), 0))
+    assert refuse.refusal.run is UNKNOWN
+
+
+def test_release_lets_the_next_attempt_run():
+    log, bookings = Log(), make_bookings(ME)
+    log.drive(bookings, bookings.request(booking(A), 0))
+    refusal = make_refusal(RefusalReason.QUEUE_FULL, "full")
+    assert log.drive(bookings, bookings.refuse(A, refusal, 0)) == [Refuse(A, refusal)]
+    assert log.drive(bookings, bookings.request(booking(B), 0)) == [Run(B)]
+
+
+def test_requests_during_an_append_share_the_next_one():
+    bookings = make_bookings(ME)
+    [append, _] = bookings.request(booking(RequestId(ENTRY, 0)), 0)
+    for number in range(1, 300):
+        item = Booking(f"d{number}", "c", RequestId(ENTRY, number), 0)
+        assert bookings.request(item, 0) == []
+    [following] = bookings.on_append_answer(append, 0)
+    assert len(following.records) == 299
+
+
+def test_withdrawn_attempt_does_not_run_when_its_append_arrives_late():
+    """Guards against "not run" for a booking whose lost append took effect."""
+    log, bookings = Log(), make_bookings(ME, wait_s=2.0)
+    append, read = bookings.request(booking(A), 0)
+    bookings.on_records(read, [], 0)
+    [read] = bookings.on_log_failed(append, 1.0)
+    bookings.on_records(read, [], 1.0)
+    refuse, *outputs = bookings.tick(2.0)
+    assert refuse.refusal.reason is RefusalReason.LOG_UNAVAILABLE
+    assert refuse.refusal.run is NOT_RUN
+    log.records += append.records
+    assert log.drive(bookings, outputs, 2.0) == []
+    assert log.drive(bookings, bookings.request(booking(B), 3.0), 3.0) == [Run(B)]
+
+
+class Sidecars(RuleBasedStateMachine):
+    """Sidecars, kills, and a log with outages, lost answers and late appends.
+
+    Oracle: runs counted at the service for each digest, never 2; an attempt that was
+    answered "not run" has no run; every answer is that of the one run.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.log = []
+        self.under_way = []
+        self.counter = 0
+        self.start = 1
+        self.runs = Counter()
+        self.ran = set()
+        self.not_run = set()
+        self.answers = {}
+        self.dispatched = []
+        self.sidecars = [None] * 3
+        self.operations = [[] for _ in self.sidecars]
+        self.services = [{} for _ in self.sidecars]
+        for index in range(3):
+            self.boot(index)
+
+    def boot(self, index):
+        self.start += 1
+        me = Incarnation(VmId(f"b{index}"), self.start)
+        self.sidecars[index] = make_bookings(me, WINDOW_S, wait_s=2.0, retry_s=0.5)
+        self.operations[index] = []
+        self.services[index] = {}
+
+    def take(self, index, outputs):
+        for output in outputs:
+            if isinstance(output, Append | Read):
+                self.operations[index].append(output)
+            elif isinstance(output, Run):
+                assert output.attempt not in self.not_run
+                self.services[index][output.attempt] = True
+            elif isinstance(output, Answer):
+                digest = self.digest_of(output.attempt)
+                assert output.answer == self.answers[digest]
+            elif output.refusal.run is NOT_RUN:
+                assert output.attempt not in self.ran
+                self.not_run.add(output.attempt)
+
+    def digest_of(self, attempt):
+        [found] = {b.digest for b, _ in self.dispatched if b.attempt == attempt}
+        return found
+
+    def execute(self, attempt):
+        digest = self.digest_of(attempt)
+        self.runs[digest] += 1
+        self.ran.add(attempt)
+        answer = RecordedAnswer(200, (), str(attempt).encode())
+        self.answers.setdefault(digest, answer)
+        return answer
+
+    index = st.integers(0, 2)
+
+    @rule(index=index, digest=st.sampled_from("xy"), content=st.sampled_from("ccco"))
+    def request(self, index, digest, content):
+        self.counter += 1
+        time_ms = int(self.now_s * 1000)
+        item = Booking(digest, content, RequestId(ENTRY, self.counter), time_ms)
+        self.dispatched.append((item, self.sidecars[index]))
+        self.take(index, self.sidecars[index].request(item, self.now_s))
+
+    @precondition(lambda self: self.dispatched)
+    @rule(data=st.data())
+    def doubled_dispatch(self, data):
+        item, sidecar = data.draw(st.sampled_from(self.dispatched))
+        # A connection, and so a dispatch under way, ends with its process.
+        if sidecar in self.sidecars:
+            index = self.sidecars.index(sidecar)
+            self.take(index, sidecar.request(item, self.now_s))
+
+    def some_operation(self):
+        return any(self.operations)
+
+    def pop_operation(self, data):
+        choices = [i for i, found in enumerate(self.operations) if found]
+        index = data.draw(st.sampled_from(choices))
+        position = data.draw(st.integers(0, len(self.operations[index]) - 1))
+        return index, self.operations[index].pop(position)
+
+    def perform(self, index, operation, count=1000):
+        sidecar = self.sidecars[index]
+        if isinstance(operation, Append):
+            self.log += operation.records
+            outputs = sidecar.on_append_answer(operation, self.now_s)
+        else:
+            records = list(enumerate(self.log))[operation.start :][:count]
+            outputs = sidecar.on_records(operation, records, self.now_s)
+        self.take(index, outputs)
+
+    @precondition(some_operation)
+    @rule(data=st.data(), count=st.integers(1, 4))
+    def log_answers(self, data, count):
+        self.perform(*self.pop_operation(data), count)
+
+    @rule()
+    def log_works(self):
+        for _ in range(50):
+            for index in range(3):
+                while self.operations[index]:
+                    self.perform(index, self.operations[index].pop(0))
+
+    @precondition(some_operation)
+    @rule(data=st.data(), effect=st.sampled_from(["none", "now", "late", "both"]))
+    def log_fails(self, data, effect):
+        """The answer is lost; the append has its effect now, later, twice or never."""
+        index, operation = self.pop_operation(data)
+        if isinstance(operation, Append):
+            if effect in ("now", "both"):
+                self.log += operation.records
+            if effect in ("late", "both"):
+                self.under_way.append(operation.records)
+        self.take(index, self.sidecars[index].on_log_failed(operation, self.now_s))
+
+    @precondition(lambda self: self.under_way)
+    @rule()
+    def late_append(self):
+        self.log += self.under_way.pop(0)
+
+    @rule(index=index, data=st.data())
+    def kill(self, index, data):
+        for operation in self.operations[index]:
+            if isinstance(operation, Append) and data.draw(st.booleans()):
+                self.under_way.append(operation.records)
+        for attempt in self.services[index]:
+            if data.draw(st.booleans()):
+                self.execute(attempt)
+        self.boot(index)
+
+    @precondition(lambda self: any(self.services))
+    @rule(
+        data=st.data(), how=st.sampled_from(["finished", "lost", "silent", "not run"])
+    )
+    def service(self, data, how):
+        choices = [(i, a) for i, held in enumerate(self.services) for a in held]
+        index, attempt = data.draw(st.sampled_from(choices))
+        del self.services[index][attempt]
+        sidecar = self.sidecars[index]
+        if how == "finished":
+            outputs = sidecar.on_finished(attempt, self.execute(attempt), self.now_s)
+        else:
+            if how == "lost":
+                self.execute(attempt)
+            outputs = sidecar.on_service_lost(attempt, how != "not run", self.now_s)
+        self.take(index, outputs)
+
+    @rule(step_s=st.sampled_from([0.3, 1.0, 2.5]))
+    def time(self, step_s):
+        self.now_s += step_s
+        for index, sidecar in enumerate(self.sidecars):
+            self.take(index, sidecar.tick(self.now_s))
+
+    @invariant()
+    def at_most_one_run(self):
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+        assert not self.ran & self.not_run
+
+    def teardown(self):
+        """With a working log, a digest that never ran can still be booked."""
+        for index, sidecar in enumerate(self.sidecars):
+            held = self.services[index]
+            for attempt in list(held):
+                del held[attempt]
+                answer = self.execute(attempt)
+                self.take(index, sidecar.on_finished(attempt, answer, self.now_s))
+        while self.under_way:
+            self.late_append()
+        for _ in range(4):
+            self.time(1.0)
+            self.log_works()
+        self.at_most_one_run()
+
+
+TestSidecars = Sidecars.TestCase
