--- a/chervilgw/bookings/records.py
+++ b/chervilgw/bookings/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from base64 import b64decode, b64encode
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -74,6 +75,7 @@
 
     Examples
     --------
+    >>> from chervilgw.core.ids import VmId
     >>> origin = Incarnation(VmId("e1"), 5)
     >>> result = Result(Digest("d"), RequestId(origin, 1), RunState.NOT_RUN)
     >>> from_value(to_value(result)) == result
@@ -96,7 +98,7 @@
         value |= {
             "status": record.answer.status,
             "headers": [list(pair) for pair in record.answer.headers],
-            "body": record.answer.body,
+            "body": b64encode(record.answer.body).decode(),
         }
     return value
 
@@ -139,4 +141,5 @@
     if RunState(value["run"]) is not RunState.RUN:
         return None
     headers = tuple((str(name), str(text)) for name, text in value["headers"])
-    return RecordedAnswer(int(value["status"]), headers, bytes(value["body"]))
+    body = b64decode(value["body"], validate=True)
+    return RecordedAnswer(int(value["status"]), headers, body)
--- a/chervilgw/runtime/app.py
+++ b/chervilgw/runtime/app.py
@@ -6,6 +6,7 @@
 from circuits.core.pollers import EPoll
 
 from chervilgw.runtime.events import shut_down
+from chervilgw.telemetry import log_event
 
 
 class App(BaseComponent):
@@ -23,6 +24,14 @@
         event.stop()
         self.fire(shut_down(), "*")
 
+    @handler("exception", channel="*", priority=-1)
+    def _on_exception(self, kind, error, trace, handler=None, fevent=None):
+        # The library would only print the trace. A failed handler is a defect, but the
+        # process goes on serving its other requests.
+        where = "".join(trace) if isinstance(trace, list) else str(trace)
+        detail = f"{kind.__name__}: {error}"
+        log_event("handler_failed", level="error", detail=detail, trace=where)
+
 
 def make_app(*tasks: BaseComponent) -> App:
     """Return a process root with the given tasks registered in order.
--- a/chervilgw/runtime/http_server.py
+++ b/chervilgw/runtime/http_server.py
@@ -13,7 +13,6 @@
 from typing import Any, Protocol
 
 from circuits import BaseComponent, handler
-from circuits.web.events import response as send_response
 from circuits.web.http import HTTP
 
 from chervilgw.core.refusals import Refusal, make_refusal
@@ -221,8 +220,12 @@
             response.headers[name] = value
         response.body = [reply.body]
         response.close = response.close or self._closing
-        self._answered(exchange.sock)
-        self.fire(send_response(response))
+        # One write for head and body: the library would send two segments.
+        response.prepare()
+        head = bytes(response) + bytes(response.headers)
+        body = b"" if exchange.request.method == "HEAD" else reply.body
+        self.server.write(exchange.sock, head + body)
+        self._finish(exchange.sock, response.close)
 
     @handler("http_push_start")
     def _on_push_start(self, start: HttpPushStart):
@@ -258,21 +261,20 @@
         exchange = self._exchanges.pop(number, None)
         if exchange is None:
             return
-        sock = exchange.sock
-        self._answered(sock)
-        self.http._clients.pop(sock, None)
         if complete and exchange.chunked:
-            self.server.write(sock, b"0\r\n\r\n")
+            self.server.write(exchange.sock, b"0\r\n\r\n")
         # An incomplete body is ended by closing the connection before the last chunk,
         # so that an HTTP client sees the truncation.
-        if exchange.response.close or not complete:
-            self.server.close(sock)
+        self._finish(exchange.sock, exchange.response.close or not complete)
 
-    def _answered(self, sock):
+    def _finish(self, sock, close: bool):
+        self.http._clients.pop(sock, None)
         connection = self._connections.get(sock)
         if connection is not None:
             connection.exchange = None
             connection.guard.on_answered()
+        if close:
+            self.server.close(sock)
 
     def _forget(self, sock):
         connection = self._connections.pop(sock, None)
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+import ssl
 from errno import EAGAIN, EINPROGRESS, EWOULDBLOCK
 from typing import Any
 
@@ -39,6 +40,11 @@
         super().__init__(bind, channel=channel, bufsize=READ_SIZE_BYTES, **kwargs)
         self._write_limit_bytes = write_limit_bytes
         self._pending_bytes: dict[Any, int] = {}
+        self._handshaking: set[Any] = set()
+        self._tls: ssl.SSLContext | None = None
+        if self.secure:
+            self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            self._tls.load_cert_chain(self.certfile, self.keyfile)
 
     @handler("write", override=True)
     def write(self, sock, data):
@@ -51,7 +57,7 @@
         try:
             sent = sock.send(data)
         except OSError as error:
-            if error.errno in (EAGAIN, EWOULDBLOCK):
+            if _would_block(error):
                 sent = 0
             else:
                 self._close(sock)
@@ -77,7 +83,7 @@
             try:
                 sent = sock.send(queue[0])
             except OSError as error:
-                if error.errno not in (EAGAIN, EWOULDBLOCK):
+                if not _would_block(error):
                     self._close(sock)
                 return
             if sent < len(queue[0]):
@@ -94,10 +100,58 @@
 
     def _close(self, sock):
         self._pending_bytes.pop(sock, None)
+        self._handshaking.discard(sock)
         if sock in self._closeq:
             self._closeq.remove(sock)
         super()._close(sock)
 
+    @handler("_read", priority=1, override=True)
+    def _on_read(self, sock):
+        """Accept, go on with a TLS handshake, or read."""
+        if sock is self._sock:
+            self._accept_one()
+        elif sock in self._handshaking:
+            self._shake_hands(sock)
+        else:
+            self._read_all(sock)
+
+    def _accept_one(self):
+        # The library accepts in a generator, which is resumed after an idle tick of up
+        # to 100 ms, and waits for a slow TLS handshake with the whole process.
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        if not self.secure:
+            self._on_accept_done(sock)
+            return
+        sock = self._tls.wrap_socket(
+            sock, server_side=True, do_handshake_on_connect=False
+        )
+        self._handshaking.add(sock)
+        self._clients.append(sock)
+        self._poller.addReader(self, sock)
+
+    def _shake_hands(self, sock):
+        try:
+            sock.do_handshake()
+        except ssl.SSLWantReadError:
+            return
+        except OSError:
+            self._close(sock)
+            return
+        self._handshaking.discard(sock)
+        self._clients.remove(sock)
+        self._poller.removeReader(sock)
+        self._on_accept_done(sock)
+
+    def _read_all(self, sock):
+        self._read(sock)
+        # Decrypted bytes wait in the TLS layer, where the poller does not see them.
+        while self.secure and sock in self._clients and sock.pending():
+            self._read(sock)
+
     def _on_accept_done(self, sock, fire_connect_event=True):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super()._on_accept_done(sock, fire_connect_event)
@@ -185,3 +239,8 @@
             self._finish_connect(sock, "connection refused")
         else:
             self._close(sock)
+
+
+def _would_block(error: OSError) -> bool:
+    waits = (ssl.SSLWantReadError, ssl.SSLWantWriteError)
+    return isinstance(error, waits) or error.errno in (EAGAIN, EWOULDBLOCK)
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -10,6 +10,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from signal import SIGTERM
 
 import yaml
 
@@ -34,6 +35,7 @@
     role: str
     zone: str
     settings_path: Path
+    settings: dict = field(default_factory=dict)
     daemon: Process | None = None
     backend: Process | None = None
     backend_command: list[str] = field(default_factory=list)
@@ -61,29 +63,60 @@
             "loads_per_s": self.plan.store_loads_per_s,
             "at_once": self.plan.store_loads_at_once,
         }
-        self._start_stand_in("log", **self.plan.log_options)
-        self._start_stand_in("store", **store_options)
-        self._start_stand_in("vmlist")
+        self._launch_stand_in("log", **self.plan.log_options)
+        self._launch_stand_in("store", **store_options)
+        self._launch_stand_in("vmlist")
+        for process in self.stand_ins.values():
+            process.await_ready()
         for index in range(self.plan.engines):
-            self.add_engine(f"engine-{index + 1}", self.plan.zone(index))
+            self._launch_engine(f"engine-{index + 1}", self.plan.zone(index), {})
         for index in range(self.plan.services):
-            self.add_service(f"casework-{index + 1}", self.plan.zone(index))
+            self._launch_service(f"casework-{index + 1}", self.plan.zone(index))
         for index in range(self.plan.entries):
-            self.add_entry(f"entry-{index + 1}", self.plan.zone(index))
+            self._launch_entry(f"entry-{index + 1}", self.plan.zone(index))
+        self._await_vms(list(self.vms))
         self.wait_ready()
         self.configure()
         self.write_description()
 
-    def _start_stand_in(self, name: str, **options) -> None:
+    def _launch_stand_in(self, name: str, **options) -> None:
         options = {"listen": "127.0.0.1:0", **options}
         command = python_command(f"standins.{name}", **options)
-        self.stand_ins[name] = self._process(name, command).start()
+        self.stand_ins[name] = self._process(name, command).launch()
 
     def _process(self, name: str, command: list[str]) -> Process:
         return Process(name, command, self.folder / "logs" / f"{name}.log")
 
     def add_engine(self, name: str, zone: str, **options) -> Vm:
         """Start a VM with a model engine and its sidecar."""
+        self._launch_engine(name, zone, options)
+        return self._await_vms([name])
+
+    def add_service(self, name: str, zone: str) -> Vm:
+        """Start a VM with a plain service and its sidecar."""
+        self._launch_service(name, zone)
+        return self._await_vms([name])
+
+    def add_entry(self, name: str, zone: str) -> Vm:
+        """Start an entry VM."""
+        self._launch_entry(name, zone)
+        return self._await_vms([name])
+
+    def _await_vms(self, names: list[str]) -> Vm:
+        """Wait for launched VMs: first for their backends, then for their daemons."""
+        for name in names:
+            vm = self.vms[name]
+            if vm.backend is not None:
+                vm.backend.await_ready()
+                vm.settings["backend_address"] = vm.backend.address
+            self._write_settings(vm)
+            vm.daemon = self._daemon(vm).launch()
+        for name in names:
+            self.vms[name].daemon.await_ready()
+            self.list_vm(name, "live")
+        return self.vms[names[-1]]
+
+    def _launch_engine(self, name: str, zone: str, options: dict) -> None:
         options = {
             "listen": "127.0.0.1:0",
             "store_address": self.stand_ins["store"].address,
@@ -99,25 +132,20 @@
             "max_running": self.plan.max_running,
         }
         command = python_command("standins.engine", **options)
-        return self._add_backend_server(name, zone, command, settings)
+        self._launch_backend(name, zone, command, settings)
 
-    def add_service(self, name: str, zone: str) -> Vm:
-        """Start a VM with a plain service and its sidecar."""
+    def _launch_service(self, name: str, zone: str) -> None:
         command = python_command("standins.service", listen="127.0.0.1:0")
         settings = {"backend": "service", "services": ["casework"]}
-        return self._add_backend_server(name, zone, command, settings)
+        self._launch_backend(name, zone, command, settings)
 
-    def _add_backend_server(self, name, zone, command, settings) -> Vm:
-        vm = Vm(name, "sidecar", zone, self.folder / f"{name}.yaml")
+    def _launch_backend(self, name, zone, command, settings) -> None:
+        path = self.folder / f"{name}.yaml"
+        vm = self.vms[name] = Vm(name, "sidecar", zone, path, settings)
         vm.backend_command = command
-        vm.backend = self._process(f"{name}-backend", command).start()
-        address = vm.backend.address
-        self._write_settings(vm, {**settings, "backend_address": address})
-        return self._add(vm)
+        vm.backend = self._process(f"{name}-backend", command).launch()
 
-    def add_entry(self, name: str, zone: str) -> Vm:
-        """Start an entry VM."""
-        vm = Vm(name, "entry", zone, self.folder / f"{name}.yaml")
+    def _launch_entry(self, name: str, zone: str) -> None:
         operator = {
             "name": self.operator.name,
             "salt": self.operator.salt,
@@ -128,10 +156,10 @@
             "operators": [operator],
             "notice_s": self.plan.notice_s,
         }
-        self._write_settings(vm, settings)
-        return self._add(vm)
+        path = self.folder / f"{name}.yaml"
+        self.vms[name] = Vm(name, "entry", zone, path, settings)
 
-    def _write_settings(self, vm: Vm, settings: dict) -> None:
+    def _write_settings(self, vm: Vm) -> None:
         common = {
             "vm": vm.name,
             "zone": vm.zone,
@@ -143,18 +171,16 @@
                 "list": self.stand_ins["vmlist"].address,
             },
         }
-        vm.settings_path.write_text(yaml.safe_dump({**common, **settings}))
+        vm.settings_path.write_text(yaml.safe_dump({**common, **vm.settings}))
 
-    def _add(self, vm: Vm) -> Vm:
-        self.vms[vm.name] = vm
-        self.start_daemon(vm.name)
-        return vm
+    def _daemon(self, vm: Vm) -> Process:
+        command = python_command("chervilgw.daemon", settings=vm.settings_path)
+        return self._process(vm.name, command)
 
     def start_daemon(self, name: str) -> None:
-        """Start, or start again, the daemon of a VM and list the VM."""
+        """Start the daemon of a VM again and list the VM."""
         vm = self.vms[name]
-        command = python_command("chervilgw.daemon", settings=vm.settings_path)
-        vm.daemon = self._process(name, command).start()
+        vm.daemon = self._daemon(vm).start()
         self.list_vm(name, "live")
 
     def start_backend(self, name: str) -> None:
@@ -331,9 +357,9 @@
         daemons = [vm.daemon for vm in self.vms.values() if vm.daemon.running]
         for process in daemons:
             process.thaw()
-            process.signal(15)
+            process.signal(SIGTERM)
         for process in daemons:
-            statuses[process.name] = process.stop()
+            statuses[process.name] = process.wait()
         self.kill()
         return statuses
 
--- a/fleet/process.py
+++ b/fleet/process.py
@@ -42,6 +42,10 @@
 
     def start(self) -> Process:
         """Start the program and wait for its ready line."""
+        return self.launch().await_ready()
+
+    def launch(self) -> Process:
+        """Start the program."""
         environment = dict(os.environ, PYTHONUNBUFFERED="1")
         with self.log_path.open("ab") as log:
             self.child = subprocess.Popen(
@@ -51,6 +55,10 @@
                 env=environment,
                 start_new_session=True,
             )
+        return self
+
+    def await_ready(self) -> Process:
+        """Wait for the ready line of a launched program."""
         self.addresses = self._read_ready_line()
         return self
 
@@ -92,6 +100,10 @@
         """End the process with SIGTERM and return its exit status."""
         self.thaw()
         self.signal(signal.SIGTERM)
+        return self.wait(bound_s)
+
+    def wait(self, bound_s: float = STOP_S) -> int:
+        """Wait for the end of the process and return its exit status."""
         try:
             return self.child.wait(bound_s)
         except subprocess.TimeoutExpired:
