--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from standins.faults import FaultAction, Faults, make_faults
-from standins.http import Answer, Call, HttpFront, serve
+from standins.http import HttpFront, serve
+from standins.messages import Answer, Call
 
 __all__ = [
     "Answer",
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -12,7 +12,8 @@
 from standins.client import Fetch
 from standins.faults import make_faults
 from standins.forward import Forwarder
-from standins.http import Alarm, Answer, Call, HttpFront, Process, Routes
+from standins.http import Alarm, HttpFront, Process, Routes
+from standins.messages import Answer, Call
 
 
 class check_targets(Event):  # noqa: N801
--- a/standins/cut.py
+++ b/standins/cut.py
@@ -11,7 +11,8 @@
 from standins.cut_state import CutFaults, CutState, Direction, PairAction, PairId, Scope
 from standins.faults import make_faults
 from standins.forward import Forwarder
-from standins.http import Answer, Call, HttpFront, Process, Routes
+from standins.http import HttpFront, Process, Routes
+from standins.messages import Answer, Call
 
 CUT_FAULTS = {
     "silence": Scope.OFF,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,31 +6,28 @@
 import json
 import os
 import time
-from dataclasses import dataclass, field
-from typing import Any
 
 import fire
 from circuits import Event, handler
 
 from standins import engine_format as formats
 from standins.client import Fetch
-from standins.engine_batch import Batch, BatchLimits, Generation, Step, StepKind
+from standins.engine_batch import Batch, BatchLimits, Step, StepKind
 from standins.engine_batch import GenerationId as BatchId
 from standins.engine_cache import PrefixCache
 from standins.engine_memory import (
     Action,
-    Copy,
     CopyKind,
     EngineMemory,
     Order,
-    OrderId,
     OrderState,
 )
-from standins.engine_text import make_output
+from standins.engine_orders import EngineTimes, parse_order, state_body
+from standins.engine_requests import EngineRequest, make_request
 from standins.faults import make_faults
-from standins.http import Answer, Call, CallId, HttpFront, Routes, serve
+from standins.http import HttpFront, Routes, serve
+from standins.messages import Answer, Call, CallId
 
-DEFAULT_MAX_TOKENS = 128
 TRUNCATED_AT_TOKENS = 3
 ENGINE_FAULTS = {
     "lose_orders": 0,
@@ -58,57 +55,6 @@
     """An order's time is over: ``finish_order(order)``."""
 
 
-@dataclass(frozen=True, slots=True)
-class EngineTimes:
-    """How long orders take.
-
-    Below ``adapter_knee`` adapter loads in flight each takes ``adapter_s``, beyond it
-    proportionally longer.
-    """
-
-    load_s: float
-    unload_s: float
-    adapter_s: float
-    adapter_knee: int
-
-    def adapter(self, in_flight: int) -> float:
-        """Return the load time of an adapter.
-
-        Examples
-        --------
-        >>> EngineTimes(1.0, 0.0, 0.005, 10).adapter(20)
-        0.01
-        """
-        return self.adapter_s * max(1.0, in_flight / self.adapter_knee)
-
-
-@dataclass(slots=True)
-class _Active:
-    """A request in the batch, with what its answer needs."""
-
-    generation: Generation
-    copy: Copy
-    encoder: formats.Encoder
-    frame: tuple[bytes, bytes]
-    stream: bool
-    include_usage: bool
-    crashes: bool
-    cached_tokens: int = 0
-    sent: int = 0
-    parts: list[str] = field(default_factory=list)
-
-    def usage(self) -> dict[str, Any]:
-        """Return the OpenAI usage; resumed tokens count as completion tokens."""
-        prompt = len(self.generation.prompt_words)
-        completion = self.generation.position + self.sent
-        return {
-            "prompt_tokens": prompt,
-            "completion_tokens": completion,
-            "total_tokens": prompt + completion,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
-        }
-
-
 class EngineFront(HttpFront):
     """Task that owns the engine's batch, memory and connections."""
 
@@ -131,7 +77,7 @@
         self._store_address = store_address
         self._crash_marker = crash_marker
         self._crashes = crashes
-        self._active: dict[CallId, _Active] = {}
+        self._active: dict[CallId, EngineRequest] = {}
         self._step_pending = False
 
     def routes(self) -> Routes:
@@ -158,7 +104,7 @@
             return Answer(404, error)
         if not self.is_waiting(call.call_id):
             return None
-        active = self._to_active(call, form, copy)
+        active = make_request(call, form, copy, self._crash_marker)
         if any(
             active.encoder.request_id == other.encoder.request_id
             for other in self._active.values()
@@ -170,40 +116,6 @@
         self._carry_out(self._batch.submit(active.generation, time.monotonic()))
         return None
 
-    def _to_active(self, call: Call, form: formats.Format, copy: Copy) -> _Active:
-        body = call.body
-        prompt = form.prompt(body)
-        longest = body.get("max_completion_tokens") or body.get("max_tokens")
-        longest = DEFAULT_MAX_TOKENS if longest is None else int(longest)
-        shortest = int(body.get("min_tokens") or 0)
-        output = make_output(body["model"], prompt, longest, shortest)
-        resume = body.get("resume") or {}
-        position = int(resume.get("position", 0))
-        if not 0 <= position <= output.length:
-            raise ValueError("resume.position is outside the output")
-        if "text" in resume and resume["text"] != output.text(position):
-            raise ValueError("resume.text differs from the output up to the position")
-        request_id = body.get("request_id") or call.headers.get("x-request-id")
-        encoder = formats.Encoder(
-            form, request_id or f"cmpl-{call.call_id}", body["model"]
-        )
-        return _Active(
-            Generation(
-                BatchId(call.call_id),
-                body["model"],
-                prompt.split(),
-                output,
-                position,
-                int(body.get("priority") or 0),
-            ),
-            copy,
-            encoder,
-            encoder.token_frame(),
-            bool(body.get("stream")),
-            bool((body.get("stream_options") or {}).get("include_usage")),
-            bool(self._crash_marker) and self._crash_marker in prompt,
-        )
-
     @handler("step_batch")
     def _on_step_batch(self) -> None:
         self._step_pending = False
@@ -239,7 +151,7 @@
         """Continue the batch after a freeze."""
         self._plan_step()
 
-    def _emit(self, call_id: CallId, active: _Active, token: str) -> None:
+    def _emit(self, call_id: CallId, active: EngineRequest, token: str) -> None:
         active.sent += 1
         if not active.stream:
             active.parts.append(token)
@@ -260,7 +172,7 @@
             self.end_stream(call_id)
             self._stop(call_id)
 
-    def _end(self, call_id: CallId, active: _Active, reason: str) -> None:
+    def _end(self, call_id: CallId, active: EngineRequest, reason: str) -> None:
         usage = active.usage()
         if not active.stream:
             text = "".join(active.parts)
@@ -321,17 +233,7 @@
     # Orders
 
     def _order(self, call: Call) -> Answer:
-        body = call.body
-        order = Order(
-            OrderId(body["order_id"]),
-            Action(body["action"]),
-            CopyKind(body["kind"]),
-            body["name"],
-            str(body.get("version", "")),
-            body.get("base_model") or "",
-            int(body.get("size_bytes", 0)),
-            int(body.get("fencing", 0)),
-        )
+        order = parse_order(call.body)
         if self._memory.is_known(order.order_id):
             state = self._memory.orders[order.order_id]
             return Answer(202, {"order_id": order.order_id, "state": state.value})
@@ -403,28 +305,8 @@
         return Answer(200 if raised else 409, body)
 
     def _state(self, call: Call) -> Answer:
-        memory = self._memory
-        resident = [
-            {
-                "kind": copy.order.kind.value,
-                "name": copy.order.name,
-                "version": copy.order.version,
-                "size_bytes": copy.order.size_bytes,
-                "state": copy.state.value,
-                "order_id": copy.changed_by,
-            }
-            for copy in memory.copies
-        ]
-        body = {
-            "capacity_bytes": memory.capacity_bytes,
-            "used_bytes": memory.used_bytes,
-            "overcommits": memory.overcommits,
-            "highest_fencing": memory.highest_fencing if memory.fenced else None,
-            "resident": resident,
-            "orders": {name: state.value for name, state in memory.orders.items()},
-            "load": dataclasses.asdict(self._batch.load(time.monotonic())),
-            "crashes": self._crashes,
-        }
+        load = self._batch.load(time.monotonic())
+        body = state_body(self._memory, load, self._crashes)
         return Answer(200, body)
 
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -16,8 +16,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any, NewType
+from typing import Any
 from urllib.parse import parse_qsl, unquote
 
 from circuits import BaseComponent, Event, handler
@@ -27,34 +26,13 @@
 from circuits.web.http import HTTP
 
 from standins.faults import FaultAction, Faults
+from standins.messages import Answer, Call, CallId
 from standins.tcp import PromptTCPServer
 
-CallId = NewType("CallId", int)
-
 SEEN_REQUESTS = 500
 READ_BYTES = 65536
 
 
-@dataclass(frozen=True, slots=True)
-class Call:
-    """One decoded HTTP request."""
-
-    call_id: CallId
-    method: str
-    segments: tuple[str, ...]
-    query: Mapping[str, str]
-    headers: Mapping[str, str]
-    body: Any
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A plain answer: status code and a JSON body."""
-
-    status: int
-    body: Any
-
-
 Handler = Callable[..., Answer | None]
 Routes = Mapping[tuple[str, str], Handler]
 
@@ -306,7 +284,7 @@
     """Call a handler; invalid input, which it raises, is answered 400."""
     try:
         return handle(call, *names)
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         return Answer(400, {"error": f"{type(error).__name__}: {error}"})
 
 
--- a/standins/log.py
+++ b/standins/log.py
@@ -9,8 +9,9 @@
 from circuits import Event, handler
 
 from standins.faults import make_faults
-from standins.http import Answer, Call, CallId, HttpFront, Routes, serve, wall_time_ms
+from standins.http import HttpFront, Routes, serve, wall_time_ms
 from standins.log_state import LogState, ReadState, Slice, StreamName
+from standins.messages import Answer, Call, CallId
 
 LONGEST_WAIT_MS = 2000
 DEFAULT_LIMIT = 1000
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,8 @@
 import fire
 
 from standins.faults import make_faults
-from standins.http import Answer, Call, HttpFront, Routes, serve
+from standins.http import HttpFront, Routes, serve
+from standins.messages import Answer, Call
 from standins.service_state import (
     BOOKING_FAULTS,
     BookingFault,
--- a/standins/store.py
+++ b/standins/store.py
@@ -8,7 +8,8 @@
 from circuits import Event, handler
 
 from standins.faults import make_faults
-from standins.http import Answer, Call, CallId, HttpFront, Routes, serve
+from standins.http import HttpFront, Routes, serve
+from standins.messages import Answer, Call, CallId
 from standins.store_state import StoreLimits, StoreState
 
 
--- a/standins/tests/test_forward.py
+++ b/standins/tests/test_forward.py
@@ -53,7 +53,17 @@
 def exchange(sock, timeout_s=5.0):
     sock.settimeout(timeout_s)
     sock.sendall(b"GET /faults HTTP/1.1\r\nHost: x\r\n\r\n")
-    return sock.recv(65536)
+    return read_answer(sock)
+
+
+def read_answer(sock):
+    """Return one whole answer; head and body may arrive apart."""
+    data = b""
+    while b"}" not in data:
+        part = sock.recv(65536)
+        assert part, "the connection was closed in mid-answer"
+        data += part
+    return data
 
 
 def test_cut_process():
@@ -76,7 +86,7 @@
             exchange(new, timeout_s=0.2)
         call(control, "PUT", "/faults", {})
         new.settimeout(5)
-        assert new.recv(65536).startswith(b"HTTP/1.1 200"), "held data was lost"
+        assert read_answer(new).startswith(b"HTTP/1.1 200"), "held data was lost"
         call(control, "PUT", "/faults", {"cut": "established"})
         with pytest.raises(ConnectionResetError):
             new.recv(1)
--- a/standins/tests/test_log.py
+++ b/standins/tests/test_log.py
@@ -76,6 +76,7 @@
         status, found = call(address, "GET", path + "?from=1&limit=5")
         assert (status, found["next"], found["records"][0][0]) == (200, 2, 1)
         assert call(address, "POST", path, {"a": 1})[0] == 400
+        assert call(address, "POST", path)[0] == 400
         assert call(address, "GET", "/nothing")[0] == 404
 
         polled = []
@@ -85,7 +86,7 @@
             )
         )
         poll.start()
-        wait_for(lambda: len(call(address, "GET", "/seen")[1]["requests"]) == 5)
+        wait_for(lambda: len(call(address, "GET", "/seen")[1]["requests"]) == 6)
         start_s = time.monotonic()
         call(address, "POST", path, [{"a": 3}])
         poll.join(5)
--- a/standins/vmlist.py
+++ b/standins/vmlist.py
@@ -8,7 +8,8 @@
 import fire
 
 from standins.faults import make_faults
-from standins.http import Answer, Call, HttpFront, Routes, serve
+from standins.http import HttpFront, Routes, serve
+from standins.messages import Answer, Call
 from standins.vmlist_state import ListState, Vm, VmId, VmList
 
 
