Decide a doubtful change after a read from the log

Cause: a process whose state was behind rejected a repeated change that another process had already accepted; the state machine found it by submitting a change again elsewhere. Ruled out: a check of the remembered ids alone, since the state that is behind does not have the id. The change is now checked again after a read that was sent after the submission.

--- a/chervilgw/configuration/source.py
+++ b/chervilgw/configuration/source.py
@@ -18,6 +18,7 @@
     PushSnapshot,
     ReadLog,
     Rejected,
+    Undecided,
     WriteSnapshot,
 )
 from chervilgw.configuration.pending import PendingChanges, verdict_output
@@ -53,6 +54,7 @@
         self._every = snapshot_every
         self._tail: deque[Record] = deque(maxlen=TAIL_RECORDS)
         self._pending = PendingChanges(APPEND_RETRY_S, GIVE_UP_S)
+        self._doubtful: dict[ChangeId, tuple[Change, float]] = {}
         self._read_s: float | None = None
         self._next_read_s = float("-inf")
         self._log_ok = False
@@ -74,7 +76,7 @@
 
     def submit(self, change: Change, now_s: float) -> list[Output]:
         """Start a change; a repeated change id gets the known outcome."""
-        if change.change_id in self._pending:
+        if change.change_id in self._pending or change.change_id in self._doubtful:
             return []
         verdict = self.state.remembered.get(change.change_id)
         if verdict is not None:
@@ -84,8 +86,12 @@
             return [Rejected(change.change_id, why)]
         try:
             check_change(self.state, change)
-        except ConfigurationError as error:
-            return [Rejected(change.change_id, str(error))]
+        except ConfigurationError:
+            # The state may be behind, and the same change may have been accepted at
+            # another process: decide after a read that was sent from now on.
+            self._doubtful[change.change_id] = (change, now_s)
+            self._next_read_s = now_s
+            return self._read_if_due(now_s)
         return [self._pending.add(change, now_s)]
 
     def on_append_result(
@@ -131,6 +137,7 @@
             self._next_read_s = now_s + POLL_S
             if self.state.offset + 1 == next_offset:
                 outputs.append(Confirmed(asked_s))
+                outputs += self._decide_doubtful(asked_s, now_s)
         else:
             moved = self.state.offset > before
             self._next_read_s = now_s if moved else now_s + POLL_S
@@ -141,7 +148,10 @@
         self._read_s = None
         self._log_ok = self._up_to_date = False
         self._next_read_s = now_s + POLL_S
-        return self._ask_if_behind(now_s)
+        why = "the log cannot be read; this process appended nothing"
+        outputs: list[Output] = [Undecided(each, why) for each in self._doubtful]
+        self._doubtful.clear()
+        return outputs + self._ask_if_behind(now_s)
 
     def on_peer_offset(self, peer: VmId, offset: Offset, now_s: float) -> list[Output]:
         """Take the offset that a peer's message carried."""
@@ -203,6 +213,25 @@
             outputs.append(PushRecords(None, before, self._tail_after(before)))
         return outputs
 
+    def _decide_doubtful(self, asked_s: float, now_s: float) -> list[Output]:
+        outputs: list[Output] = []
+        for change_id, (change, since_s) in list(self._doubtful.items()):
+            if since_s > asked_s:
+                self._next_read_s = now_s
+                continue
+            del self._doubtful[change_id]
+            verdict = self.state.remembered.get(change_id)
+            if verdict is not None:
+                outputs.append(verdict_output(change_id, verdict))
+                continue
+            try:
+                check_change(self.state, change)
+            except ConfigurationError as error:
+                outputs.append(Rejected(change_id, str(error)))
+            else:
+                outputs.append(self._pending.add(change, now_s))
+        return outputs
+
     def _tail_after(self, offset: Offset) -> tuple[Record, ...]:
         return tuple(record for record in self._tail if record[0] > offset)
 
