--- /dev/null
+++ b/chervilgw/configuration/tests/test_source.py
@@ -0,0 +1,110 @@
+"""Cases of the follower that random runs reach rarely."""
+
+import pytest
+
+from chervilgw.configuration import (
+    Change,
+    Kind,
+    change_record,
+    empty_state,
+    fold,
+    to_snapshot,
+)
+from chervilgw.configuration import outputs as out
+from chervilgw.configuration.source import GIVE_UP_S, make_config_follower
+
+VALUE = {"rate_tokens_per_s": 1, "burst_tokens": 1}
+
+
+def change(number):
+    name = f"c{number}"
+    return Change(name, Kind.CUSTOMER, name, 0, VALUE, "ann", "", 1)
+
+
+RECORDS = [(n, change_record(change(n))) for n in range(12)]
+
+
+def state_at(offset):
+    state = empty_state()
+    for number, record in RECORDS[: offset + 1]:
+        state, _ = fold(state, number, record)
+    return state
+
+
+def follower_at(offset):
+    follower = make_config_follower(0.0, 5)
+    follower.tick(0.0)
+    follower.on_log_records(0, offset + 1, RECORDS[: offset + 1], 0.0)
+    assert follower.state.offset == offset
+    return follower
+
+
+def test_an_older_snapshot_is_ignored():
+    """Guards against a late peer message that reverts accepted changes."""
+    follower = follower_at(5)
+    assert follower.on_peer_snapshot(to_snapshot(state_at(2)), 1.0) == []
+    assert follower.state == state_at(5)
+
+
+@pytest.mark.parametrize(
+    ("after", "records"), [(4, RECORDS[5:7]), (2, RECORDS[4:7]), (2, [])]
+)
+def test_records_behind_a_gap_are_not_applied(after, records):
+    """Guards against a state that lacks a change in the middle."""
+    follower = follower_at(2)
+    follower.on_peer_records(after, records, 1.0)
+    assert follower.state == state_at(2)
+    follower.tick(1.0)
+    follower.on_log_records(0, 12, RECORDS[4:7], 1.0)
+    assert follower.state == state_at(2)
+
+
+def test_a_snapshot_that_retention_has_outrun_is_not_used():
+    """Guards against a state that lacks the records between snapshot and log."""
+    follower = make_config_follower(0.0, 5)
+    follower.tick(0.0)
+    log = [(8, to_snapshot(state_at(3))), (9, to_snapshot(state_at(7)))]
+    follower.on_log_records(8, 10, log[:1], 0.0)
+    assert follower.state.offset == -1
+    outputs = follower.on_log_records(8, 10, log[1:], 0.0)
+    assert follower.state == state_at(7)
+    assert out.ReadLog(8) in outputs
+
+
+def test_the_scan_for_a_snapshot_moves_on():
+    """Guards against a start that reads the same part of the log for ever."""
+    follower = make_config_follower(0.0, 5)
+    follower.tick(0.0)
+    assert out.ReadLog(7) in follower.on_log_records(5, 12, RECORDS[5:7], 0.0)
+
+
+def test_a_lost_answer_is_retried_with_the_same_id_and_then_undecided():
+    """Guards against a change that is dropped, or called rejected, after an unknown."""
+    follower = follower_at(-1)
+    (request,) = follower.submit(change(0), 0.0)
+    follower.on_append_result(request.change_id, out.AppendResult.UNKNOWN, 0.0)
+    assert request in follower.tick(1.0)
+    follower.on_append_result(request.change_id, out.AppendResult.REFUSED, 1.0)
+    kinds = [type(each) for each in follower.tick(GIVE_UP_S)]
+    assert out.Undecided in kinds and out.Rejected not in kinds
+
+
+def test_one_snapshot_is_written_when_due_and_none_after_another_writer():
+    """Guards against a log full of snapshots, or one without any."""
+    follower = follower_at(5)
+    (written,) = [e for e in follower.tick(0.0) if isinstance(e, out.WriteSnapshot)]
+    assert written.record["offset"] == 5
+    follower.tick(1.0)
+    follower.on_log_records(0, 7, [(6, written.record)], 1.0)
+    assert follower.state.snapshot_covers == 5
+    for now_s in (2.0, 60.0):
+        assert not [e for e in follower.tick(now_s) if isinstance(e, out.WriteSnapshot)]
+
+
+def test_nothing_is_submitted_while_the_log_is_down():
+    """Guards against a change that takes effect after the operator was refused."""
+    follower = follower_at(2)
+    follower.tick(1.0)
+    follower.on_log_failed(1.0)
+    (answer,) = follower.submit(change(3), 1.0)
+    assert isinstance(answer, out.Rejected)
--- a/chervilgw/membership/tests/test_view.py
+++ b/chervilgw/membership/tests/test_view.py
@@ -1,5 +1,7 @@
 """The fleet view against an oracle: newest incarnation and sequence, leaving stays."""
 
+from dataclasses import replace
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -41,7 +43,8 @@
     def receive_report(self, vm, start, sequence, leaving):
         incarnation = Incarnation(vm, start)
         state = VmState.LEAVING if leaving else VmState.LIVE
-        self.view.on_report(report(incarnation, sequence, state), self.now_s)
+        load = replace(LOAD, running=sequence)
+        self.view.on_report(report(incarnation, sequence, state, load), self.now_s)
         before = max(self.reported.get(vm, {}), default=0)
         sequences = self.reported.setdefault(vm, {}).setdefault(start, [])
         if start > before or start == before and sequence > max(sequences, default=-1):
@@ -90,6 +93,7 @@
             newest = Incarnation(vm, max(self.reported[vm]))
             assert server.incarnation == newest
             assert (server.state is VmState.LEAVING) == (newest in self.leaving)
+            assert server.load.running == max(self.reported[vm][newest.start_ms])
 
     @invariant()
     def replaced_and_unlisted_incarnations_are_gone(self):
@@ -126,6 +130,18 @@
     assert len(view.reports_since(version)[1]) == 1
 
 
+def test_a_leaving_notice_before_the_first_report_is_remembered():
+    """Guards against new work for a server whose notice overtook its reports."""
+    view = make_fleet_view(ME)
+    server = Incarnation(VmId("b0"), 1)
+    view.on_leaving(server, 0.0)
+    for sequence in (1, 2):
+        view.on_report(report(server, sequence), 0.0)
+        assert view.servers(0.0)[0].state is VmState.LEAVING
+    view.on_report(report(Incarnation(VmId("b0"), 2), 1), 0.0)
+    assert view.servers(0.0)[0].state is VmState.LIVE
+
+
 def test_connections_decide_between_live_and_silent():
     """Guards against choosing a server whose connection went silent."""
     view = make_fleet_view(ME)
