--- /dev/null
+++ b/chervilgw/crashes/__init__.py
@@ -0,0 +1,12 @@
+"""Stops requests that crash their backend server."""
+
+from chervilgw.crashes.gate import SuspectGate, make_suspect_gate
+from chervilgw.crashes.tracker import CrashTracker, make_crash_tracker, request_digest
+
+__all__ = [
+    "CrashTracker",
+    "SuspectGate",
+    "make_crash_tracker",
+    "make_suspect_gate",
+    "request_digest",
+]
--- /dev/null
+++ b/chervilgw/crashes/gate.py
@@ -0,0 +1,96 @@
+"""At most one suspect runs at a time on a backend server."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from returns.result import Failure, Result, Success
+
+from chervilgw.core.ids import RequestId
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason
+
+
+class SuspectGate:
+    """The suspect that runs at this sidecar. See :func:`make_suspect_gate`."""
+
+    def __init__(self, retry_after_s: float) -> None:
+        self._retry_after_s = retry_after_s
+        self._running: RequestId | None = None
+
+    def enter(self, attempt: RequestId, suspect: bool) -> Result[None, Refusal]:
+        """Let an attempt run, or refuse it while another suspect runs.
+
+        Parameters
+        ----------
+        attempt : RequestId
+        suspect : bool
+            Whether the request was running at a crash.
+
+        Returns
+        -------
+        Result[None, Refusal]
+        """
+        if not suspect or self._running == attempt:
+            return Success(None)
+        if self._running is not None:
+            detail = "another request that was running at a crash is being tried"
+            return Failure(
+                make_refusal(RefusalReason.SUSPECT_BUSY, detail, self._retry_after_s)
+            )
+        self._running = attempt
+        return Success(None)
+
+    def adopt(self, attempts: Sequence[RequestId]) -> tuple[RequestId, ...]:
+        """Take running attempts that a crash elsewhere has made suspects.
+
+        Without this, an innocent request could run beside the guilty one twice.
+
+        Parameters
+        ----------
+        attempts : sequence of RequestId
+            Attempts that run here and are suspects now.
+
+        Returns
+        -------
+        tuple of RequestId
+            Those to stop here and send elsewhere.
+        """
+        if self._running is None and attempts:
+            self._running = attempts[0]
+        return tuple(attempt for attempt in attempts if attempt != self._running)
+
+    def leave(self, attempt: RequestId) -> None:
+        """Note that an attempt ended, in whatever way.
+
+        Parameters
+        ----------
+        attempt : RequestId
+        """
+        if self._running == attempt:
+            self._running = None
+
+
+def make_suspect_gate(retry_after_s: float = 0.5) -> SuspectGate:
+    """Return the gate of one backend server.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Pause that a refused suspect is told.
+
+    Returns
+    -------
+    SuspectGate
+
+    Examples
+    --------
+    >>> from chervilgw.core.ids import Incarnation, VmId
+    >>> one, two = (RequestId(Incarnation(VmId("e1"), 1), n) for n in (1, 2))
+    >>> gate = make_suspect_gate()
+    >>> gate.enter(one, suspect=True)
+    <Success: None>
+    >>> gate.enter(two, suspect=True).failure().reason
+    <RefusalReason.SUSPECT_BUSY: 'suspect_busy'>
+    """
+    return SuspectGate(retry_after_s)
--- /dev/null
+++ b/chervilgw/crashes/tracker.py
@@ -0,0 +1,209 @@
+"""Counts crashes by request digest, and blocks a digest after two."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Collection
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from chervilgw.core.ids import CrashId, CustomerId, Digest
+from chervilgw.core.messages import CrashReport
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason
+
+CRASHES_TO_BLOCK = 2
+MAX_DIGESTS = 10_000
+
+
+def request_digest(customer: CustomerId, target: str, body: bytes) -> Digest:
+    """Return the digest that stands for a request in crash reports.
+
+    Parameters
+    ----------
+    customer : CustomerId
+    target : str
+        Name of the model or service.
+    body : bytes
+        Normalised body, so that repeats through any entry have the same digest.
+
+    Returns
+    -------
+    Digest
+
+    Examples
+    --------
+    >>> request_digest(CustomerId("a"), "m", b"x") == request_digest(
+    ...     CustomerId("a"), "m", b"x"
+    ... )
+    True
+    """
+    state = xxhash.xxh3_128()
+    for part in (customer.encode(), target.encode(), body):
+        # The lengths keep ("ab", "c") and ("a", "bc") apart.
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return Digest(state.hexdigest())
+
+
+class CrashTracker:
+    """Crashes by digest. See :func:`make_crash_tracker`."""
+
+    def __init__(self, crash_block_s: float, max_digests: int) -> None:
+        self._block_ms = int(crash_block_s * 1000)
+        self._max_digests = max_digests
+        self._crashes: OrderedDict[Digest, dict[CrashId, int]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._crashes)
+
+    def on_crash_report(self, report: CrashReport, now_ms: int) -> tuple[Digest, ...]:
+        """Count a crash against the requests that it blames.
+
+        A sidecar lists the suspects among the running requests if there were any, and
+        else all of them, so innocents beside a suspect are not counted again.
+
+        Parameters
+        ----------
+        report : CrashReport
+            A report that doubles changes nothing.
+        now_ms : int
+            Wall-clock time.
+
+        Returns
+        -------
+        tuple of Digest
+            The report's digests that are blocked now; their attempts that still run
+            elsewhere are to be stopped.
+        """
+        if now_ms - report.time_ms >= self._block_ms:
+            return ()
+        for digest in report.digests:
+            crashes = self._crashes.setdefault(digest, {})
+            crashes[report.crash] = min(report.time_ms, now_ms)
+            if len(crashes) > CRASHES_TO_BLOCK:
+                # The newest crashes decide when the block ends.
+                del crashes[min(crashes, key=lambda crash: crashes[crash])]
+            self._crashes.move_to_end(digest)
+        while len(self._crashes) > self._max_digests:
+            self._drop_one()
+        return tuple(
+            digest
+            for digest in report.digests
+            if len(self._crashes.get(digest, ())) >= CRASHES_TO_BLOCK
+        )
+
+    def _drop_one(self) -> None:
+        """Drop the oldest digest without a block, so that no flood lifts a block."""
+        for digest, crashes in self._crashes.items():
+            if len(crashes) < CRASHES_TO_BLOCK:
+                del self._crashes[digest]
+                return
+        self._crashes.popitem(last=False)
+
+    def on_completed(self, digest: Digest) -> None:
+        """Clear a suspect that ran to its end and is not blocked.
+
+        Parameters
+        ----------
+        digest : Digest
+        """
+        if len(self._crashes.get(digest, ())) < CRASHES_TO_BLOCK:
+            self._crashes.pop(digest, None)
+
+    def suspect_crashes(self, digest: Digest) -> tuple[CrashId, ...]:
+        """Return the crashes that are counted against a request.
+
+        Parameters
+        ----------
+        digest : Digest
+
+        Returns
+        -------
+        tuple of CrashId
+        """
+        return tuple(self._crashes.get(digest, ()))
+
+    def check(
+        self, digest: Digest, now_ms: int, lifted: Collection[Digest] = ()
+    ) -> Result[None, Refusal]:
+        """Refuse a request that is blocked.
+
+        Parameters
+        ----------
+        digest : Digest
+        now_ms : int
+            Wall-clock time.
+        lifted : collection of Digest
+            Digests whose block the configuration lifts.
+
+        Returns
+        -------
+        Result[None, Refusal]
+        """
+        crashes = self._crashes.get(digest)
+        if crashes is None:
+            return Success(None)
+        end_ms = max(crashes.values()) + self._block_ms
+        if now_ms >= end_ms:
+            del self._crashes[digest]
+            return Success(None)
+        if len(crashes) < CRASHES_TO_BLOCK or digest in lifted:
+            return Success(None)
+        detail = "the request was running at two crashes and is blocked for a time"
+        retry_after_s = (end_ms - now_ms) / 1000
+        return Failure(
+            make_refusal(RefusalReason.BLOCKED_AFTER_CRASHES, detail, retry_after_s)
+        )
+
+
+def make_crash_tracker(
+    crash_block_s: float = 600.0, max_digests: int = MAX_DIGESTS
+) -> CrashTracker:
+    """Return a tracker without crashes.
+
+    Parameters
+    ----------
+    crash_block_s : float
+        How long a crash counts, and so how long a block lasts after the last one.
+    max_digests : int
+        Bound of the memory.
+
+    Returns
+    -------
+    CrashTracker
+
+    Examples
+    --------
+    >>> from chervilgw.core.ids import VmId
+    >>> tracker = make_crash_tracker()
+    >>> for crash in ("b1/1", "b2/1"):
+    ...     report = CrashReport(CrashId(crash), VmId("b"), (Digest("d"),), 1000)
+    ...     blocked = tracker.on_crash_report(report, 1000)
+    >>> tracker.check(Digest("d"), 2000).failure().retry_after_s
+    599.0
+    """
+    return CrashTracker(crash_block_s, max_digests)
+
+
+def blamed(running: dict[Digest, bool]) -> tuple[Digest, ...]:
+    """Return the digests that a crash report lists.
+
+    Parameters
+    ----------
+    running : dict of Digest to bool
+        The requests that were running, and whether each was a suspect.
+
+    Returns
+    -------
+    tuple of Digest
+        The suspects if there were any, else all.
+
+    Examples
+    --------
+    >>> blamed({Digest("a"): False, Digest("b"): True})
+    ('b',)
+    """
+    suspects = tuple(digest for digest, suspect in running.items() if suspect)
+    return suspects or tuple(running)
