Tune copy demand and early refusal by the policy benchmarks

Cause: copies came too late (1500 tokens per copy for 1 s) and early refusals hit customers within their rate (up to 37 in 1,000). Ruled out: shorter removal times and a threshold of 300 tokens without a delay, which moved 73 to 100 models where 12 to 14 suffice at the same attainment. Change: demand must be high for 0.25 s, estimates count 0.4 before a refusal, benchmark thresholds are 450 and 45 tokens per copy. The benchmark code is split into three small modules.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from benchmarks.policy_fakes import Outcome, Policy, Run, Setup, make_traffic
+from benchmarks.policy_fakes import Outcome, Policy, Run
+from benchmarks.policy_traffic import Setup, make_traffic
 from chervilgw.placement.copies import ModelSpec
 
 RESULTS = Path(__file__).parent / "results"
--- a/benchmarks/policy_fakes.py
+++ b/benchmarks/policy_fakes.py
@@ -9,16 +9,17 @@
 import heapq
 import itertools
 import random
-from collections import deque
 from dataclasses import dataclass, field
 
 from returns.result import Success
 
+from benchmarks.policy_baselines import FifoQueue
+from benchmarks.policy_traffic import Arrival, Setup
 from chervilgw.core.fleet import ServerView
 from chervilgw.core.ids import Incarnation, RequestId, VmId
 from chervilgw.core.messages import Load
-from chervilgw.core.states import BackendKind, Urgency, VmState
-from chervilgw.placement.copies import CopyLimits, LoadCopy, ModelSpec, decide
+from chervilgw.core.states import BackendKind, VmState
+from chervilgw.placement.copies import CopyLimits, LoadCopy, decide
 from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
 from chervilgw.routing.choice import RouteRequest, choose
 from chervilgw.routing.order import preferred_order
@@ -27,39 +28,6 @@
 ENTRY = Incarnation(VmId("entry-1"), 1)
 
 
-@dataclass(frozen=True)
-class Arrival:
-    """One request of a caller; ``used`` of its ``tokens`` are really needed."""
-
-    time_s: float
-    customer: str
-    model: str
-    tokens: int
-    used: int
-    target_s: float
-    entry: int
-    pool: str = "default"
-    urgency: Urgency = Urgency.INTERACTIVE
-
-
-@dataclass(frozen=True)
-class Setup:
-    """Engines, models, rates and faults of a case."""
-
-    pools: dict[str, int]
-    zones: int
-    models: tuple[ModelSpec, ...]
-    slots: int = 8
-    token_s: float = 0.01
-    load_s: float = 4.0
-    capacity: int = 6
-    report_s: float = 0.5
-    lag_s: float = 0.25
-    quota: dict[str, tuple[float, float]] = field(default_factory=dict)
-    lost_zone_at_s: float | None = None
-    store_loads: int = 10
-
-
 @dataclass(frozen=True)
 class Policy:
     """Which rule decides; ``ours`` is the product's."""
@@ -69,8 +37,8 @@
     queue: str = "ours"
     placement: str = "ours"
     limits: CopyLimits = CopyLimits()
-    thresholds: DemandThresholds = DemandThresholds(1500, 150)
-    slack: float = 0.8
+    thresholds: DemandThresholds = DemandThresholds(450, 45)
+    slack: float = 0.4
 
 
 @dataclass
@@ -96,49 +64,6 @@
         return min(self.share("met", customer) for customer in customers)
 
 
-class FifoQueue:
-    """First in, first out, with a bound on its length."""
-
-    def __init__(self, bound: int = 400):
-        self.items: deque[QueuedItem] = deque()
-        self.bound = bound
-
-    def __len__(self):
-        return len(self.items)
-
-    def push(self, item, now_s):
-        """Append a request, or return None when full."""
-        if len(self.items) >= self.bound:
-            return None
-        self.items.append(item)
-        return Success(None)
-
-    def pop(self, now_s, can_run):
-        """Take the first request that can run."""
-        for index, item in enumerate(self.items):
-            if can_run(item):
-                del self.items[index]
-                return item
-        return None
-
-    def settle(self, item, used, now_s):
-        """Do nothing; first in, first out keeps no account."""
-        pass
-
-    def expire(self, now_s):
-        """Take out requests whose deadline has passed."""
-        late = [item for item in self.items if item.deadline_s < now_s]
-        self.items = deque(item for item in self.items if item.deadline_s >= now_s)
-        return late
-
-    def tokens_by_target(self):
-        """Return the tokens waiting for each model."""
-        sums = {}
-        for item in self.items:
-            sums[item.target] = sums.get(item.target, 0) + item.tokens
-        return sums
-
-
 class FakeEngine:
     """One engine with its queue and resident copies."""
 
@@ -448,40 +373,3 @@
                 # A silent connection is closed after 2 s and its requests retried.
                 for request_id in lost:
                     self.at(2.0, self.dispatch, request_id)
-
-
-def make_traffic(
-    setup, seed, rates, length_s, wait_s=3.0, tokens=200, surge=None
-) -> list[Arrival]:
-    """Return bursty arrivals; ``rates`` maps a customer to requests/s.
-
-    A request's target is its full length at the engine's speed plus ``wait_s``. Model
-    popularity follows a power law; ``surge`` is (model, from_s, factor).
-    """
-    rng = random.Random(seed)
-    arrivals = []
-    names = [spec.name for spec in setup.models]
-    pools = {spec.name: spec.pool for spec in setup.models}
-    popularity = {n: 1.0 / (1 + i % 13) for i, n in enumerate(names)}
-    for customer, rate in sorted(rates.items()):
-        time_s = 0.0
-        while time_s < length_s:
-            # Phases of 2 s at 0.5 to 1.5 times the mean rate.
-            phase = random.Random(f"{seed}{customer}{int(time_s / 2)}").uniform(
-                0.5, 1.5
-            )
-            time_s += rng.expovariate(rate * phase)
-            asked = max(20, min(4 * tokens, int(rng.expovariate(1.0 / tokens))))
-            weights = [popularity[n] for n in names]
-            if surge and time_s >= surge[1]:
-                weights[names.index(surge[0])] *= surge[2]
-            model = rng.choices(names, weights)[0]
-            used = max(1, int(asked * rng.uniform(0.5, 1.0)))
-            entry = rng.choices(range(3), (80, 15, 5))[0]
-            total_s = wait_s + asked * setup.token_s
-            arrivals.append(
-                Arrival(
-                    time_s, customer, model, asked, used, total_s, entry, pools[model]
-                )
-            )
-    return sorted(arrivals, key=lambda a: a.time_s)
--- a/chervilgw/placement/copies.py
+++ b/chervilgw/placement/copies.py
@@ -43,7 +43,7 @@
     another one. ``report_age_s`` bounds the age of a report that an unload relies on.
     """
 
-    add_after_s: float = 1.0
+    add_after_s: float = 0.25
     remove_after_s: float = 60.0
     settle_s: float = 5.0
     report_age_s: float = 2.0
--- a/chervilgw/scheduling/fair_queue.py
+++ b/chervilgw/scheduling/fair_queue.py
@@ -49,7 +49,7 @@
     guaranteed: Mapping[Urgency, float] = field(
         default_factory=lambda: {Urgency.STANDARD: 0.05, Urgency.OVERNIGHT: 0.05}
     )
-    slack: float = 0.8
+    slack: float = 0.4
 
 
 @dataclass(slots=True)
