--- a/chervilgw/quota/tests/simulation.py
+++ b/chervilgw/quota/tests/simulation.py
@@ -65,6 +65,8 @@
         self.messages = 0
         self.on_granted: Callable[[Entry, Granted], None] = self.dispatch
         self.run_delay_s = (0.0, 0.002)
+        self.longest_run_s = 0.01
+        self.used_parts = (1.0,)
         self.sidecar_members = Members()
         self.sidecar_blind = False
         self._sidecar_confirmed_s = 0.0
@@ -229,10 +231,10 @@
                 ),
             )
             return
-        used = amount * self.random.choice((0.1, 0.5, 1.0, 1.0))
+        used = amount * self.random.choice(self.used_parts)
         self.runs[debit.budget].append((self.now_s, used))
         started_s = self.now_s + self.random.uniform(*self.run_delay_s)
-        ended_s = started_s + self.random.uniform(0, 5 * self.run_delay_s[1])
+        ended_s = started_s + self.random.uniform(0, self.longest_run_s)
         confirm = lambda: self.call(entry, quota.confirm_start, debit)  # noqa: E731
         settle = lambda: self.call(entry, quota.settle, debit, used)  # noqa: E731
         if self.random.random() >= self.network.loss:
--- a/chervilgw/quota/tests/test_fleet_machine.py
+++ b/chervilgw/quota/tests/test_fleet_machine.py
@@ -26,6 +26,8 @@
         self.fleet = Fleet(seed, BUDGETS)
         self.fleet.run_delay_s = (0.0, 1.0)
         self.fleet.tick_s = 0.1
+        self.fleet.longest_run_s = 5.0
+        self.fleet.used_parts = (0.1, 0.5, 1.0, 1.0)
         for index in range(count):
             self.fleet.start(f"e{index}")
         self.fleet.advance(6.0)
@@ -52,6 +54,32 @@
                 self.fleet.reserve(me, budget, part * BUDGETS[budget][1])
             self.fleet.advance(0.3)
 
+    @precondition(some_entry)
+    @rule(
+        index=picks, budget=budgets, part=parts, paused_s=st.sampled_from([2.0, 12.0])
+    )
+    def pause_between_debit_and_run(self, index, budget, part, paused_s):
+        me = self.pick(index)
+        self.reserve(index, budget, part, 5)
+        self.fleet.entries[me].frozen = True
+        self.fleet.advance(paused_s)
+        self.fleet.thaw(me)
+        self.reserve(index, budget, part, 5)
+
+    @precondition(some_entry)
+    @rule(index=picks, budget=budgets, part=parts)
+    def fill_up_before_refunds(self, index, budget, part):
+        """Debit, wait for a full bucket, debit again when the runs end."""
+        self.fleet.used_parts, before = (0.1,), self.fleet.used_parts
+        for _ in range(4):
+            self.reserve(index, budget, part, 3)
+            self.fleet.advance(2.5)
+        self.fleet.used_parts = before
+
+    @rule(longest_s=st.sampled_from([0.1, 5.0, 20.0]))
+    def change_runs(self, longest_s):
+        self.fleet.longest_run_s = longest_s
+
     @rule(duration_s=st.sampled_from([0.002, 0.05, 0.3, 1.0, 4.0, 12.0]))
     def wait(self, duration_s):
         self.fleet.advance(duration_s)
