Connect crash tracking to entry and sidecar

Cause: a request that crashes its engine has to be stopped across the fleet after two crashes, and innocents beside it must not be blamed. Change: the sidecar reports only the suspects of a crash if there were any, keeps one suspect running at a time, and stops attempts that a crash elsewhere made suspects. A lift holds for crashes before it only; without that a lifted digest could crash servers for ever.

--- a/chervilgw/admin/task.py
+++ b/chervilgw/admin/task.py
@@ -25,6 +25,7 @@
 )
 from chervilgw.admin.errors import AdminError
 from chervilgw.admin.views import show_audit, show_fleet, show_items
+from chervilgw.configuration.lookups import defaults, lifted_blocks
 from chervilgw.configuration.outputs import Accepted, Rejected
 from chervilgw.configuration.records import Change
 from chervilgw.configuration.state import ConfigurationState, empty_state
@@ -60,6 +61,7 @@
     @handler("config_applied", channel="*")
     def _on_config(self, state):
         self._state = state
+        self._crashes.set_block_s(defaults(state).crash_block_s)
 
     @handler("fleet_changed", channel="*")
     def _on_fleet(self, fleet):
@@ -110,7 +112,7 @@
                 self._submit(exchange, operator, item)
 
     def _show_blocks(self):
-        blocked = self._crashes.blocked(_wall_ms(), self._state.items[Kind.BLOCK_LIFT])
+        blocked = self._crashes.blocked(_wall_ms(), lifted_blocks(self._state))
         return {"blocks": [{"digest": digest} for digest in blocked]}
 
     def _key_value(self, key_id: str) -> dict[str, Any]:
--- a/chervilgw/configuration/lookups.py
+++ b/chervilgw/configuration/lookups.py
@@ -137,3 +137,9 @@
 def _covers(prefix: str, path: str) -> bool:
     bare = prefix.rstrip("/")
     return path in (bare, prefix) or path.startswith(bare + "/")
+
+
+def lifted_blocks(state: ConfigurationState) -> dict[str, int]:
+    """Return when each lifted block was lifted, in ms since the epoch."""
+    items = state.items[Kind.BLOCK_LIFT]
+    return {digest: item.time_ms for digest, item in items.items()}
--- a/chervilgw/crashes/__init__.py
+++ b/chervilgw/crashes/__init__.py
@@ -1,11 +1,17 @@
 """Stops requests that crash their backend server."""
 
 from chervilgw.crashes.gate import SuspectGate, make_suspect_gate
-from chervilgw.crashes.tracker import CrashTracker, make_crash_tracker, request_digest
+from chervilgw.crashes.tracker import (
+    CrashTracker,
+    blamed,
+    make_crash_tracker,
+    request_digest,
+)
 
 __all__ = [
     "CrashTracker",
     "SuspectGate",
+    "blamed",
     "make_crash_tracker",
     "make_suspect_gate",
     "request_digest",
--- a/chervilgw/crashes/gate.py
+++ b/chervilgw/crashes/gate.py
@@ -18,6 +18,11 @@
         self._retry_after_s = retry_after_s
         self._running: RequestId | None = None
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a suspect runs."""
+        return self._running is not None
+
     def enter(self, attempt: RequestId, suspect: bool) -> Result[None, Refusal]:
         """Let an attempt run, or refuse it while another suspect runs.
 
--- a/chervilgw/crashes/tests/test_crashes.py
+++ b/chervilgw/crashes/tests/test_crashes.py
@@ -36,7 +36,7 @@
     tracker = make_crash_tracker()
     for crash in ("c1", "c2"):
         tracker.on_crash_report(report(crash, "d"), 0)
-    assert is_successful(tracker.check("d", 1, lifted={"d"}))
+    assert is_successful(tracker.check("d", 1, lifted={"d": 1}))
     assert not is_successful(tracker.check("d", 1))
 
 
--- a/chervilgw/crashes/tracker.py
+++ b/chervilgw/crashes/tracker.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Collection
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import xxhash
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from chervilgw.core.ids import CrashId, CustomerId, Digest
@@ -102,6 +104,36 @@
                 return
         self._crashes.popitem(last=False)
 
+    def set_block_s(self, crash_block_s: float) -> None:
+        """Change how long a crash counts.
+
+        Parameters
+        ----------
+        crash_block_s : float
+        """
+        self._block_ms = int(crash_block_s * 1000)
+
+    def blocked(self, now_ms: int, lifted: Mapping[Digest, int]) -> tuple[Digest, ...]:
+        """Return the digests that are blocked now.
+
+        Parameters
+        ----------
+        now_ms : int
+            Wall-clock time.
+        lifted : mapping of Digest to int
+            As for :meth:`check`.
+
+        Returns
+        -------
+        tuple of Digest
+        """
+        digests = tuple(self._crashes)
+        return tuple(
+            digest
+            for digest in digests
+            if not is_successful(self.check(digest, now_ms, lifted))
+        )
+
     def on_completed(self, digest: Digest) -> None:
         """Clear a suspect that ran to its end and is not blocked.
 
@@ -126,7 +158,10 @@
         return tuple(self._crashes.get(digest, ()))
 
     def check(
-        self, digest: Digest, now_ms: int, lifted: Collection[Digest] = ()
+        self,
+        digest: Digest,
+        now_ms: int,
+        lifted: Mapping[Digest, int] = MappingProxyType({}),
     ) -> Result[None, Refusal]:
         """Refuse a request that is blocked.
 
@@ -135,8 +170,8 @@
         digest : Digest
         now_ms : int
             Wall-clock time.
-        lifted : collection of Digest
-            Digests whose block the configuration lifts.
+        lifted : mapping of Digest to int
+            When the configuration lifted a digest's block; later crashes count again.
 
         Returns
         -------
@@ -149,7 +184,9 @@
         if now_ms >= end_ms:
             del self._crashes[digest]
             return Success(None)
-        if len(crashes) < CRASHES_TO_BLOCK or digest in lifted:
+        if digest in lifted:
+            crashes = {c: ms for c, ms in crashes.items() if ms > lifted[digest]}
+        if len(crashes) < CRASHES_TO_BLOCK:
             return Success(None)
         detail = "the request was running at two crashes and is blocked for a time"
         retry_after_s = (end_ms - now_ms) / 1000
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -14,7 +14,7 @@
 
 from chervilgw.codec.openai_answers import model_body, model_list_body
 from chervilgw.configuration.freshness import refuse_stale
-from chervilgw.configuration.lookups import models_of
+from chervilgw.configuration.lookups import defaults, lifted_blocks, models_of
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.configuration.values import Kind
 from chervilgw.core.ids import CrashId, Incarnation, RequestId, VmId, ZoneId
@@ -122,7 +122,7 @@
         self._reserve(priced.unwrap(), request_id, now_s)
 
     def _check_block(self, priced: Priced):
-        lifted = self._state.items[Kind.BLOCK_LIFT]
+        lifted = lifted_blocks(self._state)
         checked = self._crashes.check(priced.digest, _wall_ms(), lifted)
         return checked.map(lambda _: priced)
 
@@ -328,6 +328,7 @@
         self._apply(request, request.stream.give_up(cause), now_s)
 
     def _complete(self, request: Inflight, answer: Complete, now_s):
+        self._crashes.on_completed(request.priced.digest)
         self._fire_all(request.writer.complete(answer))
         self._end(request, request.used_tokens(answer.prompt_tokens))
 
@@ -399,6 +400,7 @@
     @handler("config_applied", channel="*")
     def _on_config(self, state):
         self._state = state
+        self._crashes.set_block_s(defaults(state).crash_block_s)
         for request in list(self._requests.values()):
             identity = request.priced.identity
             if identity is None or request.stage is Stage.STOPPING:
--- a/chervilgw/sidecar/runner.py
+++ b/chervilgw/sidecar/runner.py
@@ -10,6 +10,7 @@
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
+from chervilgw.configuration.lookups import defaults, lifted_blocks
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.configuration.values import Kind
 from chervilgw.core.ids import CrashId, Digest, Incarnation, RequestId
@@ -25,7 +26,7 @@
 )
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import BackendKind, CopyState, RefusalReason, RunState
-from chervilgw.crashes import make_crash_tracker
+from chervilgw.crashes import blamed, make_crash_tracker, make_suspect_gate
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.relay.answers import make_answer_store
 from chervilgw.runtime.control_events import crash_seen, drained, load_changed
@@ -131,6 +132,7 @@
         self._numbers = count(1)
         self._answers = make_answer_store(ANSWERS_BYTES, ANSWERS_KEPT_S)
         self._crashes = make_crash_tracker()
+        self._gate = make_suspect_gate()
         self._engine = EngineView()
         self._retiring: set[str] = set()
         self._orphans: dict[Incarnation, float] = {}
@@ -177,8 +179,7 @@
             self._refuse(dispatch.request_id, result.failure(), now_s)
 
     def _check_block(self, digest: Digest):
-        lifted = self._state.items[Kind.BLOCK_LIFT]
-        return self._crashes.check(digest, _wall_ms(), lifted)
+        return self._crashes.check(digest, _wall_ms(), lifted_blocks(self._state))
 
     def _enqueue(self, dispatch: Dispatch, now_s):
         deadline_s = (
@@ -217,9 +218,7 @@
 
     def _can_run(self, item: QueuedItem) -> bool:
         dispatch = self._waiting[item.request_id]
-        if dispatch.suspect_of and any(
-            run.dispatch.suspect_of for run in self._runs.values()
-        ):
+        if dispatch.suspect_of and self._gate.busy:
             return False
         if dispatch.kind is BackendKind.SERVICE:
             return True
@@ -243,6 +242,7 @@
 
     def _begin(self, item: QueuedItem, dispatch: Dispatch):
         call = f"run-{next(self._numbers)}"
+        self._gate.enter(dispatch.request_id, bool(dispatch.suspect_of))
         run = _Run(item, dispatch, call)
         self._runs[dispatch.request_id] = run
         self._calls[call] = dispatch.request_id
@@ -396,8 +396,8 @@
     def _on_verdict(self, crash: CrashId | None):
         runs = [run for run in self._runs.values() if run.generation is not None]
         if crash is not None and runs:
-            digests = tuple({run.dispatch.digest for run in runs})
-            self._report_crash(crash, digests)
+            running = {r.dispatch.digest: bool(r.dispatch.suspect_of) for r in runs}
+            self._report_crash(crash, blamed(running))
         for run in runs:
             if crash is not None or run.broken:
                 detail = "the engine ended before the answer was complete"
@@ -461,6 +461,7 @@
 
     def _finish(self, run: _Run, used_tokens: int, now_s):
         del self._runs[run.dispatch.request_id]
+        self._gate.leave(run.dispatch.request_id)
         self._calls.pop(run.call, None)
         self._fair_queue.settle(run.item, used_tokens, now_s)
         self._pump(now_s)
@@ -490,6 +491,7 @@
     def _on_config(self, state):
         now_s = time.monotonic()
         self._state = state
+        self._crashes.set_block_s(defaults(state).crash_block_s)
         for name, item in state.items[Kind.CUSTOMER].items():
             self._weights[name] = item.value.weight
         self._stop_withdrawn(now_s)
@@ -524,7 +526,18 @@
 
     @handler("crash_known", channel="*")
     def _on_crash_known(self, report: CrashReport):
-        self._crashes.on_crash_report(report, _wall_ms())
+        blocked = self._crashes.on_crash_report(report, _wall_ms())
+        blamed_here = [
+            run.dispatch.request_id
+            for run in self._runs.values()
+            if run.dispatch.digest in report.digests
+        ]
+        # An attempt that started before the report may be the guilty one as well.
+        for request_id in self._gate.adopt(blamed_here):
+            self._stop_run(self._runs[request_id], RefusalReason.SUSPECT_BUSY)
+        for run in list(self._runs.values()):
+            if run.dispatch.digest in blocked:
+                self._stop_run(run, RefusalReason.BLOCKED_AFTER_CRASHES)
 
     @handler("peer_up", channel="*")
     def _on_peer_up(self, peer):
