--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; they are no tests."""
+"""Measurements; they print ratios against a baseline of the same run."""
