Test what a read and a quorum confirm

Cause: with a rule broken on trial (a read short of the end confirms, a quorum as new as its newest member) all tests passed; these cases now fail then.

--- a/chervilgw/configuration/tests/test_freshness.py
+++ b/chervilgw/configuration/tests/test_freshness.py
@@ -72,3 +72,12 @@
     assert not passes(freshness, 10.1)
     freshness.on_log_read(10.2)
     assert passes(freshness, 10.3)
+
+
+def test_a_quorum_is_as_old_as_its_oldest_needed_member():
+    """Guards against one recent peer that stands for a whole quorum."""
+    freshness = start()
+    beat(freshness, "e2", 10.0)
+    beat(freshness, "b1", 12.0)
+    assert passes(freshness, 12.4)
+    assert not passes(freshness, 12.6)
--- a/chervilgw/configuration/tests/test_source.py
+++ b/chervilgw/configuration/tests/test_source.py
@@ -108,3 +108,21 @@
     follower.on_log_failed(1.0)
     (answer,) = follower.submit(change(3), 1.0)
     assert isinstance(answer, out.Rejected)
+
+
+@pytest.mark.parametrize(("next_offset", "confirmed"), [(3, True), (5, False)])
+def test_only_a_read_that_reaches_the_end_confirms(next_offset, confirmed):
+    """Guards against serving with a state that the log has moved past."""
+    follower = make_config_follower(0.0, 5)
+    follower.tick(0.0)
+    outputs = follower.on_log_records(0, next_offset, RECORDS[:3], 0.2)
+    assert (out.Confirmed(0.0) in outputs) == confirmed
+    assert (out.ReadLog(3) in outputs) != confirmed
+
+
+def test_a_log_that_ends_below_the_state_confirms_nothing():
+    """Guards against trusting a log replica that lags behind this process."""
+    follower = follower_at(5)
+    follower.tick(1.0)
+    assert follower.on_log_records(0, 3, [], 1.0) == []
+    assert follower.state == state_at(5)
