--- a/chervilgw/keys/tests/test_keys.py
+++ b/chervilgw/keys/tests/test_keys.py
@@ -38,6 +38,8 @@
         (ISSUED.text + "\n\n0", RefusalReason.WRONG_KEY),
         (f"cgw_{ISSUED.key_id}_{ISSUED.digest}", RefusalReason.WRONG_KEY),
     ],
+    # Keys are random; workers of pytest-xdist must see the same test names.
+    ids=["none", "empty", "form", "unknown", "secret", "newline", "digest"],
 )
 def test_wrong_keys_are_refused(presented, reason):
     """Guards against a caller getting in with another text, or the stored digest."""
