--- a/chervilgw/bookings/tests/test_bookings.py
+++ b/chervilgw/bookings/tests/test_bookings.py
@@ -361,7 +361,7 @@
         assert not self.ran & self.not_run
 
     def teardown(self):
-        """With a working log, a digest that never ran can still be booked."""
+        """The oracle still holds once services, late appends and the log are done."""
         for index, sidecar in enumerate(self.sidecars):
             held = self.services[index]
             for attempt in list(held):
