--- a/benchmarks/policy_fakes.py
+++ b/benchmarks/policy_fakes.py
@@ -37,8 +37,8 @@
     queue: str = "ours"
     placement: str = "ours"
     limits: CopyLimits = CopyLimits()
-    thresholds: DemandThresholds = DemandThresholds(450, 45)
-    slack: float = 0.4
+    thresholds: DemandThresholds = DemandThresholds(500, 50)
+    slack: float = 0.25
 
 
 @dataclass
--- a/chervilgw/placement/copies.py
+++ b/chervilgw/placement/copies.py
@@ -44,7 +44,7 @@
     """
 
     add_after_s: float = 0.25
-    remove_after_s: float = 60.0
+    remove_after_s: float = 120.0
     settle_s: float = 5.0
     report_age_s: float = 2.0
     max_copies: int = 8
--- a/chervilgw/scheduling/fair_queue.py
+++ b/chervilgw/scheduling/fair_queue.py
@@ -49,7 +49,7 @@
     guaranteed: Mapping[Urgency, float] = field(
         default_factory=lambda: {Urgency.STANDARD: 0.05, Urgency.OVERNIGHT: 0.05}
     )
-    slack: float = 0.4
+    slack: float = 0.25
 
 
 @dataclass(slots=True)
