Move transfers between entries out of the ledger

Ruled out: splitting the reservations further, which are already a module. The change: Exchange holds requests, gifts, answers and the hand-over; no change of behaviour.

--- a/chervilgw/quota/ledger.py
+++ b/chervilgw/quota/ledger.py
@@ -23,37 +23,30 @@
 from chervilgw.core.states import RefusalReason
 from chervilgw.quota.budgets import Budgets
 from chervilgw.quota.collection import Collections, Retry
+from chervilgw.quota.exchange import (
+    RECORD_RETRY_LONGEST_S,
+    RECORD_RETRY_S,
+    Exchange,
+)
 from chervilgw.quota.holdings import CountHolding, Holding
 from chervilgw.quota.members import Members
 from chervilgw.quota.records import (
     Append,
     Collect,
-    Dead,
     Debit,
     Denied,
     Join,
     Output,
     Record,
-    Send,
-    UnitsChanged,
 )
 from chervilgw.quota.reservations import Reservations
-from chervilgw.quota.transfers import Incoming, Outgoing
 
 # Time from reading a death to using the dead entry's units. By then every sidecar has
 # read the record too, or refuses work because its view was not confirmed for 2.5 s.
 DEAD_SETTLE_S = 3.0
 # The same for counts: loads that a dead entry permitted may still be running.
 PERMIT_SETTLE_S = 30.0
-# A join or a final record that was not read back is appended again after this time.
-RECORD_RETRY_S = 2.0
-RECORD_RETRY_LONGEST_S = 30.0
 MAX_WAIT_S = 0.25
-# A holder whose bucket is full gives this part of its units to the peer that asked
-# last, if recently: tokens that a full bucket drops are lost to the customer.
-OVERFLOW_PART = 0.25
-OVERFLOW_INTERVAL_S = 0.5
-ASKED_RECENTLY_S = 5.0
 
 
 class Quota:
@@ -82,22 +75,17 @@
         self.me = me
         self._members = Members()
         self._budgets = Budgets()
-        self._outgoing = Outgoing(me)
-        self._incoming = Incoming()
         self._collections = Collections(me, self._members, now_s)
         self._reservations = Reservations(me, self._budgets, max_wait_s)
-        self._peers: frozenset[Incarnation] = frozenset()
+        self._exchange = Exchange(
+            me, self._members, self._budgets, self._reservations, self._serve
+        )
         self._gone: frozenset[Incarnation] = frozenset()
         self._dead_settle_s = dead_settle_s
         self._permit_settle_s = permit_settle_s
         self._loss_s = float("-inf")
-        self._leaving = False
         self._suspect_loss = False
-        self._dropped_units = False
-        self._askers: dict[BudgetName, tuple[Incarnation, float]] = {}
-        self._overflow_at_s = now_s
         self._join_retry = Retry(RECORD_RETRY_S, RECORD_RETRY_LONGEST_S)
-        self._dead_retry = Retry(RECORD_RETRY_S, RECORD_RETRY_LONGEST_S)
 
     @property
     def ledger_offset(self) -> Offset:
@@ -107,7 +95,7 @@
     @property
     def handed_over(self) -> bool:
         """Whether a planned stop may go on: nothing is held or under way."""
-        return self._leaving and self._budgets.is_empty() and not self._outgoing
+        return self._exchange.handed_over
 
     def dead_incarnations(self) -> frozenset[Incarnation]:
         """Return the latest dead incarnation of each VM; earlier ones are dead too."""
@@ -146,9 +134,9 @@
     def set_peers(self, incarnations: Iterable[Incarnation]) -> None:
         """Set the entries to which a connection works."""
         peers = frozenset(incarnations) - {self.me}
-        for peer in peers - self._peers:
+        for peer in peers - self._exchange.peers:
             self._collections.peer_connected(peer)
-        self._peers = peers
+        self._exchange.peers = peers
 
     def set_gone(self, incarnations: Iterable[Incarnation]) -> None:
         """Set the incarnations whose VM the platform's list shows as gone."""
@@ -231,15 +219,15 @@
             return []
         if members.loss_offset == offset:
             self._loss_s = now_s
-        for receiver in self._outgoing.receivers():
+        for receiver in self._exchange.outgoing.receivers():
             if members.is_dead(receiver):
-                self._outgoing.drop_receiver(receiver)
+                self._exchange.outgoing.drop_receiver(receiver)
                 self._suspect_loss = True
-        self._incoming.drop_dead(members.is_dead)
+        self._exchange.incoming.drop_dead(members.is_dead)
         if not isinstance(record, Collect):
             return []
         held = self._budgets.units()
-        held.update(self._outgoing.units())
+        held.update(self._exchange.outgoing.units())
         self._collections.folded(record, held, now_s)
         self._reservations.collection_folded()
         self._suspect_loss = False
@@ -251,11 +239,11 @@
         """Handle a message of another entry."""
         self._refresh_view()
         if isinstance(message, ShareRequest):
-            return self._on_request(sender, message, now_s)
+            return self._exchange.on_request(sender, message, now_s)
         if isinstance(message, ShareTransfer):
-            return self._on_transfer(sender, message, now_s)
+            return self._exchange.on_transfer(sender, message, now_s)
         if isinstance(message, ShareReply):
-            return self._on_reply(sender, message, now_s)
+            return self._exchange.on_reply(sender, message, now_s)
         if isinstance(message, ShareSnapshot):
             self._collections.on_snapshot(sender, message)
             return self._collect(now_s)
@@ -280,17 +268,17 @@
             return self._reservations.deny_all(self._refusal())
         if not members.is_member(self.me) and self._join_retry.due(now_s):
             outputs.append(Append(Join(self.me)))
-        outputs += self._outgoing.due(self._peers, now_s)
-        snapshot = self._collections.snapshot_due(self._peers, now_s)
+        outputs += self._exchange.outgoing.due(self._exchange.peers, now_s)
+        snapshot = self._collections.snapshot_due(self._exchange.peers, now_s)
         if snapshot is not None:
             outputs.append(snapshot)
         outputs += self._collect(now_s)
         for budget in self._budgets.wake(now_s):
-            outputs += self._changed(budget, now_s)
-        if self._leaving:
-            return outputs + self._give_all(now_s)
+            outputs += self._exchange.changed(budget, now_s)
+        if self._exchange.leaving:
+            return outputs + self._exchange.give_all(now_s)
         outputs += self._reservations.tick(now_s)
-        outputs += self._give_overflow(now_s)
+        outputs += self._exchange.give_overflow(now_s)
         wanted = self._suspect_loss or self._reservations.lacks_units(now_s)
         record = self._collections.start(self._gone, wanted, now_s)
         if record is not None:
@@ -303,22 +291,26 @@
         Units that open debits still need follow in later ticks. When everything is
         given and answered, a record that this entry is dead ends its membership.
         """
-        self._leaving = True
+        self._exchange.leaving = True
         self._refresh_view()
-        return self._reservations.deny_all(self._refusal()) + self._give_all(now_s)
+        return self._reservations.deny_all(self._refusal()) + self._exchange.give_all(
+            now_s
+        )
 
     def _refusal(self) -> Refusal | None:
         if self._members.is_dead(self.me):
             detail = "this entry was declared dead and must restart"
             return make_refusal(RefusalReason.DEAD_ORIGIN, detail, 1.0)
-        if self._leaving:
+        if self._exchange.leaving:
             return make_refusal(RefusalReason.LEAVING, "this entry is stopping", 0.1)
         return None
 
     def _refresh_view(self) -> None:
         members = self._members
-        peers = frozenset(each for each in self._peers if members.is_member(each))
-        active = members.is_member(self.me) and not self._leaving
+        peers = frozenset(
+            each for each in self._exchange.peers if members.is_member(each)
+        )
+        active = members.is_member(self.me) and not self._exchange.leaving
         self._reservations.set_view(
             peers if active else frozenset(), len(members.live), members.offset
         )
@@ -329,10 +321,6 @@
         self._refresh_view()
         return self._reservations.serve(budget, now_s)
 
-    def _changed(self, budget: BudgetName, now_s: float) -> list[Output]:
-        changed = UnitsChanged(budget, self.units(budget))
-        return [changed, *self._serve(budget, now_s)]
-
     def _collect(self, now_s: float) -> list[Output]:
         claimed = self._collections.finish(self._budgets.names())
         outputs: list[Output] = []
@@ -342,106 +330,13 @@
                 self._budgets.put_later(budget, units, usable_at_s)
             elif units:
                 self._budgets.put(budget, units, 0.0, now_s)
-                outputs += self._changed(budget, now_s)
+                outputs += self._exchange.changed(budget, now_s)
         return outputs
 
     def _usable_at_s(self, holding: Holding | None) -> float:
         counts = isinstance(holding, CountHolding)
         return self._loss_s + (self._permit_settle_s if counts else self._dead_settle_s)
 
-    def _on_request(
-        self, sender: Incarnation, message: ShareRequest, now_s: float
-    ) -> list[Output]:
-        members = self._members
-        holding = self._budgets.get(message.budget)
-        gift = (0, 0.0)
-        allowed = members.is_member(sender) and not members.is_dead(self.me)
-        # Of two entries that both wait, only the one with the lower id receives units;
-        # otherwise each could give the other what it needs itself.
-        contested = self._reservations.is_waiting(message.budget) and sender > self.me
-        if allowed:
-            self._askers[message.budget] = (sender, now_s)
-        if holding is not None and allowed and not contested:
-            gift = holding.surrender(message.units, now_s)
-        send = self._outgoing.send(sender, message.budget, gift, members.offset, now_s)
-        if not gift[0]:
-            return [send]
-        return [send, UnitsChanged(message.budget, self.units(message.budget))]
-
-    def _on_transfer(
-        self, sender: Incarnation, message: ShareTransfer, now_s: float
-    ) -> list[Output]:
-        members = self._members
-        budget, name = message.budget, message.transfer_id
-        self._reservations.answered(sender, budget, message.units)
-        if not (message.units or message.level):
-            return self._serve(budget, now_s)
-        if members.is_dead(sender) or self._incoming.is_forgotten(sender, name):
-            return self._serve(budget, now_s)
-        accepted = self._incoming.known(sender, name)
-        if accepted is not None:
-            return [Send(sender, ShareReply(name, accepted))]
-        accepted = (
-            message.ledger_offset >= members.collection_offset
-            and members.is_member(self.me)
-            and not self._leaving
-            and self._budgets.is_set(budget)
-        )
-        self._incoming.remember(sender, name, accepted)
-        reply = Send(sender, ShareReply(name, accepted))
-        if not accepted:
-            return [reply, *self._serve(budget, now_s)]
-        self._budgets.put(budget, message.units, message.level, now_s)
-        return [reply, *self._changed(budget, now_s)]
-
-    def _on_reply(
-        self, sender: Incarnation, message: ShareReply, now_s: float
-    ) -> list[Output]:
-        returned = self._outgoing.answered(sender, message)
-        if returned is None or self._members.is_dead(self.me):
-            return []
-        self._budgets.put(returned.budget, returned.units, returned.level, now_s)
-        return self._changed(returned.budget, now_s)
-
-    def _give_overflow(self, now_s: float) -> list[Output]:
-        if now_s < self._overflow_at_s or not self._members.is_member(self.me):
-            return []
-        self._overflow_at_s = now_s + OVERFLOW_INTERVAL_S
-        outputs: list[Output] = []
-        for budget, (asker, asked_s) in list(self._askers.items()):
-            holding = self._budgets.get(budget)
-            if holding is None or now_s > asked_s + ASKED_RECENTLY_S:
-                del self._askers[budget]
-            elif asker in self._peers and holding.is_full(now_s):
-                gift = holding.surrender(int(holding.units * OVERFLOW_PART), now_s)
-                if gift[0]:
-                    outputs.append(
-                        self._outgoing.send(
-                            asker, budget, gift, self._members.offset, now_s
-                        )
-                    )
-        return outputs
-
-    def _give_all(self, now_s: float) -> list[Output]:
-        members = self._members
-        peers = sorted(each for each in self._peers if members.is_member(each))
-        self._dropped_units |= self._budgets.drop_dormant()
-        outputs: list[Output] = []
-        for index, (budget, holding) in enumerate(self._budgets if peers else ()):
-            if not holding.units:
-                continue
-            gift = holding.surrender_all(now_s)
-            if gift[0]:
-                to = peers[(index + int(now_s)) % len(peers)]
-                outputs.append(
-                    self._outgoing.send(to, budget, gift, members.offset, now_s)
-                )
-                outputs.append(UnitsChanged(budget, holding.units))
-        done = self.handed_over and members.is_member(self.me)
-        if done and self._dead_retry.due(now_s):
-            outputs.append(Append(Dead(self.me, handed_over=not self._dropped_units)))
-        return outputs
-
 
 def make_quota(
     me: Incarnation,
