--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -8,19 +8,21 @@
 import tempfile
 import time
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from signal import SIGTERM
 
 import yaml
 
 from chervilgw.keys.operators import issue_operator_key
-from fleet.client import Answer, call
+from fleet.client import call
+from fleet.interrupts import interrupts_held
 from fleet.plan import FleetPlan
 from fleet.process import Process, python_command
 
 POLL_S = 0.05
 BOUND_S = 60.0
+DESCRIPTION = "fleet.json"
 
 
 class FleetError(Exception):
@@ -50,10 +52,16 @@
         self.vms: dict[str, Vm] = {}
         self.stand_ins: dict[str, Process] = {}
         self.keys: dict[str, str] = {}
-        self.operator, issued = issue_operator_key("launcher")
-        self.operator_key = issued.text
+        self.operator_settings: list[dict] = []
+        self.operator_key = self._add_operator("launcher")
+        self.second_operator_key = self._add_operator("colleague")
         self.secret = secrets.token_hex(16)
 
+    def _add_operator(self, name: str) -> str:
+        operator, issued = issue_operator_key(name)
+        self.operator_settings.append(asdict(operator))
+        return issued.text
+
     # Starting.
 
     def start(self) -> None:
@@ -82,7 +90,9 @@
     def _launch_stand_in(self, name: str, **options) -> None:
         options = {"listen": "127.0.0.1:0", **options}
         command = python_command(f"standins.{name}", **options)
-        self.stand_ins[name] = self._process(name, command).launch()
+        # Recorded before the launch, so that an interrupted start can be cleaned up.
+        process = self.stand_ins[name] = self._process(name, command)
+        process.launch()
 
     def _process(self, name: str, command: list[str]) -> Process:
         return Process(name, command, self.folder / "logs" / f"{name}.log")
@@ -110,7 +120,8 @@
                 vm.backend.await_ready()
                 vm.settings["backend_address"] = vm.backend.address
             self._write_settings(vm)
-            vm.daemon = self._daemon(vm).launch()
+            vm.daemon = self._daemon(vm)
+            vm.daemon.launch()
         for name in names:
             self.vms[name].daemon.await_ready()
             self.list_vm(name, "live")
@@ -143,17 +154,13 @@
         path = self.folder / f"{name}.yaml"
         vm = self.vms[name] = Vm(name, "sidecar", zone, path, settings)
         vm.backend_command = command
-        vm.backend = self._process(f"{name}-backend", command).launch()
+        vm.backend = self._process(f"{name}-backend", command)
+        vm.backend.launch()
 
     def _launch_entry(self, name: str, zone: str) -> None:
-        operator = {
-            "name": self.operator.name,
-            "salt": self.operator.salt,
-            "digest": self.operator.digest,
-        }
         settings = {
             "http_listen": "127.0.0.1:0",
-            "operators": [operator],
+            "operators": self.operator_settings,
             "notice_s": self.plan.notice_s,
         }
         path = self.folder / f"{name}.yaml"
@@ -180,7 +187,8 @@
     def start_daemon(self, name: str) -> None:
         """Start the daemon of a VM again and list the VM."""
         vm = self.vms[name]
-        vm.daemon = self._daemon(vm).start()
+        vm.daemon = self._daemon(vm)
+        vm.daemon.start()
         self.list_vm(name, "live")
 
     def start_backend(self, name: str) -> None:
@@ -191,7 +199,8 @@
             listen if option.startswith("--listen=") else option
             for option in vm.backend_command
         ]
-        vm.backend = self._process(f"{name}-backend", command).start()
+        vm.backend = self._process(f"{name}-backend", command)
+        vm.backend.start()
 
     # The platform's list.
 
@@ -266,10 +275,11 @@
             if vm.role == "entry" and vm.daemon.running
         ]
 
-    def admin(self, method: str, path: str, body=None, address=None) -> Answer:
-        """Send a request to the operators' interface."""
+    def admin(self, method: str, path: str, body=None, address=None, key=None):
+        """Send a request to the operators' interface and return its answer."""
         address = address or self.entry_addresses()[0]
-        return call(address, method, f"/admin/v1/{path}", body, self.operator_key)
+        key = key or self.operator_key
+        return call(address, method, f"/admin/v1/{path}", body, key)
 
     def set_item(self, path: str, value: dict, reason: str = "set up") -> None:
         """Create or replace a configuration item and check that it was accepted."""
@@ -329,7 +339,7 @@
             "customer_keys": self.keys,
             "operator_key": self.operator_key,
         }
-        path = self.folder / "fleet.json"
+        path = self.folder / DESCRIPTION
         descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         with os.fdopen(descriptor, "w") as file:
             json.dump(description, file, indent=2)
@@ -353,13 +363,10 @@
 
     def stop(self) -> dict[str, int]:
         """Stop all daemons gracefully, then the stand-ins; return exit statuses."""
-        statuses = {}
-        daemons = [vm.daemon for vm in self.vms.values() if vm.daemon.running]
-        for process in daemons:
-            process.thaw()
-            process.signal(SIGTERM)
-        for process in daemons:
-            statuses[process.name] = process.wait()
+        daemons = [vm.daemon for vm in self.vms.values()]
+        backends = [vm.backend for vm in self.vms.values()]
+        statuses = _stop_all(daemons)
+        statuses |= _stop_all([*backends, *self.stand_ins.values()])
         self.kill()
         return statuses
 
@@ -370,6 +377,14 @@
             process.kill()
 
 
+def _stop_all(processes: list[Process | None]) -> dict[str, int]:
+    running = [each for each in processes if each is not None and each.running]
+    for process in running:
+        process.thaw()
+        process.signal(SIGTERM)
+    return {process.name: process.wait() for process in running}
+
+
 CASEWORK_ROUTES = [
     {"method": "GET", "path_prefix": "/", "idempotent": True},
     {"method": "POST", "path_prefix": "/bookings", "idempotent": False},
@@ -398,4 +413,6 @@
         fleet.start()
         yield fleet
     finally:
-        fleet.kill()
+        with interrupts_held():
+            fleet.kill()
+            (folder / DESCRIPTION).unlink(missing_ok=True)
--- a/fleet/process.py
+++ b/fleet/process.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from fleet.interrupts import interrupts_held
+
 READY_S = 20.0
 STOP_S = 30.0
 
@@ -47,7 +49,7 @@
     def launch(self) -> Process:
         """Start the program."""
         environment = dict(os.environ, PYTHONUNBUFFERED="1")
-        with self.log_path.open("ab") as log:
+        with self.log_path.open("ab") as log, interrupts_held():
             self.child = subprocess.Popen(
                 self.command,
                 stdout=subprocess.PIPE,
