Give up share units that fill less than one token (quota/holdings)

Cause: the store's rate budget has a burst of 1, so one entry must hold all 1,000,000 units to grant a load. With demand at both entries, one kept 1 unit, because its wanted units were above that and half of its level rounded to 0. The other held 999,999, and no load was ever permitted again: models stayed unloaded and a demo stream that waited for a load was silent for 60 s.

Ruled out: the sidecar's permit repeats and the placement decision, whose log lines showed a repeated wish for the load and queued requests at both entries.

--- a/chervilgw/quota/holdings.py
+++ b/chervilgw/quota/holdings.py
@@ -29,6 +29,8 @@
 LOOK_AHEAD_S = 0.5
 # Smaller gifts than this part of a request cost more messages than they help.
 SMALLEST_GIFT = 0.02
+# Amounts are whole tokens or uses.
+SMALLEST_DEBIT = 1.0
 
 
 class Holding(Protocol):
@@ -192,8 +194,11 @@
         bucket.advance(now_s)
         if bucket.burst <= 0 or asked <= 0 or not bucket.units:
             return 0, 0.0
-        spare = max(0, bucket.units - self.wanted_units(now_s))
-        units = min(asked, spare)
+        # A part too small for one token is of no use here, but the peer may lack just
+        # these units: a budget with a burst of 1 needs all of them in one place.
+        useless = bucket.cap < SMALLEST_DEBIT
+        wanted = 0 if useless else self.wanted_units(now_s)
+        units = min(asked, max(0, bucket.units - wanted))
         # Below the own demand only half of the level is given, with as many units as it
         # fills: a busy peer may be short for a moment while this entry is not.
         half = int(bucket.level / 2 * SHARE_UNITS / bucket.burst)
--- /dev/null
+++ b/chervilgw/quota/tests/test_holdings.py
@@ -0,0 +1,25 @@
+"""Tests of what an entry gives to peers."""
+
+from chervilgw.quota.holdings import RateHolding
+
+
+def test_part_below_one_token_is_given_although_demand_is_high():
+    """Guards against a budget of burst 1 that stays split, so that no entry can use it.
+
+    One entry held 999,999 units and its peer, which had demand as well, kept 1 unit.
+    """
+    holding = RateHolding(3.0, 1.0, now_s=0.0)
+    holding.put(1, 0.0, now_s=0.0)
+    for step in range(50):
+        holding.note_demand(1, step * 0.1)
+    assert holding.surrender(1, now_s=5.0)[0] == 1
+    assert holding.units == 0
+
+
+def test_part_above_one_token_is_kept_for_own_demand():
+    """Guards against giving away units that own demand needs."""
+    holding = RateHolding(3.0, 4.0, now_s=0.0)
+    holding.put(500_000, 0.0, now_s=0.0)
+    for step in range(200):
+        holding.note_demand(1, step * 0.1)
+    assert holding.surrender(500_000, now_s=20.0)[0] < 500_000
