--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,11 @@
 test: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(VENV)/bin/pytest -n 6 --dist loadfile
 
+FAULT_ROUNDS ?= 5
+
+faults: $(STAMP)
+	FAULT_ROUNDS=$(FAULT_ROUNDS) $(VENV)/bin/pytest -m faults -n 2 --dist loadfile -s fleet/tests
+
 demo: $(STAMP)
 	$(PY) -m fleet.demo
 
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -17,7 +17,7 @@
 from chervilgw.keys.operators import issue_operator_key
 from fleet.client import Answer, call
 from fleet.plan import FleetPlan
-from fleet.process import Process, python_command
+from fleet.process import Process, free_port, python_command
 
 POLL_S = 0.05
 BOUND_S = 60.0
@@ -39,6 +39,7 @@
     daemon: Process | None = None
     backend: Process | None = None
     backend_command: list[str] = field(default_factory=list)
+    cuts: dict[str, Process] = field(default_factory=dict)
 
 
 class Fleet:
@@ -109,6 +110,7 @@
             if vm.backend is not None:
                 vm.backend.await_ready()
                 vm.settings["backend_address"] = vm.backend.address
+            self._start_cuts(vm)
             self._write_settings(vm)
             vm.daemon = self._daemon(vm).launch()
         for name in names:
@@ -116,6 +118,21 @@
             self.list_vm(name, "live")
         return self.vms[names[-1]]
 
+    def _start_cuts(self, vm: Vm) -> None:
+        """Put forwarders before the VM's peer address and backend if planned."""
+        if vm.name in self.plan.cut_backends:
+            cut = self._start_cut(vm, "backend", vm.backend.address)
+            vm.settings["backend_address"] = cut
+        if vm.name in self.plan.cut_peers:
+            listen = f"127.0.0.1:{free_port()}"
+            cut = self._start_cut(vm, "peer", listen)
+            vm.settings.update(peer_listen=listen, peer_advertise=cut)
+
+    def _start_cut(self, vm: Vm, part: str, target: str) -> str:
+        command = python_command("standins.cut", target=target)
+        cut = vm.cuts[part] = self._process(f"{vm.name}-{part}-cut", command).start()
+        return cut.address
+
     def _launch_engine(self, name: str, zone: str, options: dict) -> None:
         options = {
             "listen": "127.0.0.1:0",
@@ -171,6 +188,8 @@
                 "list": self.stand_ins["vmlist"].address,
             },
         }
+        if self.plan.statsd is not None:
+            common["statsd"] = self.plan.statsd
         vm.settings_path.write_text(yaml.safe_dump({**common, **vm.settings}))
 
     def _daemon(self, vm: Vm) -> Process:
@@ -343,6 +362,8 @@
         for name, process in self.stand_ins.items():
             yield f"stand-in {name}", name, "", process
         for vm in self.vms.values():
+            for part, process in vm.cuts.items():
+                yield f"stand-in cut of {part}", vm.name, vm.zone, process
             if vm.backend is not None:
                 kind = vm.backend_command[2].removeprefix("standins.")
                 yield f"stand-in {kind}", vm.name, vm.zone, vm.backend
--- a/fleet/plan.py
+++ b/fleet/plan.py
@@ -31,7 +31,9 @@
     """Sizes and options of a local fleet.
 
     ``engine_options`` and ``log_options`` are options of the stand-ins. Entries,
-    engines and services are spread over the zones in turn.
+    engines and services are spread over the zones in turn. The VMs in ``cut_peers`` are
+    reached by their peers, and those in ``cut_backends`` reach their backend, through
+    a forwarder that can silence or cut connections. ``statsd`` receives all metrics.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
@@ -56,6 +58,9 @@
     max_running: int = 16
     store_loads_per_s: float = 3.0
     store_loads_at_once: int = 10
+    cut_peers: tuple[str, ...] = ()
+    cut_backends: tuple[str, ...] = ()
+    statsd: str | None = None
 
     def zone(self, index: int) -> str:
         """Return the zone of the n-th VM of a kind."""
--- a/fleet/process.py
+++ b/fleet/process.py
@@ -6,6 +6,7 @@
 import os
 import select
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -137,3 +138,10 @@
     """
     flags = [f"--{name.replace('_', '-')}={value}" for name, value in options.items()]
     return [sys.executable, "-m", module, *flags]
+
+
+def free_port() -> int:
+    """Return a loopback port that no process listens on at the moment."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
