--- a/chervilgw/crashes/__init__.py
+++ b/chervilgw/crashes/__init__.py
@@ -1,25 +1,18 @@
-import hashlib
-
-from returns.result import Success
-
-
-class T:
-    def on_crash_report(self, r, n):
-        pass
-
-    def suspect_crashes(self, d):
-        return ()
-
-    def check(self, d, n, l):
-        return Success(None)
-
-    def blocked(self, n, l):
-        return ()
-
-
-def make_crash_tracker(**k):
-    return T()
-
-
-def request_digest(a, b, c):
-    return hashlib.blake2b(f"{a}\0{b}\0".encode() + c, digest_size=16).hexdigest()
+"""Stops requests that crash their backend server."""
+
+from chervilgw.crashes.gate import SuspectGate, make_suspect_gate
+from chervilgw.crashes.tracker import (
+    CrashTracker,
+    blamed,
+    make_crash_tracker,
+    request_digest,
+)
+
+__all__ = [
+    "CrashTracker",
+    "SuspectGate",
+    "blamed",
+    "make_crash_tracker",
+    "make_suspect_gate",
+    "request_digest",
+]
