Dial a replaced VM at its newly listed address

Cause: an entry dialed the address of the last report it had of a VM. After the VM was killed and started again at another address, no process had a report of the new incarnation, and the entry went on dialing the old address although the list named the new one. Entries never reached the VM again.

Ruled out: the list's lag (the new address was listed for 60 s) and the links' retry (a changed address resets it).

Change: an address that changes on the list after the newest report counts while there is no connection. A report of a later incarnation still outweighs the list, because the list may lag.

--- a/chervilgw/membership/tests/test_view.py
+++ b/chervilgw/membership/tests/test_view.py
@@ -161,3 +161,24 @@
     view.on_list([ListedVm(VmId(v), ZoneId("z"), f"{v}:1") for v in ("e0", "b0")], 0.0)
     assert [target.address for target in view.dial_targets(0.0)] == ["b0:1"]
     assert view.live_vms(0.0) == {"e0", "b0"}
+
+
+def test_replaced_vm_is_dialed_at_its_newly_listed_address():
+    """Guards against a killed VM that is never reached at its next address."""
+    view = make_fleet_view(ME)
+    old = Incarnation(VmId("b0"), 1)
+
+    def dialed():
+        return [target.address for target in view.dial_targets(1.0)]
+
+    view.on_list([ListedVm(VmId("b0"), ZoneId("z"), "10.0.0.1:1")], 0.0)
+    view.on_report(report(old, 1), 0.0)
+    view.on_connected(old)
+    for listed in ([], [ListedVm(VmId("b0"), ZoneId("z"), "10.0.0.1:2")]):
+        view.on_list(listed, 1.0)
+        assert dialed() == ["10.0.0.1:1"], "the connection still works"
+    view.on_silent(old)
+    assert dialed() == ["10.0.0.1:2"]
+    # A report of a later incarnation is newer than the list, which lags.
+    view.on_report(report(Incarnation(VmId("b0"), 3), 1), 1.0)
+    assert dialed() == ["10.0.0.1:3"]
--- a/chervilgw/membership/view.py
+++ b/chervilgw/membership/view.py
@@ -61,6 +61,8 @@
         self._known: dict[VmId, Known] = {}
         self._listed: dict[VmId, ListedVm] = {}
         self._missing_since_s: dict[VmId, float] = {}
+        # VMs whose listed address changed after their newest incarnation was reported.
+        self._moved: set[VmId] = set()
         self._leaving: set[Incarnation] = set()
         self._superseded: dict[VmId, set[Incarnation]] = {}
         self._version = 0
@@ -70,8 +72,13 @@
         current = {each.vm: each for each in listed}
         for vm in self._listed.keys() - current.keys():
             self._missing_since_s.setdefault(vm, now_s)
-        for vm in current:
+        for vm, line in current.items():
             self._missing_since_s.pop(vm, None)
+            before, known = self._listed.get(vm), self._known.get(vm)
+            if before is None and known is not None:
+                before = known.report
+            if before is not None and before.address != line.address:
+                self._moved.add(vm)
         self._listed = current
         for vm, line in current.items():
             known = self._known.get(vm)
@@ -151,8 +158,13 @@
             vm: DialTarget(vm, line.address, None) for vm, line in self._listed.items()
         }
         for vm, known in self._known.items():
-            if self._state(known, now_s) is not VmState.GONE:
-                targets[vm] = DialTarget(vm, known.report.address, known.report.role)
+            if self._state(known, now_s) is VmState.GONE:
+                continue
+            address = known.report.address
+            if vm in self._moved and vm in self._listed and not known.connected:
+                # Its next incarnation listens there; nobody has heard of it yet.
+                address = self._listed[vm].address
+            targets[vm] = DialTarget(vm, address, known.report.role)
         targets.pop(self._me.vm, None)
         return tuple(targets[vm] for vm in sorted(targets))
 
@@ -206,6 +218,7 @@
         if known is not None:
             self._supersede(known.incarnation)
         self._version += 1
+        self._moved.discard(vm)
         self._known[vm] = Known(report, now_s, self._version, now_s)
 
     def _supersede(self, incarnation: Incarnation) -> None:
