Let the launcher cut connections and the stand-ins record what they received

The tests under failure need connections of one VM that go silent or are reset, options of the plain service, and the time and body of each request that an engine received. A VM in cut_log or cut_peers gets a cut stand-in each. The launcher repeats a change that is refused with 503, because an entry that a peer confirmed may not have read the log yet.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 test: $(STAMP)
 	HYPOTHESIS_PROFILE=ci $(VENV)/bin/pytest -n 6 --dist loadfile
 
+faults: $(STAMP)
+	$(VENV)/bin/pytest -n 2 --dist loadfile -m faults
+
 demo: $(STAMP)
 	$(PY) -m fleet.demo
 
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -5,6 +5,7 @@
 import json
 import os
 import secrets
+import socket
 import tempfile
 import time
 from contextlib import contextmanager
@@ -135,7 +136,8 @@
         self._launch_backend(name, zone, command, settings)
 
     def _launch_service(self, name: str, zone: str) -> None:
-        command = python_command("standins.service", listen="127.0.0.1:0")
+        options = {"listen": "127.0.0.1:0", **self.plan.service_options}
+        command = python_command("standins.service", **options)
         settings = {"backend": "service", "services": ["casework"]}
         self._launch_backend(name, zone, command, settings)
 
@@ -159,14 +161,43 @@
         path = self.folder / f"{name}.yaml"
         self.vms[name] = Vm(name, "entry", zone, path, settings)
 
+    def _launch_cut(self, name: str, target: str) -> str:
+        """Start a forwarder to a target and return its address."""
+        if name not in self.stand_ins:
+            command = python_command("standins.cut", target=target)
+            self.stand_ins[name] = self._process(name, command).start()
+        return self.stand_ins[name].address
+
+    def set_cut(self, vm: str, part: str, **faults) -> None:
+        """Set the faults of a VM's ``cut`` stand-in; ``part`` is ``log`` or ``peers``.
+
+        Without faults the connections work again.
+        """
+        control = self.stand_ins[f"cut-{part}-{vm}"].addresses["control"]
+        call(control, "PUT", "/faults", faults)
+
+    def set_faults(self, stand_in: str, **faults) -> None:
+        """Set the faults of the log, the store, the list or a VM's backend."""
+        vm = self.vms.get(stand_in)
+        process = self.stand_ins[stand_in] if vm is None else vm.backend
+        call(process.address, "PUT", "/faults", faults)
+
     def _write_settings(self, vm: Vm) -> None:
+        log = self.stand_ins["log"].address
+        if vm.name in self.plan.cut_log:
+            log = self._launch_cut(f"cut-log-{vm.name}", log)
+        if vm.name in self.plan.cut_peers:
+            # The forwarder needs the port before the daemon listens on it.
+            vm.settings["peer_listen"] = address = f"127.0.0.1:{free_port()}"
+            advertised = self._launch_cut(f"cut-peers-{vm.name}", address)
+            vm.settings["peer_advertise"] = advertised
         common = {
             "vm": vm.name,
             "zone": vm.zone,
             "peer_listen": "127.0.0.1:0",
             "fleet_secret": self.secret,
             "platform": {
-                "log": self.stand_ins["log"].address,
+                "log": log,
                 "store": self.stand_ins["store"].address,
                 "list": self.stand_ins["vmlist"].address,
             },
@@ -273,7 +304,13 @@
 
     def set_item(self, path: str, value: dict, reason: str = "set up") -> None:
         """Create or replace a configuration item and check that it was accepted."""
-        answer = self.admin("PUT", path, {"value": value, "reason": reason})
+        body = {"value": value, "reason": reason}
+        answer = self.admin("PUT", path, body)
+        deadline_s = time.monotonic() + BOUND_S
+        while answer.status == 503 and time.monotonic() < deadline_s:
+            # A process that has just started has not read the log yet.
+            time.sleep(POLL_S)
+            answer = self.admin("PUT", path, body)
         if answer.status not in (200, 201):
             raise FleetError(f"{path}: {answer.status} {answer.body.decode()}")
 
@@ -370,6 +407,13 @@
             process.kill()
 
 
+def free_port() -> int:
+    """Return a port that nothing listens on at the moment."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 CASEWORK_ROUTES = [
     {"method": "GET", "path_prefix": "/", "idempotent": True},
     {"method": "POST", "path_prefix": "/bookings", "idempotent": False},
--- a/fleet/plan.py
+++ b/fleet/plan.py
@@ -30,8 +30,10 @@
 class FleetPlan:
     """Sizes and options of a local fleet.
 
-    ``engine_options`` and ``log_options`` are options of the stand-ins. Entries,
-    engines and services are spread over the zones in turn.
+    ``engine_options``, ``service_options`` and ``log_options`` are options of the
+    stand-ins. Entries, engines and services are spread over the zones in turn. The
+    VMs in ``cut_log`` reach the log, and those in ``cut_peers`` are reached by other
+    processes, through a ``cut`` stand-in each.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
@@ -49,7 +51,10 @@
         CustomerPlan("tenants"),
     )
     engine_options: dict = field(default_factory=dict)
+    service_options: dict = field(default_factory=dict)
     log_options: dict = field(default_factory=dict)
+    cut_log: tuple[str, ...] = ()
+    cut_peers: tuple[str, ...] = ()
     fenced: bool = True
     settle_s: float = 2.0
     notice_s: float = 1.0
--- a/standins/http.py
+++ b/standins/http.py
@@ -99,6 +99,7 @@
         self._frozen: list[Call] = []
         self._calls_of_socket: dict[Any, CallId] = {}
         self._seen: deque[dict[str, Any]] = deque(maxlen=SEEN_REQUESTS)
+        self._seen_numbers = itertools.count(1)
         self._call_ids = itertools.count(1)
 
     def routes(self) -> Routes:
@@ -144,7 +145,9 @@
         if segments in (("faults",), ("seen",)):
             self._route(call)
             return True
-        self._seen.append({"method": req.method, "path": req.path, "headers": headers})
+        seen = {"method": req.method, "path": req.path, "headers": headers}
+        seen |= {"number": next(self._seen_numbers), "time_ms": wall_time_ms()}
+        self._seen.append(seen | {"body": body})
         self._apply_faults(call)
         return True
 
