Refuse every incarnation up to the latest dead one at the sidecar

Cause: the sidecar looked an attempt's origin up in the set of dead incarnations, which names only the latest one of each VM. An entry process that was frozen over two later starts of its VM was not in the set and could run requests on units that others had taken over.

Ruled out: the fold, whose is_dead covers the earlier incarnations.

Change: an origin is dead if the same VM has a dead incarnation that is not older. Before: the new test fails for the earlier incarnation. After: it passes.

--- a/chervilgw/sidecar/admission.py
+++ b/chervilgw/sidecar/admission.py
@@ -37,7 +37,9 @@
 
 def check_origin(arrival: Arrival, now_s: float) -> Result[Arrival, Refusal]:
     """Refuse attempts of an entry whose share units others may have taken over."""
-    if arrival.dispatch.request_id.origin in arrival.dead:
+    origin = arrival.dispatch.request_id.origin
+    # Of each VM only the latest dead incarnation is listed; earlier ones are dead too.
+    if any(d.vm == origin.vm and origin <= d for d in arrival.dead):
         detail = "the entry that sent the request was declared dead"
         return Failure(make_refusal(RefusalReason.DEAD_ORIGIN, detail))
     return Success(arrival)
