--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -5,6 +5,7 @@
 import json
 import os
 import secrets
+import socket
 import tempfile
 import time
 from contextlib import contextmanager
@@ -130,13 +131,16 @@
         return self.vms[names[-1]]
 
     def _start_cuts(self, vm: Vm) -> None:
-        """Put forwarders before the VM's peer address and backend if planned."""
+        """Put forwarders before the VM's peer address, backend and log if planned."""
+        if vm.name in self.plan.cut_log:
+            self._start_cut(vm, "log", self.stand_ins["log"].address)
         if vm.name in self.plan.cut_backends:
             cut = self._start_cut(vm, "backend", vm.backend.address)
             vm.settings["backend_address"] = cut
         if vm.name in self.plan.cut_peers:
+            # The forwarder needs the port before the daemon listens on it.
             listen = f"127.0.0.1:{free_port()}"
-            cut = self._start_cut(vm, "peer", listen)
+            cut = self._start_cut(vm, "peers", listen)
             vm.settings.update(peer_listen=listen, peer_advertise=cut)
 
     def _start_cut(self, vm: Vm, part: str, target: str) -> str:
@@ -163,7 +167,8 @@
         self._launch_backend(name, zone, command, settings)
 
     def _launch_service(self, name: str, zone: str) -> None:
-        command = python_command("standins.service", listen="127.0.0.1:0")
+        options = {"listen": "127.0.0.1:0", **self.plan.service_options}
+        command = python_command("standins.service", **options)
         settings = {"backend": "service", "services": ["casework"]}
         self._launch_backend(name, zone, command, settings)
 
@@ -183,14 +188,30 @@
         path = self.folder / f"{name}.yaml"
         self.vms[name] = Vm(name, "entry", zone, path, settings)
 
+    def set_cut(self, vm: str, part: str, **faults) -> None:
+        """Set the faults of one of a VM's forwarders.
+
+        ``part`` is ``peers``, ``backend`` or ``log``. Without faults the connections
+        work again.
+        """
+        control = self.vms[vm].cuts[part].addresses["control"]
+        call(control, "PUT", "/faults", faults)
+
+    def set_faults(self, stand_in: str, **faults) -> None:
+        """Set the faults of the log, the store, the list or a VM's backend."""
+        vm = self.vms.get(stand_in)
+        process = self.stand_ins[stand_in] if vm is None else vm.backend
+        call(process.address, "PUT", "/faults", faults)
+
     def _write_settings(self, vm: Vm) -> None:
+        log = vm.cuts["log"] if "log" in vm.cuts else self.stand_ins["log"]
         common = {
             "vm": vm.name,
             "zone": vm.zone,
             "peer_listen": "127.0.0.1:0",
             "fleet_secret": self.secret,
             "platform": {
-                "log": self.stand_ins["log"].address,
+                "log": log.address,
                 "store": self.stand_ins["store"].address,
                 "list": self.stand_ins["vmlist"].address,
             },
@@ -302,7 +323,13 @@
 
     def set_item(self, path: str, value: dict, reason: str = "set up") -> None:
         """Create or replace a configuration item and check that it was accepted."""
-        answer = self.admin("PUT", path, {"value": value, "reason": reason})
+        body = {"value": value, "reason": reason}
+        answer = self.admin("PUT", path, body)
+        deadline_s = time.monotonic() + BOUND_S
+        while answer.status == 503 and time.monotonic() < deadline_s:
+            # A process that has just started has not read the log yet.
+            time.sleep(POLL_S)
+            answer = self.admin("PUT", path, body)
         if answer.status not in (200, 201):
             raise FleetError(f"{path}: {answer.status} {answer.body.decode()}")
 
@@ -406,6 +433,13 @@
     return {process.name: process.wait() for process in running}
 
 
+def free_port() -> int:
+    """Return a port that nothing listens on at the moment."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 CASEWORK_ROUTES = [
     {"method": "GET", "path_prefix": "/", "idempotent": True},
     {"method": "POST", "path_prefix": "/bookings", "idempotent": False},
--- a/fleet/plan.py
+++ b/fleet/plan.py
@@ -30,10 +30,11 @@
 class FleetPlan:
     """Sizes and options of a local fleet.
 
-    ``engine_options`` and ``log_options`` are options of the stand-ins. Entries,
-    engines and services are spread over the zones in turn. The VMs in ``cut_peers`` are
-    reached by their peers, and those in ``cut_backends`` reach their backend, through
-    a forwarder that can silence or cut connections. ``statsd`` receives all metrics.
+    ``engine_options``, ``service_options`` and ``log_options`` are options of the
+    stand-ins. Entries, engines and services are spread over the zones in turn. The VMs
+    in ``cut_log`` reach the log, those in ``cut_backends`` their backend, and those in
+    ``cut_peers`` are reached by other processes, through a forwarder that can silence
+    or cut connections. ``statsd`` receives all metrics.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
@@ -51,6 +52,7 @@
         CustomerPlan("tenants"),
     )
     engine_options: dict = field(default_factory=dict)
+    service_options: dict = field(default_factory=dict)
     log_options: dict = field(default_factory=dict)
     fenced: bool = True
     settle_s: float = 2.0
@@ -58,6 +60,7 @@
     max_running: int = 16
     store_loads_per_s: float = 3.0
     store_loads_at_once: int = 10
+    cut_log: tuple[str, ...] = ()
     cut_peers: tuple[str, ...] = ()
     cut_backends: tuple[str, ...] = ()
     statsd: str | None = None
--- a/fleet/tests/faulting.py
+++ b/fleet/tests/faulting.py
@@ -87,7 +87,9 @@
             assert self.text == expected, f"wrong answer to {self.prompt!r}"
         else:
             assert self.error is not None, f"no [DONE] and no error: {self.prompt!r}"
-            assert damaged or expected.startswith(self.text), f"wrong text: {self.prompt!r}"
+            assert damaged or expected.startswith(self.text), (
+                f"wrong text: {self.prompt!r}"
+            )
 
 
 class Callers:
