Count earlier incarnations of a gone VM as gone

Cause: a process that ended before its join record was read was the only one of its VM listed as gone. A collection now also declares members dead whose VM has the same or a later incarnation listed as gone. Test: test_recovery.py, red before the change.

--- a/chervilgw/quota/collection.py
+++ b/chervilgw/quota/collection.py
@@ -9,7 +9,7 @@
 from chervilgw.core.ids import BudgetName, Incarnation, Offset
 from chervilgw.core.messages import ShareSnapshot
 from chervilgw.quota.bucket import SHARE_UNITS
-from chervilgw.quota.members import Members
+from chervilgw.quota.members import Members, is_gone
 from chervilgw.quota.records import Collect, Send
 
 # Time between two collections; each costs one message per member.
@@ -157,7 +157,8 @@
         Parameters
         ----------
         gone : frozenset of Incarnation
-            Incarnations that the platform's list shows as gone.
+            Incarnations that the platform's list shows as gone; earlier ones of the
+            same VM are gone too.
         wanted : bool
             Whether a budget here seems to have unallocated units.
         now_s : float
@@ -170,7 +171,7 @@
         members = self._members
         if not (members.complete and members.is_member(self._me)):
             return None
-        dead = tuple(each for each in members.live if each in gone)
+        dead = tuple(each for each in members.live if is_gone(each, gone))
         idle_s = now_s - self._folded_s
         lost = dead or members.death_offset >= 0 or not self._any_folded
         if not (lost or wanted or idle_s >= AUDIT_INTERVAL_S):
--- a/chervilgw/quota/members.py
+++ b/chervilgw/quota/members.py
@@ -130,3 +130,21 @@
             if not handed_over:
                 self.death_offset = offset
                 self.loss_offset = offset
+
+
+def is_gone(incarnation: Incarnation, gone: Iterable[Incarnation]) -> bool:
+    """Return whether an incarnation, or a later one of its VM, is listed as gone.
+
+    A process may end before its join record is read, and only the last incarnation of a
+    VM may be listed. Without the comparison the one before stays a member for ever.
+
+    Examples
+    --------
+    >>> first, second = Incarnation(VmId("e1"), 1), Incarnation(VmId("e1"), 2)
+    >>> is_gone(first, [second]), is_gone(second, [first])
+    (True, False)
+    """
+    return any(
+        each.vm == incarnation.vm and each.start_ms >= incarnation.start_ms
+        for each in gone
+    )
