Make the fleet machine's actions dense enough to catch broken rules

Cause: the machine's window check passed although a bucket rule was broken, because its actions rarely spent all entries' buckets in one short window.

--- a/chervilgw/quota/tests/simulation.py
+++ b/chervilgw/quota/tests/simulation.py
@@ -65,10 +65,12 @@
         self.messages = 0
         self.on_granted: Callable[[Entry, Granted], None] = self.dispatch
         self.run_delay_s = (0.0, 0.002)
-        self.longest_run_s = 0.01
+        self.run_s = (0.0, 0.01)
         self.used_parts = (1.0,)
         self.sidecar_members = Members()
         self.sidecar_blind = False
+        # Requests that wait at the sidecar, or None while each runs on arrival.
+        self.queued: list[tuple[Entry, Debit, float]] | None = None
         self._sidecar_confirmed_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
@@ -221,8 +223,17 @@
         fresh = self.now_s - self._sidecar_confirmed_s <= SIDECAR_STALE_S
         return fresh and not self.sidecar_members.is_dead(origin)
 
+    def run_queued(self) -> None:
+        """Run what waits at the sidecar, requests of ended processes included."""
+        queued, self.queued = self.queued or [], None
+        for each in queued:
+            self._run(*each)
+
     def _run(self, entry: Entry, debit: Debit, amount: float) -> None:
         quota = entry.quota
+        if self.queued is not None:
+            self.queued.append((entry, debit, amount))
+            return
         if not self.sidecar_accepts(entry.me):
             self.after(
                 self.run_delay_s,
@@ -234,7 +245,7 @@
         used = amount * self.random.choice(self.used_parts)
         self.runs[debit.budget].append((self.now_s, used))
         started_s = self.now_s + self.random.uniform(*self.run_delay_s)
-        ended_s = started_s + self.random.uniform(0, self.longest_run_s)
+        ended_s = started_s + self.random.uniform(*self.run_s)
         confirm = lambda: self.call(entry, quota.confirm_start, debit)  # noqa: E731
         settle = lambda: self.call(entry, quota.settle, debit, used)  # noqa: E731
         if self.random.random() >= self.network.loss:
@@ -270,11 +281,15 @@
 
     def held_units(self, budget: str) -> int:
         """Return the units of entries that the whole log does not declare dead."""
-        members = Members()
-        for offset, record in enumerate(self.log):
-            members.fold(Offset(offset), record)
         return sum(
             entry.quota.units(BudgetName(budget))
             for entry in self.entries.values()
-            if not members.is_dead(entry.me)
+            if not self.declared_dead(entry.me)
         )
+
+    def declared_dead(self, me: Incarnation) -> bool:
+        """Return whether the whole log declares an entry dead."""
+        members = Members()
+        for offset, record in enumerate(self.log):
+            members.fold(Offset(offset), record)
+        return members.is_dead(me)
