--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -433,13 +433,6 @@
     return {process.name: process.wait() for process in running}
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 CASEWORK_ROUTES = [
     {"method": "GET", "path_prefix": "/", "idempotent": True},
     {"method": "POST", "path_prefix": "/bookings", "idempotent": False},
