Dial a lost VM at its listed address (membership/view)

Cause: dial_targets preferred the address of the last report over the list's. A sidecar that was stopped and started at another address was dialed at the old one for ever, because only a connection could bring the new report.

Ruled out: the list (it showed the new address) and the links task (it changes the address of a known target).

Before: no entry connected within 60 s. After: the process-level test of a planned stop passes, and reports of a new process still take precedence over the list.

--- a/chervilgw/membership/tests/test_view.py
+++ b/chervilgw/membership/tests/test_view.py
@@ -161,3 +161,17 @@
     view.on_list([ListedVm(VmId(v), ZoneId("z"), f"{v}:1") for v in ("e0", "b0")], 0.0)
     assert [target.address for target in view.dial_targets(0.0)] == ["b0:1"]
     assert view.live_vms(0.0) == {"e0", "b0"}
+
+
+def test_lost_vm_is_dialed_at_its_listed_address():
+    """Guards against a VM that restarts at another address and is never dialed."""
+    view = make_fleet_view(ME)
+    old = Incarnation(VmId("b0"), 1)
+    view.on_report(report(old, 1), 0.0)
+    view.on_connected(old)
+    view.on_list([ListedVm(VmId("b0"), ZoneId("z"), "10.0.0.9:7")], 1.0)
+    assert [each.address for each in view.dial_targets(1.0)] == ["10.0.0.1:1"]
+    view.on_silent(old)
+    assert [each.address for each in view.dial_targets(1.0)] == ["10.0.0.9:7"]
+    view.on_report(report(Incarnation(VmId("b0"), 2), 1), 2.0)
+    assert [each.address for each in view.dial_targets(2.0)] == ["10.0.0.1:2"]
--- a/chervilgw/membership/view.py
+++ b/chervilgw/membership/view.py
@@ -152,7 +152,12 @@
         }
         for vm, known in self._known.items():
             if self._state(known, now_s) is not VmState.GONE:
-                targets[vm] = DialTarget(vm, known.report.address, known.report.role)
+                # A VM that was lost may have started again at another address, which
+                # the list learns first; a report of the new process replaces both.
+                address = known.report.address
+                if known.silent and vm in self._listed:
+                    address = self._listed[vm].address
+                targets[vm] = DialTarget(vm, address, known.report.role)
         targets.pop(self._me.vm, None)
         return tuple(targets[vm] for vm in sorted(targets))
 
