--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
+WORKERS ?= 6
+FAULT_ROUNDS ?= 5
+FUZZ_SEED ?= $(shell date +%s)
 
 .PHONY: demo up check lint test bench fuzz faults clean
 
@@ -16,12 +19,23 @@
 	$(VENV)/bin/ruff check .
 
 test: $(STAMP)
-	HYPOTHESIS_PROFILE=ci $(VENV)/bin/pytest -n 6 --dist loadfile
+	HYPOTHESIS_PROFILE=ci $(VENV)/bin/pytest -n $(WORKERS) --dist loadfile
 
-FAULT_ROUNDS ?= 5
+# The state machines for longer, with random seeds.
+fuzz: $(STAMP)
+	@echo "fuzz seed: $(FUZZ_SEED)"
+	HYPOTHESIS_PROFILE=fuzz $(VENV)/bin/pytest -n $(WORKERS) --timeout=3600 \
+		--hypothesis-seed=$(FUZZ_SEED) chervilgw standins
 
+# The process-level tests under failure, more rounds of each.
 faults: $(STAMP)
-	FAULT_ROUNDS=$(FAULT_ROUNDS) $(VENV)/bin/pytest -m faults -n 2 --dist loadfile -s fleet/tests
+	FAULT_ROUNDS=$(FAULT_ROUNDS) $(VENV)/bin/pytest -m faults -n 2 --dist loadfile \
+		--timeout=1200 -s fleet/tests
+
+bench: $(STAMP)
+	$(PY) -m benchmarks.policy
+	$(PY) -m benchmarks.quota_spread
+	$(PY) -m benchmarks.relay
 
 demo: $(STAMP)
 	$(PY) -m fleet.demo
--- a/chervilgw/membership/tests/test_view.py
+++ b/chervilgw/membership/tests/test_view.py
@@ -182,3 +182,17 @@
     # A report of a later incarnation is newer than the list, which lags.
     view.on_report(report(Incarnation(VmId("b0"), 3), 1), 1.0)
     assert dialed() == ["10.0.0.1:3"]
+
+
+def test_lost_vm_is_dialed_at_its_listed_address():
+    """Guards against a VM that restarts at another address and is never dialed."""
+    view = make_fleet_view(ME)
+    old = Incarnation(VmId("b0"), 1)
+    view.on_report(report(old, 1), 0.0)
+    view.on_connected(old)
+    view.on_list([ListedVm(VmId("b0"), ZoneId("z"), "10.0.0.9:7")], 1.0)
+    assert [each.address for each in view.dial_targets(1.0)] == ["10.0.0.1:1"]
+    view.on_silent(old)
+    assert [each.address for each in view.dial_targets(1.0)] == ["10.0.0.9:7"]
+    view.on_report(report(Incarnation(VmId("b0"), 2), 1), 2.0)
+    assert [each.address for each in view.dial_targets(2.0)] == ["10.0.0.1:2"]
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -5,7 +5,6 @@
 import json
 import os
 import secrets
-import socket
 import tempfile
 import time
 from contextlib import contextmanager
