Dial a silent VM at its listed address

Cause: dial_targets() preferred the address of the last report over the list. A sidecar that restarted on another port stayed unreachable for good, since only a connection would have brought its new report. Ruled out: the list and its lag (the list had the new address), the handshake (nothing dialled it).

Change: a silent VM is dialled at the listed address; a VM with a working connection or a fresh report keeps the reported one.

--- a/chervilgw/membership/tests/test_view.py
+++ b/chervilgw/membership/tests/test_view.py
@@ -161,3 +161,17 @@
     view.on_list([ListedVm(VmId(v), ZoneId("z"), f"{v}:1") for v in ("e0", "b0")], 0.0)
     assert [target.address for target in view.dial_targets(0.0)] == ["b0:1"]
     assert view.live_vms(0.0) == {"e0", "b0"}
+
+
+def test_a_vm_that_restarted_elsewhere_is_dialled_at_its_listed_address():
+    """Guards: a restarted sidecar on a new port was never connected again."""
+    view = make_fleet_view(ME)
+    first = Incarnation(VmId("b0"), 1)
+    view.on_report(report(first, 1), 0.0)
+    view.on_connected(first)
+    view.on_list([ListedVm(VmId("b0"), ZoneId("z"), "10.0.0.2:9")], 0.1)
+    assert view.dial_targets(0.1)[0].address == "10.0.0.1:1"
+    view.on_silent(first)
+    assert view.dial_targets(0.2)[0].address == "10.0.0.2:9"
+    view.on_report(report(Incarnation(VmId("b0"), 2), 1), 0.3)
+    assert view.dial_targets(0.3)[0].address == "10.0.0.1:2"
--- a/chervilgw/membership/view.py
+++ b/chervilgw/membership/view.py
@@ -151,8 +151,12 @@
             vm: DialTarget(vm, line.address, None) for vm, line in self._listed.items()
         }
         for vm, known in self._known.items():
-            if self._state(known, now_s) is not VmState.GONE:
-                targets[vm] = DialTarget(vm, known.report.address, known.report.role)
+            state, address = self._state(known, now_s), known.report.address
+            if state is VmState.SILENT and vm in self._listed:
+                # The VM may have restarted elsewhere, which its last report cannot say.
+                address = self._listed[vm].address
+            if state is not VmState.GONE:
+                targets[vm] = DialTarget(vm, address, known.report.role)
         targets.pop(self._me.vm, None)
         return tuple(targets[vm] for vm in sorted(targets))
 
