--- /dev/null
+++ b/fleet/tests/test_faults_bookings.py
@@ -0,0 +1,260 @@
+"""Bookings run at most once, and what answers say about a run is true."""
+
+import time
+from collections import defaultdict
+
+import pytest
+
+from fleet.client import call
+from fleet.tests.outages import (
+    BOOKINGS,
+    Traffic,
+    book,
+    in_background,
+    run_state,
+    runs_of,
+    small_fleet,
+    try_call,
+    wait_until,
+)
+
+pytestmark = pytest.mark.faults
+SERVICES = ("casework-1", "casework-2")
+
+
+@pytest.fixture
+def runs_file(tmp_path):
+    return tmp_path / "runs"
+
+
+def booking_fleet(runs_file, **changes):
+    options = {"service_options": {"runs_file": runs_file}, **changes}
+    return small_fleet(engines=0, models=(), services=2, **options)
+
+
+def is_unknown(answer):
+    """Return whether the caller was told that the outcome is unknown."""
+    return answer.status == 0 or run_state(answer) == "unknown"
+
+
+def restart_service(fleet, name):
+    """Start a crashed service and its sidecar's list entry again."""
+    vm = fleet.vms[name]
+    if not vm.backend.running:
+        fleet.start_backend(name)
+
+
+def service_with_fault(fleet, key, fault):
+    for name in SERVICES:
+        fleet.set_faults(name, **{fault: 1})
+
+
+@pytest.mark.parametrize(
+    "fault", ["crash_before_effect", "crash_after_effect", "freeze_after_effect"]
+)
+def test_keyed_booking_that_the_service_lost_runs_at_most_once(fault, runs_file):
+    """Guards requirement 8: a repeat with the same key must not run a second time."""
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+        one, two = fleet.entry_addresses()
+        service_with_fault(fleet, key, fault)
+        first = in_background(book, one, key, "lost", "lost")
+        if "after" in fault:
+            fleet.wait_for(lambda: runs_of(runs_file)["lost"], "the run")
+        else:
+            fleet.wait_for(
+                lambda: not all(fleet.vms[n].backend.running for n in SERVICES), "crash"
+            )
+        repeats = [book(two, key, "lost", "lost", 4)]
+        if "freeze" in fault:
+            for name in SERVICES:
+                fleet.vms[name].backend.kill()
+        for name in SERVICES:
+            restart_service(fleet, name)
+        repeats += [book(one, key, "lost", "lost", 4) for _ in range(3)]
+        answers = [first.result(30), *repeats]
+        runs = runs_of(runs_file)["lost"]
+        assert runs <= 1, answers
+        for answer in answers:
+            # A service that crashed before the effect has got the request, too.
+            ok = is_unknown(answer) or answer.status == 201
+            assert ok or run_state(answer) == "not_run", answer
+        if "after" in fault:
+            assert runs == 1
+            assert not any(run_state(answer) == "not_run" for answer in answers)
+
+
+@pytest.mark.parametrize("part", ["entry", "sidecar", "service"])
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+def test_keyed_bookings_under_faults_of_one_part(part, fault, runs_file):
+    """Guards requirements 7 and 8 at every step of a booking, with repeats."""
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+        addresses = fleet.entry_addresses()
+        answers = defaultdict(list)
+
+        def request(number):
+            name = f"b{number}"
+            for attempt in range(4):
+                address = addresses[(number + attempt) % 2]
+                answer = book(address, key, name, name, timeout_s=5)
+                answers[name].append(answer)
+                if answer.status == 201:
+                    break
+            return answer
+
+        vm = fleet.vms["entry-1" if part == "entry" else "casework-1"]
+        process = vm.backend if part == "service" else vm.daemon
+        with Traffic(request, per_s=60, threads=12) as traffic:
+            for turn in (1, 2):
+                fleet.wait_for(lambda t=turn: len(traffic.sent) >= 40 * t, "traffic")
+                if fault == "freeze":
+                    process.freeze()
+                    wait_until(fleet, time.monotonic() + 2.5)
+                    process.thaw()
+                else:
+                    process.kill()
+                    # The same VM starts again, as a new incarnation.
+                    if part == "service":
+                        fleet.start_backend(vm.name)
+                        process = vm.backend
+                    else:
+                        fleet.start_daemon(vm.name)
+                        process = vm.daemon
+                        addresses[:] = fleet.entry_addresses()
+            count = len(traffic.sent)
+            fleet.wait_for(lambda: len(traffic.sent) >= count + 40, "traffic")
+        runs = runs_of(runs_file)
+        twice = {name: n for name, n in runs.items() if n > 1}
+        assert not twice, {name: answers[name] for name in twice}
+        for name, given in answers.items():
+            if all(run_state(answer) == "not_run" for answer in given):
+                assert not runs[name], given
+            if any(answer.status == 201 for answer in given):
+                assert runs[name] == 1, given
+        done = sum(any(a.status == 201 for a in given) for given in answers.values())
+        print(f"{done} of {len(answers)} bookings confirmed, {traffic.statuses()}")
+        assert done >= len(answers) // 2
+
+
+@pytest.mark.parametrize("part", ["entry", "sidecar", "service"])
+def test_bookings_without_a_key_are_attempted_once(part, runs_file):
+    """Guards requirement 8 for callers without a key, and the truth of "not run"."""
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+        addresses = fleet.entry_addresses()
+        answers = {}
+
+        def request(number):
+            name = f"b{number}"
+            answers[name] = book(addresses[number % 2], key, name, timeout_s=8)
+            return answers[name]
+
+        vm = fleet.vms["entry-1" if part == "entry" else "casework-1"]
+        with Traffic(request, per_s=60, threads=12) as traffic:
+            fleet.wait_for(lambda: len(traffic.sent) >= 40, "traffic")
+            (vm.backend if part == "service" else vm.daemon).kill()
+            count = len(traffic.sent)
+            fleet.wait_for(lambda: len(traffic.sent) >= count + 40, "traffic")
+            if part == "service":
+                fleet.start_backend(vm.name)
+                fleet.set_faults("casework-2", crash_after_effect=1)
+                fleet.wait_for(lambda: not fleet.vms["casework-2"].backend.running, "x")
+                fleet.start_backend("casework-2")
+            else:
+                fleet.start_daemon(vm.name)
+                addresses[:] = fleet.entry_addresses()
+            count = len(traffic.sent)
+            fleet.wait_for(lambda: len(traffic.sent) >= count + 40, "traffic")
+        runs = runs_of(runs_file)
+        print(traffic.statuses(), sum(is_unknown(a) for a in answers.values()))
+        for name, answer in answers.items():
+            assert runs[name] <= 1, answer
+            if run_state(answer) == "not_run":
+                assert runs[name] == 0, answer
+            if answer.status == 201:
+                assert runs[name] == 1, answer
+            assert answer.status == 201 or run_state(answer) or answer.status == 0
+
+
+def test_log_outages_and_lost_append_answers(runs_file):
+    """Guards requirement 8 without the log, and that lookups go on without it."""
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+        addresses = fleet.entry_addresses()
+        assert book(addresses[0], key, "known", "known").status == 201
+        answers = defaultdict(list)
+
+        def request(number):
+            name = f"b{number}"
+            for attempt in range(3):
+                address = addresses[(number + attempt) % 2]
+                answer = book(address, key, name, name, timeout_s=20)
+                answers[name].append(answer)
+                if answer.status == 201:
+                    break
+            return answer
+
+        faults = [
+            {"lose_answers": {"probability": 0.5, "seed": 1}},
+            {"refuse": True},
+            {"freeze": True},
+            {"delay_ms": 400, "lose_answers": {"probability": 0.3, "seed": 2}},
+        ]
+        lookups = []
+        with Traffic(request, per_s=40, threads=16) as traffic:
+            for fault in faults:
+                fleet.set_faults("log", **fault)
+                until_s = time.monotonic() + 2.5
+                while time.monotonic() < until_s:
+                    for address in addresses:
+                        path = "/services/casework/stock/bed"
+                        lookups.append(call(address, "GET", path, key=key))
+                    wait_until(fleet, time.monotonic() + 0.2)
+                fleet.set_faults("log")
+                count = traffic.statuses()[201]
+                fleet.wait_for(
+                    lambda c=count: traffic.statuses()[201] >= c + 20, "bookings again"
+                )
+        runs = runs_of(runs_file)
+        attempts = [answer for given in answers.values() for answer in given]
+        refused = [a for a in attempts if run_state(a) == "not_run"]
+        print(f"{len(refused)} of {len(attempts)} attempts refused as not run")
+        print(f"{sum(map(is_unknown, attempts))} unknown, {len(lookups)} lookups")
+        assert {answer.status for answer in lookups} == {200}
+        assert all(n == 1 for n in runs.values()), runs.most_common(3)
+        for name, given in answers.items():
+            if all(run_state(answer) == "not_run" for answer in given):
+                assert not runs[name], given
+            if any(answer.status == 201 for answer in given):
+                assert runs[name] == 1, given
+        assert book(addresses[1], key, "known", "known").status == 201
+        assert runs_of(runs_file)["known"] == 1
+
+
+def test_repeat_after_the_sidecar_died_between_intent_and_result(runs_file):
+    """Guards against a second run by the other sidecar, while the first is frozen."""
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+        one, two = fleet.entry_addresses()
+        for name in SERVICES:
+            fleet.set_faults(name, delay_ms=1500)
+        first = in_background(book, one, key, "slow", "slow")
+        appended = "/streams/bookings/records?from=0"
+        log = fleet.stand_ins["log"].address
+        fleet.wait_for(
+            lambda: call(log, "GET", appended).json()["records"], "the intent"
+        )
+        for name in SERVICES:
+            fleet.vms[name].daemon.freeze()
+        repeat = in_background(book, two, key, "slow", "slow")
+        fleet.wait_for(lambda: runs_of(runs_file)["slow"], "the run")
+        for name in SERVICES:
+            fleet.vms[name].daemon.thaw()
+        answers = [first.result(30), repeat.result(30)]
+        answers += [book(two, key, "slow", "slow") for _ in range(2)]
+        assert runs_of(runs_file)["slow"] == 1
+        assert not any(run_state(answer) == "not_run" for answer in answers), answers
+        path = f"{BOOKINGS}/slow"
+        found = [try_call(two, "GET", path, key=key).status for _ in range(8)]
+        assert set(found) <= {200, 404}, found
