--- a/chervilgw/quota/holdings.py
+++ b/chervilgw/quota/holdings.py
@@ -29,6 +29,8 @@
 LOOK_AHEAD_S = 0.5
 # Smaller gifts than this part of a request cost more messages than they help.
 SMALLEST_GIFT = 0.02
+# Amounts are whole tokens or uses.
+SMALLEST_DEBIT = 1.0
 
 
 class Holding(Protocol):
@@ -81,6 +83,10 @@
         """Return the units that recent demand needs."""
         ...
 
+    def is_full(self, now_s: float) -> bool:
+        """Return whether refilled tokens are about to be dropped."""
+        ...
+
     def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
         """Remove units and level for a peer that asked."""
         ...
@@ -187,13 +193,20 @@
         part = self.demand_per_s(now_s) * DEMAND_MARGIN / self.bucket.rate_per_s
         return int(min(1.0, part) * SHARE_UNITS)
 
+    def is_full(self, now_s: float) -> bool:
+        self.bucket.advance(now_s)
+        return self.bucket.level + self.bucket.outstanding >= 0.9 * self.bucket.cap
+
     def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
         bucket = self.bucket
         bucket.advance(now_s)
         if bucket.burst <= 0 or asked <= 0 or not bucket.units:
             return 0, 0.0
-        spare = max(0, bucket.units - self.wanted_units(now_s))
-        units = min(asked, spare)
+        # A part too small for one token is of no use here, but the peer may lack just
+        # these units: a budget with a burst of 1 needs all of them in one place.
+        useless = bucket.cap < SMALLEST_DEBIT
+        wanted = 0 if useless else self.wanted_units(now_s)
+        units = min(asked, max(0, bucket.units - wanted))
         # Below the own demand only half of the level is given, with as many units as it
         # fills: a busy peer may be short for a moment while this entry is not.
         half = int(bucket.level / 2 * SHARE_UNITS / bucket.burst)
@@ -298,6 +311,9 @@
     def wanted_units(self, now_s: float) -> int:
         return self._needed(self.used)
 
+    def is_full(self, now_s: float) -> bool:
+        return False
+
     def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
         units = max(0, min(asked, self._units - self._needed(self.used)))
         self._units -= units
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -5,23 +5,24 @@
 import json
 import os
 import secrets
-import socket
 import tempfile
 import time
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from signal import SIGTERM
 
 import yaml
 
 from chervilgw.keys.operators import issue_operator_key
-from fleet.client import Answer, call
+from fleet.client import call
+from fleet.interrupts import interrupts_held
 from fleet.plan import FleetPlan
-from fleet.process import Process, python_command
+from fleet.process import Process, free_port, python_command
 
 POLL_S = 0.05
 BOUND_S = 60.0
+DESCRIPTION = "fleet.json"
 
 
 class FleetError(Exception):
@@ -40,6 +41,7 @@
     daemon: Process | None = None
     backend: Process | None = None
     backend_command: list[str] = field(default_factory=list)
+    cuts: dict[str, Process] = field(default_factory=dict)
 
 
 class Fleet:
@@ -51,10 +53,16 @@
         self.vms: dict[str, Vm] = {}
         self.stand_ins: dict[str, Process] = {}
         self.keys: dict[str, str] = {}
-        self.operator, issued = issue_operator_key("launcher")
-        self.operator_key = issued.text
+        self.operator_settings: list[dict] = []
+        self.operator_key = self._add_operator("launcher")
+        self.second_operator_key = self._add_operator("colleague")
         self.secret = secrets.token_hex(16)
 
+    def _add_operator(self, name: str) -> str:
+        operator, issued = issue_operator_key(name)
+        self.operator_settings.append(asdict(operator))
+        return issued.text
+
     # Starting.
 
     def start(self) -> None:
@@ -83,7 +91,9 @@
     def _launch_stand_in(self, name: str, **options) -> None:
         options = {"listen": "127.0.0.1:0", **options}
         command = python_command(f"standins.{name}", **options)
-        self.stand_ins[name] = self._process(name, command).launch()
+        # Recorded before the launch, so that an interrupted start can be cleaned up.
+        process = self.stand_ins[name] = self._process(name, command)
+        process.launch()
 
     def _process(self, name: str, command: list[str]) -> Process:
         return Process(name, command, self.folder / "logs" / f"{name}.log")
@@ -110,13 +120,32 @@
             if vm.backend is not None:
                 vm.backend.await_ready()
                 vm.settings["backend_address"] = vm.backend.address
+            self._start_cuts(vm)
             self._write_settings(vm)
-            vm.daemon = self._daemon(vm).launch()
+            vm.daemon = self._daemon(vm)
+            vm.daemon.launch()
         for name in names:
             self.vms[name].daemon.await_ready()
             self.list_vm(name, "live")
         return self.vms[names[-1]]
 
+    def _start_cuts(self, vm: Vm) -> None:
+        """Put forwarders before the VM's peer address, backend and log if planned."""
+        if vm.name in self.plan.cut_log:
+            self._start_cut(vm, "log", self.stand_ins["log"].address)
+        if vm.name in self.plan.cut_backends:
+            cut = self._start_cut(vm, "backend", vm.backend.address)
+            vm.settings["backend_address"] = cut
+        if vm.name in self.plan.cut_peers:
+            listen = f"127.0.0.1:{free_port()}"
+            cut = self._start_cut(vm, "peer", listen)
+            vm.settings.update(peer_listen=listen, peer_advertise=cut)
+
+    def _start_cut(self, vm: Vm, part: str, target: str) -> str:
+        command = python_command("standins.cut", target=target)
+        cut = vm.cuts[part] = self._process(f"{vm.name}-{part}-cut", command).start()
+        return cut.address
+
     def _launch_engine(self, name: str, zone: str, options: dict) -> None:
         options = {
             "listen": "127.0.0.1:0",
@@ -145,35 +174,24 @@
         path = self.folder / f"{name}.yaml"
         vm = self.vms[name] = Vm(name, "sidecar", zone, path, settings)
         vm.backend_command = command
-        vm.backend = self._process(f"{name}-backend", command).launch()
+        vm.backend = self._process(f"{name}-backend", command)
+        vm.backend.launch()
 
     def _launch_entry(self, name: str, zone: str) -> None:
-        operator = {
-            "name": self.operator.name,
-            "salt": self.operator.salt,
-            "digest": self.operator.digest,
-        }
         settings = {
             "http_listen": "127.0.0.1:0",
-            "operators": [operator],
+            "operators": self.operator_settings,
             "notice_s": self.plan.notice_s,
         }
         path = self.folder / f"{name}.yaml"
         self.vms[name] = Vm(name, "entry", zone, path, settings)
 
-    def _launch_cut(self, name: str, target: str) -> str:
-        """Start a forwarder to a target and return its address."""
-        if name not in self.stand_ins:
-            command = python_command("standins.cut", target=target)
-            self.stand_ins[name] = self._process(name, command).start()
-        return self.stand_ins[name].address
-
     def set_cut(self, vm: str, part: str, **faults) -> None:
-        """Set the faults of a VM's ``cut`` stand-in; ``part`` is ``log`` or ``peers``.
+        """Set the faults of a VM's forwarder; ``part`` is ``log``, ``peer`` or so.
 
         Without faults the connections work again.
         """
-        control = self.stand_ins[f"cut-{part}-{vm}"].addresses["control"]
+        control = self.vms[vm].cuts[part].addresses["control"]
         call(control, "PUT", "/faults", faults)
 
     def set_faults(self, stand_in: str, **faults) -> None:
@@ -184,13 +202,8 @@
 
     def _write_settings(self, vm: Vm) -> None:
         log = self.stand_ins["log"].address
-        if vm.name in self.plan.cut_log:
-            log = self._launch_cut(f"cut-log-{vm.name}", log)
-        if vm.name in self.plan.cut_peers:
-            # The forwarder needs the port before the daemon listens on it.
-            vm.settings["peer_listen"] = address = f"127.0.0.1:{free_port()}"
-            advertised = self._launch_cut(f"cut-peers-{vm.name}", address)
-            vm.settings["peer_advertise"] = advertised
+        if "log" in vm.cuts:
+            log = vm.cuts["log"].address
         common = {
             "vm": vm.name,
             "zone": vm.zone,
@@ -202,6 +215,8 @@
                 "list": self.stand_ins["vmlist"].address,
             },
         }
+        if self.plan.statsd is not None:
+            common["statsd"] = self.plan.statsd
         vm.settings_path.write_text(yaml.safe_dump({**common, **vm.settings}))
 
     def _daemon(self, vm: Vm) -> Process:
@@ -211,7 +226,8 @@
     def start_daemon(self, name: str) -> None:
         """Start the daemon of a VM again and list the VM."""
         vm = self.vms[name]
-        vm.daemon = self._daemon(vm).start()
+        vm.daemon = self._daemon(vm)
+        vm.daemon.start()
         self.list_vm(name, "live")
 
     def start_backend(self, name: str) -> None:
@@ -222,7 +238,8 @@
             listen if option.startswith("--listen=") else option
             for option in vm.backend_command
         ]
-        vm.backend = self._process(f"{name}-backend", command).start()
+        vm.backend = self._process(f"{name}-backend", command)
+        vm.backend.start()
 
     # The platform's list.
 
@@ -297,10 +314,11 @@
             if vm.role == "entry" and vm.daemon.running
         ]
 
-    def admin(self, method: str, path: str, body=None, address=None) -> Answer:
-        """Send a request to the operators' interface."""
+    def admin(self, method: str, path: str, body=None, address=None, key=None):
+        """Send a request to the operators' interface and return its answer."""
         address = address or self.entry_addresses()[0]
-        return call(address, method, f"/admin/v1/{path}", body, self.operator_key)
+        key = key or self.operator_key
+        return call(address, method, f"/admin/v1/{path}", body, key)
 
     def set_item(self, path: str, value: dict, reason: str = "set up") -> None:
         """Create or replace a configuration item and check that it was accepted."""
@@ -366,7 +384,7 @@
             "customer_keys": self.keys,
             "operator_key": self.operator_key,
         }
-        path = self.folder / "fleet.json"
+        path = self.folder / DESCRIPTION
         descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         with os.fdopen(descriptor, "w") as file:
             json.dump(description, file, indent=2)
@@ -380,6 +398,8 @@
         for name, process in self.stand_ins.items():
             yield f"stand-in {name}", name, "", process
         for vm in self.vms.values():
+            for part, process in vm.cuts.items():
+                yield f"stand-in cut of {part}", vm.name, vm.zone, process
             if vm.backend is not None:
                 kind = vm.backend_command[2].removeprefix("standins.")
                 yield f"stand-in {kind}", vm.name, vm.zone, vm.backend
@@ -390,13 +410,10 @@
 
     def stop(self) -> dict[str, int]:
         """Stop all daemons gracefully, then the stand-ins; return exit statuses."""
-        statuses = {}
-        daemons = [vm.daemon for vm in self.vms.values() if vm.daemon.running]
-        for process in daemons:
-            process.thaw()
-            process.signal(SIGTERM)
-        for process in daemons:
-            statuses[process.name] = process.wait()
+        daemons = [vm.daemon for vm in self.vms.values()]
+        backends = [vm.backend for vm in self.vms.values()]
+        statuses = _stop_all(daemons)
+        statuses |= _stop_all([*backends, *self.stand_ins.values()])
         self.kill()
         return statuses
 
@@ -407,11 +424,12 @@
             process.kill()
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def _stop_all(processes: list[Process | None]) -> dict[str, int]:
+    running = [each for each in processes if each is not None and each.running]
+    for process in running:
+        process.thaw()
+        process.signal(SIGTERM)
+    return {process.name: process.wait() for process in running}
 
 
 CASEWORK_ROUTES = [
@@ -442,4 +460,6 @@
         fleet.start()
         yield fleet
     finally:
-        fleet.kill()
+        with interrupts_held():
+            fleet.kill()
+            (folder / DESCRIPTION).unlink(missing_ok=True)
--- a/fleet/plan.py
+++ b/fleet/plan.py
@@ -31,9 +31,10 @@
     """Sizes and options of a local fleet.
 
     ``engine_options``, ``service_options`` and ``log_options`` are options of the
-    stand-ins. Entries, engines and services are spread over the zones in turn. The
-    VMs in ``cut_log`` reach the log, and those in ``cut_peers`` are reached by other
-    processes, through a ``cut`` stand-in each.
+    stand-ins. Entries, engines and services are spread over the zones in turn. The VMs
+    in ``cut_peers`` are reached by their peers, and those in ``cut_backends`` and
+    ``cut_log`` reach their backend and the log, through a forwarder that can silence
+    or cut connections. ``statsd`` receives all metrics.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
@@ -54,13 +55,15 @@
     service_options: dict = field(default_factory=dict)
     log_options: dict = field(default_factory=dict)
     cut_log: tuple[str, ...] = ()
-    cut_peers: tuple[str, ...] = ()
     fenced: bool = True
     settle_s: float = 2.0
     notice_s: float = 1.0
     max_running: int = 16
     store_loads_per_s: float = 3.0
     store_loads_at_once: int = 10
+    cut_peers: tuple[str, ...] = ()
+    cut_backends: tuple[str, ...] = ()
+    statsd: str | None = None
 
     def zone(self, index: int) -> str:
         """Return the zone of the n-th VM of a kind."""
--- a/fleet/process.py
+++ b/fleet/process.py
@@ -6,12 +6,15 @@
 import os
 import select
 import signal
+import socket
 import subprocess
 import sys
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from fleet.interrupts import interrupts_held
+
 READY_S = 20.0
 STOP_S = 30.0
 
@@ -47,7 +50,7 @@
     def launch(self) -> Process:
         """Start the program."""
         environment = dict(os.environ, PYTHONUNBUFFERED="1")
-        with self.log_path.open("ab") as log:
+        with self.log_path.open("ab") as log, interrupts_held():
             self.child = subprocess.Popen(
                 self.command,
                 stdout=subprocess.PIPE,
@@ -137,3 +140,10 @@
     """
     flags = [f"--{name.replace('_', '-')}={value}" for name, value in options.items()]
     return [sys.executable, "-m", module, *flags]
+
+
+def free_port() -> int:
+    """Return a loopback port that no process listens on at the moment."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
