Withdraw the old permit request before it is repeated elsewhere

Cause: a sidecar that got no permit for 2 s chose a new permit id first and then sent the release with the new id. The old request stayed in the first entry's queue, its grant used up a load of the store's rate, and nobody took it. With more models to load than two seconds' worth of loads, stale requests got all grants and no model was loaded any more.

Ruled out: units that stay split between entries (entry-1 held all 1,000,000), the placement decision (it listed the loads), and the level of the rate budget (it was debited twice a second, as configured).

--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -370,8 +370,6 @@
             if entry.connected and entry.incarnation != permit.entry
         ]
         if entries:
-            if permit.entry is not None:
-                self._tell(permit.entry, PermitRelease(permit.permit_id))
             permit.entry = random.choice(entries)
         permit.asked_s = now_s
         if permit.entry is not None:
@@ -382,7 +380,10 @@
         for permit in list(self._permits.values()):
             waited_s = now_s - permit.asked_s
             if not permit.granted and waited_s > 4 * PERMIT_REPEAT_S:
-                # The entry may be frozen; another one holds its own part.
+                # The entry may be frozen; another one holds its own part. The request
+                # would otherwise wait on there and use up a load of the store's rate.
+                if permit.entry is not None:
+                    self._tell(permit.entry, PermitRelease(permit.permit_id))
                 permit.permit_id = f"{self._options.me}/{next(self._numbers)}"
                 self._send_permit(permit, now_s)
 
