--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -139,7 +139,7 @@
         if vm.name in self.plan.cut_peers:
             # The forwarder needs the port before the daemon listens on it.
             listen = f"127.0.0.1:{free_port()}"
-            cut = self._start_cut(vm, "peers", listen)
+            cut = self._start_cut(vm, "peer", listen)
             vm.settings.update(peer_listen=listen, peer_advertise=cut)
 
     def _start_cut(self, vm: Vm, part: str, target: str) -> str:
@@ -190,7 +190,7 @@
     def set_cut(self, vm: str, part: str, **faults) -> None:
         """Set the faults of one of a VM's forwarders.
 
-        ``part`` is ``peers``, ``backend`` or ``log``. Without faults the connections
+        ``part`` is ``peer``, ``backend`` or ``log``. Without faults the connections
         work again.
         """
         control = self.vms[vm].cuts[part].addresses["control"]
