Wait shortly for a backend server; end stopped attempts for certain

Cause: read through the gateway. A request that found no backend server at the moment of a restart was refused at once. A stopped attempt whose end message was lost stayed in flight for ever, which would have held up a planned stop. The outstanding count included what the server's own report already counts. Change: wait up to 3 s for a server; the sidecar repeats the end of an attempt that a cancel finds finished, and after 10 s the entry ends it; the count starts anew with each load report.

--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -48,8 +48,14 @@
 
 PARK_S = 1.0
 """How long a request waits for the configuration to be confirmed."""
+NO_SERVER_WAIT_S = 3.0
+"""How long a request waits for a backend server, for example while one restarts."""
+NO_SERVER_PAUSE_S = 0.2
+STOP_WAIT_S = 10.0
+"""After this a stopped attempt counts as ended, though its sidecar did not say so."""
 LOST_KEPT_S = 60.0
 GAP_WAIT_S = 2.0
+HEARD_TOLERANCE_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +83,7 @@
         self._attempts: dict[RequestId, int] = {}
         self._numbers = count(1)
         self._outstanding: Counter[VmId] = Counter()
+        self._heard_s: dict[VmId, float] = {}
         self._retries = make_retry_budget()
         self._prefixes = make_prefix_index()
         self._crashes = make_crash_tracker()
@@ -99,7 +106,8 @@
             self._consider(http, now_s)
 
     def _probe(self, http: HttpRequest, now_s):
-        ready = now_s <= self._fresh_until_s and not self._leaving
+        connected = self._fleet.reached_vms or len(self._fleet.live_vms) <= 1
+        ready = now_s <= self._fresh_until_s and connected and not self._leaving
         ok = ready or http.path == "/healthz"
         status, body = (200, b'{"status":"ok"}') if ok else (503, b'{"status":"no"}')
         headers = (("content-type", "application/json"),)
@@ -230,9 +238,12 @@
         self.fire(peer_send(server.incarnation, message), "links")
 
     def _no_server(self, request: Inflight, refusal: Refusal, now_s):
-        if request.excluded:
-            # Every other server failed as well; the excluded ones may have recovered.
-            request.excluded.clear()
+        # Every other server may have failed as well, and the excluded ones recovered.
+        request.excluded.clear()
+        if now_s < request.arrived_s + NO_SERVER_WAIT_S:
+            request.stage = Stage.WAITING_TO_RETRY
+            request.retry_at_s = now_s + NO_SERVER_PAUSE_S
+            return
         if request.stream is not None and not request.stream.ended:
             self._apply(request, request.stream.give_up(refusal), now_s)
         else:
@@ -382,6 +393,7 @@
             # The charge is settled when the sidecar confirms the end, so that tokens
             # produced until then are counted.
             request.stage = Stage.STOPPING
+            request.stopping_since_s = time.monotonic()
             cancel = Cancel(request.attempt)
             self.fire(peer_send(request.server, cancel), "links")
         elif request.stage is not Stage.STOPPING:
@@ -434,6 +446,7 @@
     def _on_fleet(self, fleet: FleetSnapshot):
         self._fleet = fleet
         now_s = time.monotonic()
+        self._forget_reported(fleet, now_s)
         current = {server.incarnation for server in fleet.servers}
         for request in list(self._requests.values()):
             if request.attempt not in self._attempts:
@@ -442,6 +455,14 @@
                 self._on_server_lost(request, now_s)
         self._report_lost(fleet)
 
+    def _forget_reported(self, fleet: FleetSnapshot, now_s):
+        """Start to count anew what was sent to a server since its last load report."""
+        for server in fleet.servers:
+            heard_s = now_s - server.load_age_s
+            if heard_s > self._heard_s.get(server.vm, 0.0) + HEARD_TOLERANCE_S:
+                self._heard_s[server.vm] = heard_s
+                self._outstanding[server.vm] = 0
+
     def _on_server_lost(self, request: Inflight, now_s):
         if request.stage is Stage.STOPPING:
             self._end(request, request.used_tokens(0))
@@ -507,6 +528,9 @@
             if request.stage is Stage.WAITING_TO_RETRY:
                 if now_s >= request.retry_at_s:
                     self._attempt(request, now_s)
+            elif request.stage is Stage.STOPPING:
+                if now_s >= request.stopping_since_s + STOP_WAIT_S:
+                    self._end(request, request.used_tokens(0))
             elif request.stage in (Stage.ATTEMPTING, Stage.RUNNING):
                 outputs = request.stream.tick(now_s)
                 if any(isinstance(output, Resume) for output in outputs):
--- a/chervilgw/entry/inflight.py
+++ b/chervilgw/entry/inflight.py
@@ -50,6 +50,7 @@
     started: bool = False
     resume: Resume | None = None
     retry_at_s: float = 0.0
+    stopping_since_s: float = 0.0
     first_token_s: float | None = None
 
     @property
--- a/chervilgw/sidecar/runner.py
+++ b/chervilgw/sidecar/runner.py
@@ -440,6 +440,10 @@
             self._refuse(request_id, refusal, now_s)
         elif request_id in self._runs:
             self._stop_run(self._runs[request_id], RefusalReason.CANCELLED)
+        else:
+            # The attempt has ended, and the message that said so may be lost.
+            for answer in self._answers.look_up(LookUp(request_id, 0), now_s):
+                self.fire(peer_send(request_id.origin, answer), "links")
 
     def _stop_run(self, run: _Run, reason: RefusalReason):
         if run.generation is None and not run.dispatch.idempotent:
