--- /dev/null
+++ b/chervilgw/sidecar/calls.py
@@ -0,0 +1,94 @@
+"""Requests to the engine or service behind a sidecar."""
+
+from __future__ import annotations
+
+from chervilgw.core.messages import Dispatch
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason, RunState
+from chervilgw.runtime.events import Headers, HttpCall
+from chervilgw.sidecar.generation import engine_request_body
+
+FIRST_TOKEN_TIMEOUT_S = 60.0
+IDLE_TIMEOUT_S = 5.0
+SERVICE_TIMEOUT_S = 30.0
+ANSWER_HEADERS = frozenset({"content-type", "location", "etag", "cache-control"})
+
+
+def make_backend_call(
+    dispatch: Dispatch, call: str, reply_to: str, address: str, is_engine: bool
+) -> HttpCall:
+    """Return the call that runs an attempt.
+
+    Parameters
+    ----------
+    dispatch : Dispatch
+        The attempt.
+    call : str
+        Call id.
+    reply_to : str
+        Channel for the result.
+    address : str
+        Address of the engine or service.
+    is_engine : bool
+        Whether it is a model engine, whose answer is streamed.
+
+    Returns
+    -------
+    HttpCall
+    """
+    if is_engine:
+        return HttpCall(
+            call,
+            reply_to,
+            address,
+            "POST",
+            dispatch.path,
+            (("Content-Type", "application/json"),),
+            engine_request_body(dispatch),
+            timeout_s=FIRST_TOKEN_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            fresh=True,
+            stream=True,
+        )
+    return HttpCall(
+        call,
+        reply_to,
+        address,
+        dispatch.method,
+        dispatch.path,
+        dispatch.headers,
+        dispatch.body,
+        timeout_s=SERVICE_TIMEOUT_S,
+        # A kept connection that the service closes at the same moment would leave a
+        # booking's outcome unknown; a lookup is simply repeated.
+        fresh=not dispatch.idempotent,
+    )
+
+
+def answer_headers(headers: Headers) -> Headers:
+    """Return the headers of a service's answer that the caller receives."""
+    return tuple((n, v) for n, v in headers if n.lower() in ANSWER_HEADERS)
+
+
+def refusal_of_status(status: int) -> Refusal:
+    """Return the refusal for an engine that did not accept an attempt.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status, not 200.
+
+    Returns
+    -------
+    Refusal
+    """
+    if status == 404:
+        detail = "the model is not loaded on the engine"
+        return make_refusal(RefusalReason.MODEL_NOT_LOADED, detail, 0.5)
+    detail = f"the engine answered with status {status}"
+    return make_refusal(RefusalReason.BACKEND_ERROR, detail, 0.5)
+
+
+def backend_lost(run: RunState, detail: str) -> Refusal:
+    """Return the refusal of an attempt whose answer broke off."""
+    return Refusal(RefusalReason.BACKEND_LOST, run, detail, 0.0)
