Refuse further words after a chervilctl command

fire took a stray word as the next optional argument (a reason), or called a member of the command's result. Optional arguments are now options only, and the result shows no members.

--- a/chervilgw/admin/groups.py
+++ b/chervilgw/admin/groups.py
@@ -36,6 +36,10 @@
     run: Callable[[], Any]
     show: Callable[[Any], str]
 
+    def __dir__(self):
+        """Hide the members, which fire would let a further word call."""
+        return []
+
 
 class Connection:
     """Connects when the first request is sent; ``--help`` needs no address."""
@@ -79,7 +83,7 @@
         )
 
     @as_text
-    def delete(self, name, reason=""):
+    def delete(self, name, *, reason=""):
         """Delete an item; refused while another item refers to it."""
 
         def run():
@@ -127,6 +131,7 @@
     def set(
         self,
         name,
+        *,
         rate_tokens_per_s=None,
         burst_tokens=None,
         weight=None,
@@ -155,6 +160,7 @@
     def set(
         self,
         name,
+        *,
         size_bytes=None,
         pool=None,
         version=None,
@@ -185,6 +191,7 @@
     def set(
         self,
         name,
+        *,
         base_model=None,
         size_bytes=None,
         version=None,
@@ -206,7 +213,7 @@
     _collection = "services"
 
     @SetParseFn(str, "name", "pool", "routes", "reason")
-    def set(self, name, pool=None, routes=None, reason="", base_version=None):
+    def set(self, name, *, pool=None, routes=None, reason="", base_version=None):
         """Create a service or change the given fields; routes are a JSON list."""
         fields = {"pool": pool, "routes": _json_list("routes", routes)}
         return self._set(name, fields, reason, base_version)
@@ -219,7 +226,7 @@
     delete = None
 
     @as_text
-    def issue(self, customer, label="", reason=""):
+    def issue(self, customer, *, label="", reason=""):
         """Issue a key for a customer and print it."""
         body = {"label": label, "reason": reason}
         return Action(
@@ -232,7 +239,7 @@
         )
 
     @as_text
-    def withdraw(self, key_id, reason=""):
+    def withdraw(self, key_id, *, reason=""):
         """Withdraw a key; its running streams are ended."""
         body = {"reason": reason}
         return Action(
@@ -257,7 +264,7 @@
         )
 
     @SetParseFn(str, "field", "reason")
-    def set(self, field, value, reason="", base_version=None):
+    def set(self, field, value, *, reason="", base_version=None):
         """Change one field of the defaults."""
         return Action(
             lambda: _update(
@@ -298,7 +305,7 @@
         return Action(run, _show_change)
 
     @as_text
-    def delete(self, scope, name, field, reason=""):
+    def delete(self, scope, name, field, *, reason=""):
         """Remove an exception."""
 
         def run():
@@ -323,7 +330,7 @@
         )
 
     @as_text
-    def lift(self, digest, reason=""):
+    def lift(self, digest, *, reason=""):
         """Lift a block before it expires."""
         body = {"reason": reason}
         return Action(
--- a/fleet/tests/test_programs.py
+++ b/fleet/tests/test_programs.py
@@ -126,12 +126,14 @@
         (("customers", "set", "x", "--rate-tokens-per-s", "-1"), 1, "rate_tokens"),
         (("customers", "set", "x", "--bogus", "1"), 2, "--bogus"),
         (("nonsense",), 2, "nonsense"),
+        (("defaults", "set", "max_tokens_default", "77", "run"), 2, "run"),
         ((), 2, ""),
     ]
     for arguments, status, text in cases:
         result = ctl(*arguments)
         assert result.returncode == status, (arguments, result.stderr)
         assert text in result.stderr
+    assert "77" not in ctl("defaults", "show").stdout
     refused = ctl("fleet", key="cgw_0000_" + "0" * 64)
     assert refused.returncode == 1
     unreachable = ctl("fleet", address="127.0.0.1:1")
