Wait for first units, and ask peers for units less often

Cause: a reservation for a budget that nobody held units of yet was refused after 0.25 s, before the first collection could end. It now waits up to 2 s while no units were seen since the budget was configured. Waiters whose deadline passed are denied wherever they stand in the queue, as deadlines no longer follow the order of arrival.

Cause of the messages: entries asked every second for units up to 1.1 times their measured demand. Near the full rate these wishes exceed the whole, and units went to and fro. Entries now ask every 3 s, below 0.8 of the demand without a margin; a peer that gave nothing is not asked again for 0.05 to 0.25 s; overflow gifts go on for 30 s after a request with a growing interval.

--- a/chervilgw/quota/exchange.py
+++ b/chervilgw/quota/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from chervilgw.core.ids import BudgetName, Incarnation
 from chervilgw.core.messages import ShareReply, ShareRequest, ShareTransfer
@@ -16,12 +17,24 @@
 # A holder whose bucket is full gives this part of its units to the peer that asked
 # last, if recently: tokens that a full bucket drops are lost to the customer.
 OVERFLOW_PART = 0.25
-OVERFLOW_INTERVAL_S = 0.5
-ASKED_RECENTLY_S = 5.0
+# Time between two such gifts. It doubles until the peer asks again: a peer that does
+# not ask may be full itself and would only pass the units on.
+OVERFLOW_FIRST_S = 0.5
+OVERFLOW_LONGEST_S = 1.0
+ASKED_RECENTLY_S = 30.0
 # A final record that was not read back is appended again after this time.
 RECORD_RETRY_S = 2.0
 RECORD_RETRY_LONGEST_S = 30.0
 
+
+@dataclass(slots=True)
+class _Asker:
+    peer: Incarnation
+    asked_s: float
+    gift_at_s: float
+    interval_s: float = OVERFLOW_FIRST_S
+
+
 Serve = Callable[[BudgetName, float], list[Output]]
 
 
@@ -60,8 +73,7 @@
         self.peers: frozenset[Incarnation] = frozenset()
         self.leaving = False
         self.dropped_units = False
-        self._askers: dict[BudgetName, tuple[Incarnation, float]] = {}
-        self._overflow_at_s = float("-inf")
+        self._askers: dict[BudgetName, _Asker] = {}
         self._dead_retry = Retry(RECORD_RETRY_S, RECORD_RETRY_LONGEST_S)
 
     @property
@@ -87,7 +99,7 @@
         # otherwise each could give the other what it needs itself.
         contested = self._reservations.is_waiting(message.budget) and sender > self._me
         if allowed:
-            self._askers[message.budget] = (sender, now_s)
+            self._askers[message.budget] = _Asker(sender, now_s, now_s)
         if holding is not None and allowed and not contested:
             gift = holding.surrender(message.units, now_s)
         send = self.outgoing.send(sender, message.budget, gift, members.offset, now_s)
@@ -101,7 +113,7 @@
         """Take units, or refuse those from before the newest collection."""
         members = self._members
         budget, name = message.budget, message.transfer_id
-        self._reservations.answered(sender, budget, message.units)
+        self._reservations.answered(sender, budget, message.units, now_s)
         if not (message.units or message.level):
             return self._serve(budget, now_s)
         if members.is_dead(sender) or self.incoming.is_forgotten(sender, name):
@@ -134,22 +146,25 @@
 
     def give_overflow(self, now_s: float) -> list[Output]:
         """Give part of full holdings to peers that asked recently."""
-        if now_s < self._overflow_at_s or not self._members.is_member(self._me):
+        if not self._members.is_member(self._me):
             return []
-        self._overflow_at_s = now_s + OVERFLOW_INTERVAL_S
         outputs: list[Output] = []
-        for budget, (asker, asked_s) in list(self._askers.items()):
+        for budget, asker in list(self._askers.items()):
             holding = self._budgets.get(budget)
-            if holding is None or now_s > asked_s + ASKED_RECENTLY_S:
+            if holding is None or now_s > asker.asked_s + ASKED_RECENTLY_S:
                 del self._askers[budget]
-            elif asker in self.peers and holding.is_full(now_s):
-                gift = holding.surrender(int(holding.units * OVERFLOW_PART), now_s)
-                if gift[0]:
-                    outputs.append(
-                        self.outgoing.send(
-                            asker, budget, gift, self._members.offset, now_s
-                        )
-                    )
+                continue
+            if now_s < asker.gift_at_s or asker.peer not in self.peers:
+                continue
+            if not holding.is_full(now_s):
+                continue
+            gift = holding.surrender(int(holding.units * OVERFLOW_PART), now_s)
+            asker.gift_at_s = now_s + asker.interval_s
+            asker.interval_s = min(OVERFLOW_LONGEST_S, 2 * asker.interval_s)
+            if gift[0]:
+                offset = self._members.offset
+                send = self.outgoing.send(asker.peer, budget, gift, offset, now_s)
+                outputs += [send, UnitsChanged(budget, holding.units)]
         return outputs
 
     def give_all(self, now_s: float) -> list[Output]:
--- a/chervilgw/quota/holdings.py
+++ b/chervilgw/quota/holdings.py
@@ -21,12 +21,14 @@
 
 # Long enough to smooth single requests, short against a change of the load balancing.
 DEMAND_TIME_S = 10.0
-# Units wanted beyond the measured demand, so that estimates that are a little low do
-# not cause a request for units at every peak.
-DEMAND_MARGIN = 1.1
+# Units wanted for each unit of measured demand. Near the full rate a margin makes the
+# wishes of all entries exceed the whole, and they pass units to and fro.
+DEMAND_MARGIN = 1.0
 # A request for units also covers the demand of this time, so that the next
 # reservations find tokens without another request.
-LOOK_AHEAD_S = 0.5
+LOOK_AHEAD_S = 1.0
+# A bucket at this part of its cap counts as full.
+FULL_PART = 0.9
 # Smaller gifts than this part of a request cost more messages than they help.
 SMALLEST_GIFT = 0.02
 
@@ -193,7 +195,9 @@
 
     def is_full(self, now_s: float) -> bool:
         self.bucket.advance(now_s)
-        return self.bucket.level + self.bucket.outstanding >= 0.9 * self.bucket.cap
+        return (
+            self.bucket.level + self.bucket.outstanding >= FULL_PART * self.bucket.cap
+        )
 
     def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
         bucket = self.bucket
--- a/chervilgw/quota/reservations.py
+++ b/chervilgw/quota/reservations.py
@@ -16,10 +16,13 @@
 from chervilgw.quota.records import Denied, Granted, Output, Send
 from chervilgw.quota.waiting import COOLDOWN_S, Waiter, WaitingQueue
 
-REBALANCE_INTERVAL_S = 1.0
-# Units are asked for only when this part of the wanted ones is not held: two entries
-# with similar demand would otherwise pass units to and fro.
-REBALANCE_BELOW = 0.9
+REBALANCE_INTERVAL_S = 3.0
+# Units are asked for only when less than this part of the wanted ones is held: entries
+# whose demand varies would otherwise pass units to and fro.
+REBALANCE_BELOW = 0.8
+# Longest wait of a reservation while no units of its budget were seen since it was
+# configured: nobody holds any before the first collection.
+FIRST_UNITS_WAIT_S = 2.0
 # A round that gained less than this part of what was asked ends the search.
 SMALLEST_PROGRESS = 0.02
 # A budget without units here and at the peers needs a collection after this time; it
@@ -37,6 +40,7 @@
     rebalance_at_s: float = 0.0
     lacking_since_s: float | None = None
     fruitless_collections: int = 0
+    had_units: bool = False
 
 
 class Reservations:
@@ -136,15 +140,20 @@
         if refusal is not None:
             return [Denied(token, refusal)]
         holding.note_demand(amount, now_s)
-        queue = self._states[budget].queue
-        queue.waiters.append(Waiter(token, amount, now_s + self._max_wait_s))
+        state = self._states[budget]
+        wait_s = self._max_wait_s
+        if not (state.had_units or holding.units):
+            wait_s = max(wait_s, FIRST_UNITS_WAIT_S)
+        state.queue.waiters.append(Waiter(token, amount, now_s + wait_s))
         return self.serve(budget, now_s)
 
-    def answered(self, peer: Incarnation, budget: BudgetName, units: int) -> None:
+    def answered(
+        self, peer: Incarnation, budget: BudgetName, units: int, now_s: float
+    ) -> None:
         """Record what a peer gave for a request."""
         state = self._states.get(budget)
         if state is not None:
-            state.queue.answered(peer, units)
+            state.queue.answered(peer, units, now_s)
 
     def tick(self, now_s: float) -> list[Output]:
         """Serve what waits, and ask for units that recent demand calls for."""
@@ -168,6 +177,7 @@
             return []
         state = self._states[budget]
         queue = state.queue
+        state.had_units |= holding.units > 0
         outputs = self._grant(budget, holding, queue, now_s)
         if queue.exhausted:
             outputs += self._end_round(budget, holding, state, now_s)
@@ -182,7 +192,10 @@
                 return outputs + self._deny_hopeless(budget, holding, queue, now_s)
             if now_s < queue.cooldown_until_s:
                 return outputs
-            queue.open_round(sorted(self._peers))
+            peers = queue.askable(self._peers, now_s)
+            if not peers:
+                return outputs
+            queue.open_round(peers)
         request = ShareRequest(budget, asked, self._offset)
         return outputs + [
             Send(peer, request) for peer in queue.next_peers(holding.fanout, now_s)
@@ -218,10 +231,19 @@
             elif now_s >= head.deadline_s:
                 outputs.append(Denied(head.token, result.failure()))
             else:
-                break
+                return outputs + self._deny_expired(holding, queue, now_s)
             queue.waiters.popleft()
         return outputs
 
+    def _deny_expired(
+        self, holding: Holding, queue: WaitingQueue, now_s: float
+    ) -> list[Output]:
+        # The first waiter may have a later deadline than those behind it.
+        expired = [each for each in queue.waiters if now_s >= each.deadline_s]
+        for each in expired:
+            queue.waiters.remove(each)
+        return [Denied(each.token, _used_up(holding)) for each in expired]
+
     def _end_round(
         self, budget: BudgetName, holding: Holding, state: _State, now_s: float
     ) -> list[Output]:
@@ -262,5 +284,10 @@
         return outputs
 
 
+def _used_up(holding: Holding) -> Refusal:
+    detail = f"the rate of this budget is used up, {holding.units} units are held here"
+    return make_refusal(RefusalReason.RATE_EXCEEDED, detail, 0.5)
+
+
 def _unknown_budget(budget: BudgetName) -> Refusal:
     return make_refusal(RefusalReason.NOT_ALLOWED, f"no budget named {budget}")
--- a/chervilgw/quota/tests/test_recovery.py
+++ b/chervilgw/quota/tests/test_recovery.py
@@ -1,6 +1,10 @@
 """Units that faults took out of use must come back by a collection."""
 
+import pytest
+
+from chervilgw.core.ids import BudgetName
 from chervilgw.quota.bucket import SHARE_UNITS
+from chervilgw.quota.records import Denied, Granted
 from chervilgw.quota.tests.simulation import Fleet
 
 
@@ -20,3 +24,30 @@
     fleet.advance(20.0)
     assert entries[2] not in fleet.entries[entries[0]].quota.members()
     assert fleet.held_units("acme") == SHARE_UNITS
+
+
+@pytest.mark.parametrize("index", [0, 1, 2])
+def test_reservation_for_a_new_budget_waits_for_its_first_units(index):
+    """Guards against a refusal while the first collection is under way."""
+    fleet, entries = make_fleet()
+    for me in entries:
+        entry = fleet.entries[me]
+        now_s = fleet.now_s + entry.clock_offset_s
+        entry.quota.set_budget(BudgetName("new"), 1000.0, 5000.0, now_s)
+    token = fleet.reserve(entries[index], "new", 100.0)
+    fleet.advance(2.1)
+    assert isinstance(fleet.results[token], Granted)
+
+
+def test_reservation_for_a_new_budget_is_refused_after_two_seconds():
+    """Guards against a wait without end when no collection is possible."""
+    fleet, entries = make_fleet()
+    fleet.log_up = False
+    entry = fleet.entries[entries[0]]
+    now_s = fleet.now_s + entry.clock_offset_s
+    entry.quota.set_budget(BudgetName("new"), 1000.0, 5000.0, now_s)
+    token = fleet.reserve(entries[0], "new", 100.0)
+    fleet.advance(1.9)
+    assert token not in fleet.results
+    fleet.advance(0.2)
+    assert isinstance(fleet.results[token], Denied)
--- a/chervilgw/quota/waiting.py
+++ b/chervilgw/quota/waiting.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from chervilgw.core.ids import Incarnation
@@ -12,6 +13,10 @@
 ANSWER_TIMEOUT_S = 0.08
 # After a round in which no peer had anything, wait this long before the next one.
 COOLDOWN_S = 0.03
+# A peer that gave nothing is not asked again for this time, at first and at most. Under
+# overload, when no peer has anything, this bounds the messages.
+EMPTY_FIRST_S = 0.05
+EMPTY_LONGEST_S = 0.25
 
 
 @dataclass(slots=True)
@@ -54,6 +59,8 @@
         self.cooldown_until_s = float("-inf")
         self._random = random.Random(seed)
         self._last_gift: dict[Incarnation, int] = {}
+        # Peers that gave nothing: time of the next request, and the interval after it.
+        self._empty: dict[Incarnation, tuple[float, float]] = {}
 
     @property
     def exhausted(self) -> bool:
@@ -61,6 +68,10 @@
         current = self.round
         return current is not None and not current.untried and not current.asked
 
+    def askable(self, peers: Iterable[Incarnation], now_s: float) -> list[Incarnation]:
+        """Return the peers that did not lately answer that they have nothing."""
+        return sorted(p for p in peers if now_s >= self._empty.get(p, (now_s, 0.0))[0])
+
     def open_round(self, peers: list[Incarnation]) -> None:
         """Start to ask peers; those that gave most last time come first."""
         order = list(peers)
@@ -77,9 +88,15 @@
         current.asked = dict.fromkeys(batch, now_s + ANSWER_TIMEOUT_S)
         return batch
 
-    def answered(self, peer: Incarnation, units: int) -> None:
+    def answered(self, peer: Incarnation, units: int, now_s: float) -> None:
         """Record what a peer gave."""
         self._last_gift[peer] = units
+        if units:
+            self._empty.pop(peer, None)
+        else:
+            interval_s = self._empty.get(peer, (now_s, EMPTY_FIRST_S))[1]
+            longer_s = min(EMPTY_LONGEST_S, 2 * interval_s)
+            self._empty[peer] = (now_s + interval_s, longer_s)
         if self.round is not None:
             self.round.asked.pop(peer, None)
             self.round.gained += units
@@ -93,6 +110,7 @@
     def keep_peers(self, peers: frozenset[Incarnation]) -> None:
         """Forget peers that are no longer connected."""
         self._last_gift = {p: n for p, n in self._last_gift.items() if p in peers}
+        self._empty = {p: when for p, when in self._empty.items() if p in peers}
         if self.round is not None:
             current = self.round
             current.untried = [p for p in current.untried if p in peers]
