--- a/chervilgw/admin/task.py
+++ b/chervilgw/admin/task.py
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
-    exchange: int
+    http: HttpRequest
     status: int
     extra: dict[str, Any]
 
@@ -71,12 +71,12 @@
     def _on_crash_known(self, report):
         self._crashes.on_crash_report(report, _wall_ms())
 
-    @handler("admin_request")
+    @handler("http_request", "admin_request")
     def _on_request(self, http: HttpRequest):
         try:
             self._carry_out(http)
         except AdminError as error:
-            self._refuse(http.exchange, error)
+            self._refuse(http, error)
 
     def _carry_out(self, http: HttpRequest):
         header = http.headers.get("authorization")
@@ -86,30 +86,30 @@
         parsed = parse_command(http.method, http.path, http.query, http.body)
         if not is_successful(parsed):
             raise parsed.failure()
-        self._execute(http.exchange, operator.unwrap(), parsed.unwrap())
+        self._execute(http, operator.unwrap(), parsed.unwrap())
 
-    def _execute(self, exchange: int, operator: str, command: Command):
+    def _execute(self, http: HttpRequest, operator: str, command: Command):
         match command:
             case ListItems(kind, name):
-                self._reply(exchange, 200, show_items(self._state, kind, name))
+                self._reply(http, 200, show_items(self._state, kind, name))
             case ShowAudit(limit):
-                self._reply(exchange, 200, show_audit(self._state, limit))
+                self._reply(http, 200, show_audit(self._state, limit))
             case ShowFleet():
-                self._reply(exchange, 200, show_fleet(self._fleet, self._state))
+                self._reply(http, 200, show_fleet(self._fleet, self._state))
             case ShowBlocks():
-                self._reply(exchange, 200, self._show_blocks())
+                self._reply(http, 200, self._show_blocks())
             case SetItem():
-                self._submit(exchange, operator, command)
+                self._submit(http, operator, command)
             case IssueKey():
-                self._issue(exchange, operator, command)
+                self._issue(http, operator, command)
             case WithdrawKey(key_id, reason):
                 value = {**self._key_value(key_id), "withdrawn": True}
                 item = SetItem(Kind.KEY, key_id, value, None, reason, None)
-                self._submit(exchange, operator, item)
+                self._submit(http, operator, item)
             case LiftBlock(digest, reason):
                 value = {"digest": digest}
                 item = SetItem(Kind.BLOCK_LIFT, digest, value, None, reason, None)
-                self._submit(exchange, operator, item)
+                self._submit(http, operator, item)
 
     def _show_blocks(self):
         blocked = self._crashes.blocked(_wall_ms(), lifted_blocks(self._state))
@@ -121,7 +121,7 @@
             raise AdminError(404, "not_found", f"there is no key {key_id!r}")
         return item.value.model_dump(mode="json")
 
-    def _issue(self, exchange: int, operator: str, command: IssueKey):
+    def _issue(self, http: HttpRequest, operator: str, command: IssueKey):
         key = issue_key()
         value = {
             "customer": command.customer,
@@ -132,9 +132,9 @@
         item = SetItem(Kind.KEY, key.key_id, value, 0, command.reason, None)
         # The key itself is in this one answer only; the log gets its digest.
         extra = {"key_id": key.key_id, "key": key.text}
-        self._submit(exchange, operator, item, extra)
+        self._submit(http, operator, item, extra)
 
-    def _submit(self, exchange, operator, item: SetItem, extra=None):
+    def _submit(self, http, operator, item: SetItem, extra=None):
         current = self._state.items[item.kind].get(item.name)
         version = 0 if current is None else current.version
         if item.value is None and current is None:
@@ -150,7 +150,7 @@
             _wall_ms(),
         )
         status = 200 if current is not None else 201
-        self._pending[change.change_id] = _Pending(exchange, status, extra or {})
+        self._pending[change.change_id] = _Pending(http, status, extra or {})
         self.fire(config_submit(change, self.channel), "config")
 
     @handler("config_decided")
@@ -161,21 +161,21 @@
         match outcome:
             case Accepted(change_id, offset):
                 body = {"change_id": change_id, "offset": offset, "version": offset + 1}
-                self._reply(pending.exchange, pending.status, body | pending.extra)
+                self._reply(pending.http, pending.status, body | pending.extra)
             case Rejected(_, why):
-                self._refuse(pending.exchange, rejection(why))
+                self._refuse(pending.http, rejection(why))
             case _:
                 text = f"the outcome is unknown: {outcome.why}"
-                self._refuse(pending.exchange, AdminError(504, "unknown", text))
+                self._refuse(pending.http, AdminError(504, "unknown", text))
 
-    def _refuse(self, exchange: int, error: AdminError):
+    def _refuse(self, http: HttpRequest, error: AdminError):
         body = {"error": {"code": error.code, "message": error.message}}
-        self._reply(exchange, error.status, body)
+        self._reply(http, error.status, body)
 
-    def _reply(self, exchange: int, status: int, body: dict[str, Any]):
+    def _reply(self, http: HttpRequest, status: int, body: dict[str, Any]):
         headers = (("content-type", "application/json"),)
-        reply = HttpReply(exchange, status, headers, json.dumps(body).encode())
-        self.fire(http_reply(reply), "http")
+        reply = HttpReply(http.exchange, status, headers, json.dumps(body).encode())
+        self.fire(http_reply(reply), http.server)
 
 
 def rejection(why: str) -> AdminError:
--- a/chervilgw/entry/app.py
+++ b/chervilgw/entry/app.py
@@ -36,7 +36,11 @@
 from chervilgw.runtime.clock import make_clock
 from chervilgw.runtime.http_client import make_http_client
 from chervilgw.runtime.http_guard import GuardLimits
-from chervilgw.runtime.http_server import HttpServerOptions, make_http_server
+from chervilgw.runtime.http_server import (
+    HttpServer,
+    HttpServerOptions,
+    make_http_server,
+)
 from chervilgw.runtime.role import make_links, make_ready_task, make_shutdown_task
 from chervilgw.runtime.router import make_message_router
 from chervilgw.settings import EntrySettings
@@ -78,10 +82,15 @@
     links = make_links(settings, Role.ENTRY)
     me = links.me.incarnation
     metrics = make_metrics(settings.statsd, settings.vm)
-    http = make_http_server(_http_options(settings), _write_refusal)
+    http = make_http_server(
+        _http_options(settings, settings.http_listen, "gateway"), _write_refusal
+    )
+    admin_servers = _admin_servers(settings)
     jitter_s = random.uniform(0.0, SNAPSHOT_JITTER_S)
     readers = {Stream.SHARES: "quota", Stream.CRASHES: "crashes"}
     addresses = {"http": f"{http.host}:{http.port}", "peer": links.me.address}
+    for server in admin_servers:
+        addresses["admin"] = f"{server.host}:{server.port}"
     return make_app(
         make_clock(),
         http,
@@ -93,8 +102,9 @@
         make_fleet_task(links.me, settings.platform.list),
         make_quota_task(me, metrics),
         make_crash_task(),
-        make_gateway(GatewayOptions(me, links.me.zone), metrics),
+        make_gateway(GatewayOptions(me, links.me.zone, not admin_servers), metrics),
         make_admin_task(me, settings.operators),
+        *admin_servers,
         make_shutdown_task(
             (("gateway", quota_hand_over()), ("quota", None)), settings.notice_s
         ),
@@ -102,13 +112,22 @@
     )
 
 
-def _http_options(settings: EntrySettings) -> HttpServerOptions:
-    host, _, port = settings.http_listen.rpartition(":")
+def _admin_servers(settings: EntrySettings) -> list[HttpServer]:
+    if settings.admin_listen is None:
+        return []
+    options = _http_options(settings, settings.admin_listen, "admin")
+    return [make_http_server(options, _write_refusal, "admin-http")]
+
+
+def _http_options(
+    settings: EntrySettings, listen: str, owner: str
+) -> HttpServerOptions:
+    host, _, port = listen.rpartition(":")
     limits, tls = settings.limits, settings.tls
     return HttpServerOptions(
         host,
         int(port),
-        "gateway",
+        owner,
         GuardLimits(
             limits.max_headers_bytes,
             limits.max_body_bytes,
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -60,10 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayOptions:
-    """Options of the gateway task."""
+    """Options of the gateway task.
+
+    ``serves_admin`` says that operators use the callers' port, as no other is set.
+    """
 
     me: Incarnation
     zone: ZoneId
+    serves_admin: bool = True
 
 
 class Gateway(BaseComponent):
@@ -98,7 +102,7 @@
         now_s = time.monotonic()
         if http.path in ("/healthz", "/readyz"):
             self._probe(http, now_s)
-        elif http.path.startswith("/admin/"):
+        elif http.path.startswith("/admin/") and self._options.serves_admin:
             self.fire(admin_request(http), "admin")
         elif now_s > self._fresh_until_s:
             self._parked.append((http, now_s + PARK_S))
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -17,8 +17,8 @@
 class HttpRequest:
     """A complete request of a caller.
 
-    ``exchange`` identifies the request and its answer at the HTTP server task. Header
-    names are in lower case.
+    ``exchange`` identifies the request and its answer at the HTTP server task whose
+    channel is ``server``. Header names are in lower case.
     """
 
     exchange: int
@@ -27,6 +27,7 @@
     query: str
     headers: dict[str, str]
     body: bytes
+    server: str = "http"
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/runtime/http_server.py
+++ b/chervilgw/runtime/http_server.py
@@ -177,6 +177,7 @@
             request.qs,
             {name.lower(): value for name, value in request.headers.items()},
             request.body.read(),
+            self.channel,
         )
         if len(message.body) > self._options.limits.max_body_bytes:
             detail = f"the body is over {self._options.limits.max_body_bytes} bytes"
