--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -5,7 +5,6 @@
 import json
 import random
 import time
-from collections import Counter
 from dataclasses import dataclass
 from itertools import count
 
@@ -17,7 +16,7 @@
 from chervilgw.configuration.lookups import defaults, lifted_blocks, models_of
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.configuration.values import Kind
-from chervilgw.core.ids import CrashId, Incarnation, RequestId, VmId, ZoneId
+from chervilgw.core.ids import Incarnation, RequestId, ZoneId
 from chervilgw.core.messages import Cancel, CrashReport, Refused, Started
 from chervilgw.core.pipeline import make_pipeline
 from chervilgw.core.refusals import Refusal, make_refusal
@@ -25,7 +24,9 @@
 from chervilgw.crashes import make_crash_tracker
 from chervilgw.entry.filters import accept, authenticate, choose, dispatch, price
 from chervilgw.entry.inflight import Inflight, Stage, refuse_without_budget
+from chervilgw.entry.lost_servers import make_lost_servers
 from chervilgw.entry.messages import Attempt, Incoming, ListTarget, Priced
+from chervilgw.entry.outstanding import make_outstanding
 from chervilgw.entry.writers import REQUEST_ID_HEADER, error_reply, make_writer
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.membership.task import FleetSnapshot
@@ -53,9 +54,7 @@
 NO_SERVER_PAUSE_S = 0.2
 STOP_WAIT_S = 10.0
 """After this a stopped attempt counts as ended, though its sidecar did not say so."""
-LOST_KEPT_S = 60.0
 GAP_WAIT_S = 2.0
-HEARD_TOLERANCE_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,12 +85,11 @@
         self._requests: dict[int, Inflight] = {}
         self._attempts: dict[RequestId, int] = {}
         self._numbers = count(1)
-        self._outstanding: Counter[VmId] = Counter()
-        self._heard_s: dict[VmId, float] = {}
+        self._outstanding = make_outstanding()
         self._retries = make_retry_budget()
         self._prefixes = make_prefix_index()
         self._crashes = make_crash_tracker()
-        self._lost: dict[Incarnation, tuple[float, set]] = {}
+        self._lost = make_lost_servers()
         self._linked: set[Incarnation] = set()
         self._leaving = self._closing = self._drained = False
 
@@ -196,7 +194,7 @@
             request_id,
             self._fleet,
             self._options.zone,
-            self._outstanding,
+            self._outstanding.counts,
             self._prefix_share(priced, now_s),
             frozenset(request.excluded),
             request.suspect_of,
@@ -236,7 +234,7 @@
         request.attempts += 1
         request.stage = Stage.ATTEMPTING
         self._attempts[request_id] = request.priced.exchange
-        self._outstanding[vm] += 1
+        self._outstanding.sent(vm)
         self._prefixes.on_dispatch(vm, request.priced.prefixes, now_s)
         self._metrics.record(table.ATTEMPTS)
         self.fire(peer_send(server.incarnation, message), "links")
@@ -372,8 +370,7 @@
     def _forget_attempt(self, request: Inflight):
         if self._attempts.pop(request.attempt, None) is None:
             return
-        vm = request.server.vm
-        self._outstanding[vm] = max(0, self._outstanding[vm] - 1)
+        self._outstanding.ended(request.server.vm)
 
     def _refuse(self, exchange, request_id, refusal: Refusal):
         self._count_refusal(refusal)
@@ -450,22 +447,16 @@
     def _on_fleet(self, fleet: FleetSnapshot):
         self._fleet = fleet
         now_s = time.monotonic()
-        self._forget_reported(fleet, now_s)
+        self._outstanding.on_servers(fleet.servers, now_s)
         current = {server.incarnation for server in fleet.servers}
         for request in list(self._requests.values()):
             if request.attempt not in self._attempts:
                 continue
             if request.server not in current and request.server not in self._linked:
                 self._on_server_lost(request, now_s)
-        self._report_lost(fleet)
-
-    def _forget_reported(self, fleet: FleetSnapshot, now_s):
-        """Start to count anew what was sent to a server since its last load report."""
-        for server in fleet.servers:
-            heard_s = now_s - server.load_age_s
-            if heard_s > self._heard_s.get(server.vm, 0.0) + HEARD_TOLERANCE_S:
-                self._heard_s[server.vm] = heard_s
-                self._outstanding[server.vm] = 0
+        reports = self._lost.confirmed(fleet.servers, fleet.gone, now_s, _wall_ms())
+        for report in reports:
+            self.fire(crash_seen(report), "crashes")
 
     def _on_server_lost(self, request: Inflight, now_s):
         if request.stage is Stage.STOPPING:
@@ -477,24 +468,11 @@
 
     def _note_lost(self, request: Inflight, now_s):
         """Treat the request as a suspect: it may be what brought the server down."""
-        crash = CrashId(f"{request.server}/lost")
-        if request.started and crash not in request.suspect_of:
+        if not request.started:
+            return
+        crash = self._lost.note(request.server, request.priced.digest, now_s)
+        if crash not in request.suspect_of:
             request.suspect_of = (*request.suspect_of, crash)
-            _, digests = self._lost.setdefault(request.server, (now_s, set()))
-            digests.add(request.priced.digest)
-
-    def _report_lost(self, fleet: FleetSnapshot):
-        """Report a crash once the list or a new incarnation shows the VM's failure."""
-        now_s = time.monotonic()
-        newest = {server.vm: server.incarnation for server in fleet.servers}
-        for server, (since_s, digests) in list(self._lost.items()):
-            replaced = newest.get(server.vm, server) != server
-            if replaced or server in fleet.gone:
-                crash = CrashId(f"{server}/lost")
-                report = CrashReport(crash, server.vm, tuple(digests), _wall_ms())
-                self.fire(crash_seen(report), "crashes")
-            if replaced or server in fleet.gone or now_s - since_s > LOST_KEPT_S:
-                del self._lost[server]
 
     @handler("crash_known", channel="*")
     def _on_crash_known(self, report):
