Replace an old model version in place when memory is full

Cause: the new version was only loaded beside the old one. On an engine without room and without a copy to spare the old version stayed for good. Ruled out: lost orders (no order was sent at all). Change: the old version is retired once idle and the new one loaded after it.

--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -345,6 +345,11 @@
         self._send_permit(permit, now_s)
 
     def _make_room(self, spec, now_s):
+        """Retire a copy so that a wanted one fits.
+
+        Without a copy to spare, an old version gives way to the new one of the same
+        model: its requests end first, and those that follow wait for the load.
+        """
         if self._retiring:
             return
         copy = choose_eviction(
@@ -357,6 +362,8 @@
         )
         if copy is not None:
             self._retire(copy.name, now_s)
+        elif self._view.resident.get(spec.name) == CopyState.LOADED.value:
+            self._retire(spec.name, now_s)
 
     def _retire(self, name, now_s):
         if now_s - self._retiring.get(name, float("-inf")) > DECIDE_S:
