Do not hold or fail requests while engines are down

Cause: (1) an attempt that reached a sidecar just after its engine died was queued until its deadline of 120 s, since nothing said that the engine was down. (2) A request that had failed at every holder cleared its exclusions, but ended at once with no_backend_server instead of trying again. Ruled out: handler errors (none logged), the suspect gate staying busy. Change: a sidecar refuses engine requests "not run" while its engine is down; the entry goes back to excluded servers once, after 0.5 s.

--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -48,6 +48,8 @@
 
 PARK_S = 1.0
 """How long a request waits for the configuration to be confirmed."""
+RECOVERY_S = 0.5
+"""Pause before a request goes back to servers at which it failed; a heartbeat."""
 LOST_KEPT_S = 60.0
 GAP_WAIT_S = 2.0
 
@@ -233,6 +235,9 @@
         if request.excluded:
             # Every other server failed as well; the excluded ones may have recovered.
             request.excluded.clear()
+            request.stage = Stage.WAITING_TO_RETRY
+            request.retry_at_s = now_s + RECOVERY_S
+            return
         if request.stream is not None and not request.stream.ended:
             self._apply(request, request.stream.give_up(refusal), now_s)
         else:
--- a/chervilgw/sidecar/runner.py
+++ b/chervilgw/sidecar/runner.py
@@ -9,6 +9,7 @@
 
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
+from returns.result import Failure
 
 from chervilgw.configuration.lookups import defaults, lifted_blocks
 from chervilgw.configuration.state import ConfigurationState, empty_state
@@ -182,6 +183,8 @@
         return self._crashes.check(digest, _wall_ms(), lifted_blocks(self._state))
 
     def _enqueue(self, dispatch: Dispatch, now_s):
+        if dispatch.kind is BackendKind.ENGINE and not self._engine.up:
+            return Failure(_engine_down())
         deadline_s = (
             None if dispatch.deadline_s is None else now_s + dispatch.deadline_s
         )
@@ -410,10 +413,18 @@
     @handler("engine_view")
     def _on_engine_view(self, view: EngineView):
         self._engine = view
+        if not view.up:
+            self._refuse_waiting(time.monotonic())
         loaded = CopyState.LOADED.value
         self._retiring = {n for n in self._retiring if view.resident.get(n) == loaded}
         self._pump(time.monotonic())
 
+    def _refuse_waiting(self, now_s):
+        """Send queued requests elsewhere; nothing says when the engine returns."""
+        for request_id in list(self._waiting):
+            self._take_waiting(request_id)
+            self._refuse(request_id, _engine_down(), now_s)
+
     @handler("engine_retire")
     def _on_engine_retire(self, name):
         used = Counter(
@@ -638,6 +649,11 @@
     return Refusal(RefusalReason.BACKEND_LOST, run_state, detail, 0.0)
 
 
+def _engine_down() -> Refusal:
+    detail = "the backend server's engine is down"
+    return make_refusal(RefusalReason.BACKEND_LOST, detail, 0.5)
+
+
 def _engine_refusal(status: int) -> Refusal:
     if status == 404:
         detail = "the model is not loaded on the engine"
