--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -232,6 +232,7 @@
             request.stream.next_attempt(request_id)
         request.attempt, request.server = request_id, server.incarnation
         request.attempts += 1
+        request.no_server_since_s = None
         request.stage = Stage.ATTEMPTING
         self._attempts[request_id] = request.priced.exchange
         self._outstanding.sent(vm)
@@ -242,7 +243,9 @@
     def _no_server(self, request: Inflight, refusal: Refusal, now_s):
         # Every other server may have failed as well, and the excluded ones recovered.
         request.excluded.clear()
-        if now_s < request.arrived_s + NO_SERVER_WAIT_S:
+        if request.no_server_since_s is None:
+            request.no_server_since_s = now_s
+        if now_s < request.no_server_since_s + NO_SERVER_WAIT_S:
             request.stage = Stage.WAITING_TO_RETRY
             request.retry_at_s = now_s + NO_SERVER_PAUSE_S
             return
--- a/chervilgw/entry/inflight.py
+++ b/chervilgw/entry/inflight.py
@@ -51,6 +51,7 @@
     resume: Resume | None = None
     retry_at_s: float = 0.0
     stopping_since_s: float = 0.0
+    no_server_since_s: float | None = None
     first_token_s: float | None = None
 
     @property
