Test keys, quota, bookings, leaving and configuration under failure

Faults: kill, freeze, silent and cut connections, outages of log and store, lost append answers, racing operators.

--- a/fleet/tests/test_faults_bookings.py
+++ b/fleet/tests/test_faults_bookings.py
@@ -44,9 +44,44 @@
         fleet.start_backend(name)
 
 
-def service_with_fault(fleet, key, fault):
-    for name in SERVICES:
-        fleet.set_faults(name, **{fault: 1})
+def repeated(addresses, key, answers, times=4, timeout_s=5):
+    """Return the request of a caller that repeats through the other entry."""
+
+    def request(number):
+        name = f"b{number}"
+        for attempt in range(times):
+            address = addresses[(number + attempt) % 2]
+            # Each attempt names itself, so that its own runs can be counted.
+            answer = book(address, key, f"{name}.{attempt}", name, timeout_s)
+            answers[name].append(answer)
+            if answer.status == 201:
+                break
+        return answer
+
+    return request
+
+
+def assert_at_most_once(runs_file, answers, least_done):
+    """Check that nothing ran twice and that all answers are true."""
+    runs = runs_of(runs_file)
+    for name, given in answers.items():
+        own = [runs[f"{name}.{attempt}"] for attempt in range(len(given))]
+        assert sum(own) <= 1, (name, own, given)
+        for count, answer in zip(own, given, strict=True):
+            if run_state(answer) == "not_run":
+                assert count == 0, (name, own, given)
+            if answer.status == 201:
+                assert sum(own) == 1, (name, own, given)
+                assert runs[answer.json()["booking_id"]] == 1, (name, own, given)
+            # A broken connection tells the caller that the outcome is unknown.
+            assert answer.status in (0, 201) or run_state(answer), answer
+    attempts = [answer for given in answers.values() for answer in given]
+    done = sum(any(a.status == 201 for a in given) for given in answers.values())
+    refused = sum(run_state(answer) == "not_run" for answer in attempts)
+    unknown = sum(is_unknown(answer) for answer in attempts)
+    print(f"{done} of {len(answers)} bookings confirmed")
+    print(f"{len(attempts)} attempts: {refused} not run, {unknown} unknown")
+    assert done >= least_done * len(answers)
 
 
 @pytest.mark.parametrize(
@@ -57,7 +92,8 @@
     with booking_fleet(runs_file) as fleet:
         key = fleet.keys["tenants"]
         one, two = fleet.entry_addresses()
-        service_with_fault(fleet, key, fault)
+        for name in SERVICES:
+            fleet.set_faults(name, **{fault: 1})
         first = in_background(book, one, key, "lost", "lost")
         if "after" in fault:
             fleet.wait_for(lambda: runs_of(runs_file)["lost"], "the run")
@@ -92,17 +128,7 @@
         key = fleet.keys["tenants"]
         addresses = fleet.entry_addresses()
         answers = defaultdict(list)
-
-        def request(number):
-            name = f"b{number}"
-            for attempt in range(4):
-                address = addresses[(number + attempt) % 2]
-                answer = book(address, key, name, name, timeout_s=5)
-                answers[name].append(answer)
-                if answer.status == 201:
-                    break
-            return answer
-
+        request = repeated(addresses, key, answers)
         vm = fleet.vms["entry-1" if part == "entry" else "casework-1"]
         process = vm.backend if part == "service" else vm.daemon
         with Traffic(request, per_s=60, threads=12) as traffic:
@@ -124,17 +150,35 @@
                         addresses[:] = fleet.entry_addresses()
             count = len(traffic.sent)
             fleet.wait_for(lambda: len(traffic.sent) >= count + 40, "traffic")
-        runs = runs_of(runs_file)
-        twice = {name: n for name, n in runs.items() if n > 1}
-        assert not twice, {name: answers[name] for name in twice}
-        for name, given in answers.items():
-            if all(run_state(answer) == "not_run" for answer in given):
-                assert not runs[name], given
-            if any(answer.status == 201 for answer in given):
-                assert runs[name] == 1, given
-        done = sum(any(a.status == 201 for a in given) for given in answers.values())
-        print(f"{done} of {len(answers)} bookings confirmed, {traffic.statuses()}")
-        assert done >= len(answers) // 2
+        assert_at_most_once(runs_file, answers, least_done=0.5)
+
+
+@pytest.mark.parametrize("part", ["log", "peer"])
+def test_keyed_bookings_over_silent_and_cut_connections(part, runs_file):
+    """Guards requirement 8 when a sidecar's connections fail in one direction."""
+    cuts = {"cut_log": SERVICES[:1], "cut_peers": SERVICES[:1]}
+    with booking_fleet(runs_file, **cuts) as fleet:
+        key = fleet.keys["tenants"]
+        addresses = fleet.entry_addresses()
+        answers = defaultdict(list)
+        request = repeated(addresses, key, answers)
+        faults = [
+            {"silence": "established"},
+            {"silence": "all", "direction": "to_target"},
+            {"silence": "all", "direction": "to_caller"},
+            {"cut": "all"},
+        ]
+        with Traffic(request, per_s=60, threads=12) as traffic:
+            fleet.wait_for(lambda: len(traffic.sent) >= 40, "traffic")
+            for fault in faults:
+                fleet.set_cut(SERVICES[0], part, **fault)
+                wait_until(fleet, time.monotonic() + 2.5)
+                fleet.set_cut(SERVICES[0], part)
+                count = traffic.statuses()[201]
+                fleet.wait_for(
+                    lambda c=count: traffic.statuses()[201] >= c + 20, "bookings again"
+                )
+        assert_at_most_once(runs_file, answers, least_done=0.5)
 
 
 @pytest.mark.parametrize("part", ["entry", "sidecar", "service"])
@@ -184,17 +228,7 @@
         addresses = fleet.entry_addresses()
         assert book(addresses[0], key, "known", "known").status == 201
         answers = defaultdict(list)
-
-        def request(number):
-            name = f"b{number}"
-            for attempt in range(3):
-                address = addresses[(number + attempt) % 2]
-                answer = book(address, key, name, name, timeout_s=20)
-                answers[name].append(answer)
-                if answer.status == 201:
-                    break
-            return answer
-
+        request = repeated(addresses, key, answers, 3, 20)
         faults = [
             {"lose_answers": {"probability": 0.5, "seed": 1}},
             {"refuse": True},
@@ -216,18 +250,9 @@
                 fleet.wait_for(
                     lambda c=count: traffic.statuses()[201] >= c + 20, "bookings again"
                 )
-        runs = runs_of(runs_file)
-        attempts = [answer for given in answers.values() for answer in given]
-        refused = [a for a in attempts if run_state(a) == "not_run"]
-        print(f"{len(refused)} of {len(attempts)} attempts refused as not run")
-        print(f"{sum(map(is_unknown, attempts))} unknown, {len(lookups)} lookups")
+        print(f"{len(lookups)} lookups, {traffic.statuses()}")
         assert {answer.status for answer in lookups} == {200}
-        assert all(n == 1 for n in runs.values()), runs.most_common(3)
-        for name, given in answers.items():
-            if all(run_state(answer) == "not_run" for answer in given):
-                assert not runs[name], given
-            if any(answer.status == 201 for answer in given):
-                assert runs[name] == 1, given
+        assert_at_most_once(runs_file, answers, least_done=0.5)
         assert book(addresses[1], key, "known", "known").status == 201
         assert runs_of(runs_file)["known"] == 1
 
--- a/fleet/tests/test_faults_configuration.py
+++ b/fleet/tests/test_faults_configuration.py
@@ -1,10 +1,12 @@
 """Accepted changes are in force in every process and never revert."""
 
+import json
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from fleet.client import call
 from fleet.tests.outages import (
     WITHIN_S,
     complete,
@@ -137,6 +139,16 @@
         for number in range(340):
             value = {"rate_tokens_per_s": 100.0 + number, "burst_tokens": 1000}
             fleet.set_item("customers/surveyors", value)
+        # 340 changes take seconds here and hours at the two-year size, so the jitter of
+        # the snapshot, up to 5 s, is waited for.
+        log = fleet.stand_ins["log"].address
+        path = "/streams/configuration/records?from={}"
+
+        def newest():
+            oldest = call(log, "GET", path.format(0)).json()["oldest"]
+            return call(log, "GET", path.format(oldest)).json()["records"]
+
+        fleet.wait_for(lambda: "snapshot" in json.dumps(newest()), "snapshot", 10)
         for name in ("entry-1", "entry-2"):
             fleet.vms[name].daemon.kill()
         for name in ("entry-1", "entry-2"):
@@ -154,7 +166,7 @@
     with small_fleet(services=1) as fleet:
         answer = put_customer(fleet, "entry-1", 2700.0)
         assert answer.status == 200
-        assert_in_force(fleet, 2700.0, time.monotonic())
+        fleet.wait_for(lambda: rate_at(fleet, "entry-2") == 2700.0, "read", WITHIN_S)
         fleet.set_faults("log", **{fault: True})
         for name in ("entry-1", "entry-2", "engine-1"):
             fleet.vms[name].daemon.kill()
--- a/fleet/tests/test_faults_quota.py
+++ b/fleet/tests/test_faults_quota.py
@@ -153,6 +153,7 @@
         store = fleet.stand_ins["store"].address
         state = call(store, "GET", "/state").json()
         print(state)
+        # The launcher waited for all copies; at 2 loads a second none may starve.
         assert state["started"] >= len(models)
         assert state["refused"] == 0
         assert state["peak_at_once"] <= 2
