--- a/chervilgw/quota/waiting.py
+++ b/chervilgw/quota/waiting.py
@@ -16,7 +16,7 @@
 # A peer that gave nothing is not asked again for this time, at first and at most. Under
 # overload, when no peer has anything, this bounds the messages.
 EMPTY_FIRST_S = 0.05
-EMPTY_LONGEST_S = 0.25
+EMPTY_LONGEST_S = 0.1
 
 
 @dataclass(slots=True)
