Split the entry's gateway into a front task and a gateway task

Cause: gateway.py held two stages of the path in one module. The front task takes requests through accept, authenticate and price; the gateway reserves, attempts, relays and accounts.

--- a/chervilgw/entry/app.py
+++ b/chervilgw/entry/app.py
@@ -27,6 +27,8 @@
 )
 from chervilgw.core.states import Role
 from chervilgw.crashes.task import make_crash_task
+from chervilgw.entry.events import front_closed
+from chervilgw.entry.front import make_front
 from chervilgw.entry.gateway import GatewayOptions, make_gateway
 from chervilgw.membership.task import make_fleet_task
 from chervilgw.platform.log import Stream
@@ -65,6 +67,12 @@
     Refused: "gateway",
 }
 SNAPSHOT_JITTER_S = 5.0
+SHUTDOWN = {
+    "front": ("gateway", front_closed),
+    "gateway": ("quota", quota_hand_over),
+    "quota": None,
+}
+"""What follows when a task has drained: the channel and event that come next."""
 
 
 def make_entry_app(settings: EntrySettings) -> App:
@@ -83,7 +91,7 @@
     me = links.me.incarnation
     metrics = make_metrics(settings.statsd, settings.vm)
     http = make_http_server(
-        _http_options(settings, settings.http_listen, "gateway"), _write_refusal
+        _http_options(settings, settings.http_listen, "front"), _write_refusal
     )
     admin_servers = _admin_servers(settings)
     jitter_s = random.uniform(0.0, SNAPSHOT_JITTER_S)
@@ -102,12 +110,11 @@
         make_fleet_task(links.me, settings.platform.list),
         make_quota_task(me, metrics),
         make_crash_task(),
-        make_gateway(GatewayOptions(me, links.me.zone, not admin_servers), metrics),
+        make_front(me, not admin_servers, metrics),
+        make_gateway(GatewayOptions(me, links.me.zone), metrics),
         make_admin_task(me, settings.operators),
         *admin_servers,
-        make_shutdown_task(
-            (("gateway", quota_hand_over()), ("quota", None)), settings.notice_s
-        ),
+        make_shutdown_task(SHUTDOWN, settings.notice_s),
         make_ready_task(addresses),
     )
 
--- /dev/null
+++ b/chervilgw/entry/front.py
@@ -0,0 +1,181 @@
+"""Front task: takes callers' requests through accept, authenticate and price."""
+
+from __future__ import annotations
+
+import json
+import time
+
+from circuits import BaseComponent, handler
+from returns.pipeline import is_successful
+
+from chervilgw.codec.openai_answers import model_body, model_list_body
+from chervilgw.configuration.freshness import refuse_stale
+from chervilgw.configuration.lookups import defaults, lifted_blocks, models_of
+from chervilgw.configuration.state import ConfigurationState, empty_state
+from chervilgw.core.ids import Incarnation
+from chervilgw.core.pipeline import make_pipeline
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import RefusalReason
+from chervilgw.crashes import make_crash_tracker
+from chervilgw.entry.events import caller_gone, request_priced
+from chervilgw.entry.filters import accept, authenticate, price
+from chervilgw.entry.messages import Authenticated, Incoming, ListTarget, Priced
+from chervilgw.entry.writers import REQUEST_ID_HEADER, error_reply
+from chervilgw.membership.task import FleetSnapshot
+from chervilgw.runtime.control_events import admin_request, drained
+from chervilgw.runtime.events import HttpReply, HttpRequest, http_reply
+from chervilgw.telemetry import Metrics, table
+
+PARK_S = 1.0
+"""How long a request waits for the configuration to be confirmed."""
+_JSON = (("content-type", "application/json"),)
+
+
+class Front(BaseComponent):
+    """Front task; see :func:`make_front`."""
+
+    def __init__(self, me: Incarnation, serves_admin: bool, metrics: Metrics, channel):
+        super().__init__(channel=channel)
+        self._me = me
+        self._serves_admin = serves_admin
+        self._metrics = metrics
+        self._state: ConfigurationState = empty_state()
+        self._fresh_until_s = float("-inf")
+        self._fleet = FleetSnapshot()
+        self._identify = make_pipeline(accept, authenticate)
+        self._crashes = make_crash_tracker()
+        self._parked: list[tuple[HttpRequest, float]] = []
+        self._leaving = self._closing = self._drained = False
+
+    @handler("http_request")
+    def _on_request(self, http: HttpRequest):
+        now_s = time.monotonic()
+        if http.path in ("/healthz", "/readyz"):
+            self._probe(http, now_s)
+        elif http.path.startswith("/admin/") and self._serves_admin:
+            self.fire(admin_request(http), "admin")
+        elif now_s > self._fresh_until_s:
+            self._parked.append((http, now_s + PARK_S))
+        else:
+            self._consider(http, now_s)
+
+    def _probe(self, http: HttpRequest, now_s):
+        connected = self._fleet.reached_vms or len(self._fleet.live_vms) <= 1
+        ready = now_s <= self._fresh_until_s and connected and not self._leaving
+        ok = ready or http.path == "/healthz"
+        status, body = (200, b'{"status":"ok"}') if ok else (503, b'{"status":"no"}')
+        self.fire(http_reply(HttpReply(http.exchange, status, _JSON, body)), "http")
+
+    def _consider(self, http: HttpRequest, now_s):
+        identified = self._identify(Incoming(http, self._state), now_s)
+        if not is_successful(identified):
+            self._refuse(http, identified.failure())
+            return
+        message = identified.unwrap()
+        if isinstance(message.target, ListTarget):
+            self._list_models(message, message.target)
+            return
+        priced = price(message, now_s).bind(self._check_block)
+        if not is_successful(priced):
+            self._refuse(http, priced.failure())
+            return
+        event = request_priced(priced.unwrap(), self._request_id(http))
+        self.fire(event, "gateway")
+
+    def _check_block(self, priced: Priced):
+        lifted = lifted_blocks(self._state)
+        now_ms = int(time.time() * 1000)
+        checked = self._crashes.check(priced.digest, now_ms, lifted)
+        return checked.map(lambda _: priced)
+
+    def _list_models(self, message: Authenticated, target: ListTarget):
+        names = models_of(self._state, message.identity.customer)
+        if target.name is None:
+            body = model_list_body(names, 0)
+        elif target.name in names:
+            body = json.dumps(model_body(target.name, 0)).encode()
+        else:
+            detail = f"there is no model {target.name!r}"
+            refusal = make_refusal(RefusalReason.UNKNOWN_MODEL, detail)
+            self._refuse(message.http, refusal)
+            return
+        headers = (*_JSON, (REQUEST_ID_HEADER, self._request_id(message.http)))
+        reply = HttpReply(message.http.exchange, 200, headers, body)
+        self.fire(http_reply(reply), "http")
+
+    def _request_id(self, http: HttpRequest) -> str:
+        return f"{self._me}/x{http.exchange}"
+
+    def _refuse(self, http: HttpRequest, refusal: Refusal):
+        self._metrics.record(table.REFUSALS, label=refusal.reason.value)
+        reply = error_reply(http.exchange, self._request_id(http), refusal)
+        self.fire(reply, "http")
+
+    @handler("http_gone")
+    def _on_gone(self, exchange):
+        self._parked = [item for item in self._parked if item[0].exchange != exchange]
+        self.fire(caller_gone(exchange), "gateway")
+
+    @handler("config_applied", channel="*")
+    def _on_config(self, state):
+        self._state = state
+        self._crashes.set_block_s(defaults(state).crash_block_s)
+
+    @handler("config_fresh", channel="*")
+    def _on_fresh(self, until_s):
+        self._fresh_until_s = until_s
+        now_s = time.monotonic()
+        if now_s > until_s:
+            return
+        parked, self._parked = self._parked, []
+        for http, _ in parked:
+            self._consider(http, now_s)
+
+    @handler("fleet_changed", channel="*")
+    def _on_fleet(self, fleet: FleetSnapshot):
+        self._fleet = fleet
+
+    @handler("crash_known", channel="*")
+    def _on_crash_known(self, report):
+        self._crashes.on_crash_report(report, int(time.time() * 1000))
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        expired = [http for http, until_s in self._parked if now_s >= until_s]
+        self._parked = [item for item in self._parked if now_s < item[1]]
+        for http in expired:
+            self._refuse(http, refuse_stale())
+        if self._closing and not self._parked and not self._drained:
+            self._drained = True
+            self.fire(drained("front"), "role")
+
+    @handler("drain", channel="*")
+    def _on_drain(self):
+        self._leaving = True
+
+    @handler("http_stop_listening", channel="*")
+    def _on_stop_listening(self):
+        self._closing = True
+
+
+def make_front(
+    me: Incarnation, serves_admin: bool, metrics: Metrics, channel: str = "front"
+) -> Front:
+    """Return a front task.
+
+    Parameters
+    ----------
+    me : Incarnation
+        This process.
+    serves_admin : bool
+        Whether operators use the callers' port, as no other is set.
+    metrics : Metrics
+        Where the task counts.
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    Front
+    """
+    return Front(me, serves_admin, metrics, channel)
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import time
 from dataclasses import dataclass
@@ -11,23 +10,21 @@
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
-from chervilgw.codec.openai_answers import model_body, model_list_body
-from chervilgw.configuration.freshness import refuse_stale
-from chervilgw.configuration.lookups import defaults, lifted_blocks, models_of
+from chervilgw.configuration.lookups import defaults, lifted_blocks
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.configuration.values import Kind
 from chervilgw.core.ids import Incarnation, RequestId, ZoneId
 from chervilgw.core.messages import Cancel, CrashReport, Refused, Started
 from chervilgw.core.pipeline import make_pipeline
-from chervilgw.core.refusals import Refusal, make_refusal
-from chervilgw.core.states import RefusalReason, RunState
+from chervilgw.core.refusals import Refusal
+from chervilgw.core.states import RunState
 from chervilgw.crashes import make_crash_tracker
-from chervilgw.entry.filters import accept, authenticate, choose, dispatch, price
+from chervilgw.entry.filters import choose, dispatch
 from chervilgw.entry.inflight import Inflight, Stage, refuse_without_budget
 from chervilgw.entry.lost_servers import make_lost_servers
-from chervilgw.entry.messages import Attempt, Incoming, ListTarget, Priced
+from chervilgw.entry.messages import Attempt, Priced
 from chervilgw.entry.outstanding import make_outstanding
-from chervilgw.entry.writers import REQUEST_ID_HEADER, error_reply, make_writer
+from chervilgw.entry.writers import make_writer
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.relay.outputs import Ask, Complete, Deliver, Fail, Resume, Stop
@@ -35,7 +32,6 @@
 from chervilgw.routing.prefixes import make_prefix_index
 from chervilgw.routing.retries import make_retry_budget
 from chervilgw.runtime.control_events import (
-    admin_request,
     crash_seen,
     drained,
     quota_abandon,
@@ -44,11 +40,9 @@
     quota_settle,
     quota_started,
 )
-from chervilgw.runtime.events import HttpReply, HttpRequest, http_reply, peer_send
+from chervilgw.runtime.events import peer_send
 from chervilgw.telemetry import Metrics, log_event, table
 
-PARK_S = 1.0
-"""How long a request waits for the configuration to be confirmed."""
 NO_SERVER_WAIT_S = 3.0
 """How long a request waits for a backend server, for example while one restarts."""
 NO_SERVER_PAUSE_S = 0.2
@@ -59,14 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayOptions:
-    """Options of the gateway task.
-
-    ``serves_admin`` says that operators use the callers' port, as no other is set.
-    """
+    """Options of the gateway task."""
 
     me: Incarnation
     zone: ZoneId
-    serves_admin: bool = True
 
 
 class Gateway(BaseComponent):
@@ -77,11 +67,8 @@
         self._options = options
         self._metrics = metrics
         self._state: ConfigurationState = empty_state()
-        self._fresh_until_s = float("-inf")
         self._fleet = FleetSnapshot()
-        self._identify = make_pipeline(accept, authenticate)
         self._route = make_pipeline(choose, dispatch)
-        self._parked: list[tuple[HttpRequest, float]] = []
         self._requests: dict[int, Inflight] = {}
         self._attempts: dict[RequestId, int] = {}
         self._numbers = count(1)
@@ -91,69 +78,13 @@
         self._crashes = make_crash_tracker()
         self._lost = make_lost_servers()
         self._linked: set[Incarnation] = set()
-        self._leaving = self._closing = self._drained = False
+        self._closing = self._drained = False
 
-    # Arrival: accept, authenticate, price, reserve.
+    # Reservation.
 
-    @handler("http_request")
-    def _on_request(self, http: HttpRequest):
+    @handler("request_priced")
+    def _on_priced(self, priced: Priced, request_id: str):
         now_s = time.monotonic()
-        if http.path in ("/healthz", "/readyz"):
-            self._probe(http, now_s)
-        elif http.path.startswith("/admin/") and self._options.serves_admin:
-            self.fire(admin_request(http), "admin")
-        elif now_s > self._fresh_until_s:
-            self._parked.append((http, now_s + PARK_S))
-        else:
-            self._consider(http, now_s)
-
-    def _probe(self, http: HttpRequest, now_s):
-        connected = self._fleet.reached_vms or len(self._fleet.live_vms) <= 1
-        ready = now_s <= self._fresh_until_s and connected and not self._leaving
-        ok = ready or http.path == "/healthz"
-        status, body = (200, b'{"status":"ok"}') if ok else (503, b'{"status":"no"}')
-        headers = (("content-type", "application/json"),)
-        self.fire(http_reply(HttpReply(http.exchange, status, headers, body)), "http")
-
-    def _consider(self, http: HttpRequest, now_s):
-        request_id = f"{self._options.me}/x{http.exchange}"
-        result = self._identify(Incoming(http, self._state), now_s)
-        if not is_successful(result):
-            self._refuse(http.exchange, request_id, result.failure())
-            return
-        message = result.unwrap()
-        if isinstance(message.target, ListTarget):
-            self._list_models(message, request_id)
-            return
-        priced = price(message, now_s).bind(self._check_block)
-        if not is_successful(priced):
-            self._refuse(http.exchange, request_id, priced.failure())
-            return
-        self._reserve(priced.unwrap(), request_id, now_s)
-
-    def _check_block(self, priced: Priced):
-        lifted = lifted_blocks(self._state)
-        checked = self._crashes.check(priced.digest, _wall_ms(), lifted)
-        return checked.map(lambda _: priced)
-
-    def _list_models(self, message, request_id):
-        names = models_of(self._state, message.identity.customer)
-        wanted = message.target.name
-        if wanted is None:
-            body = model_list_body(names, 0)
-        elif wanted in names:
-            body = json.dumps(model_body(wanted, 0)).encode()
-        else:
-            detail = f"there is no model {wanted!r}"
-            refusal = make_refusal(RefusalReason.UNKNOWN_MODEL, detail)
-            self._refuse(message.http.exchange, request_id, refusal)
-            return
-        headers = (("content-type", "application/json"),)
-        headers += ((REQUEST_ID_HEADER, request_id),)
-        reply = HttpReply(message.http.exchange, 200, headers, body)
-        self.fire(http_reply(reply), "http")
-
-    def _reserve(self, priced: Priced, request_id, now_s):
         writer = make_writer(priced, request_id)
         request = Inflight(priced, request_id, writer, now_s)
         request.suspect_of = self._crashes.suspect_crashes(priced.digest)
@@ -289,7 +220,9 @@
             message.crash, request.server.vm, (request.priced.digest,), _wall_ms()
         )
         self._crashes.on_crash_report(report, _wall_ms())
-        blocked = self._check_block(request.priced)
+        blocked = self._crashes.check(
+            request.priced.digest, _wall_ms(), lifted_blocks(self._state)
+        )
         if not is_successful(blocked):
             cause = blocked.failure()
             self._apply(request, request.stream.give_up(cause), now_s)
@@ -375,19 +308,14 @@
             return
         self._outstanding.ended(request.server.vm)
 
-    def _refuse(self, exchange, request_id, refusal: Refusal):
-        self._count_refusal(refusal)
-        self.fire(error_reply(exchange, request_id, refusal), "http")
-
     def _fire_all(self, events):
         for event in events:
             self.fire(event, "http")
 
     # Callers that leave, keys that are withdrawn.
 
-    @handler("http_gone")
+    @handler("caller_gone")
     def _on_gone(self, exchange):
-        self._parked = [item for item in self._parked if item[0].exchange != exchange]
         request = self._requests.get(exchange)
         if request is not None:
             self._stop(request)
@@ -436,16 +364,6 @@
 
     # Changes around the requests.
 
-    @handler("config_fresh", channel="*")
-    def _on_fresh(self, until_s):
-        self._fresh_until_s = until_s
-        now_s = time.monotonic()
-        if now_s > until_s:
-            return
-        parked, self._parked = self._parked, []
-        for http, _ in parked:
-            self._consider(http, now_s)
-
     @handler("fleet_changed", channel="*")
     def _on_fleet(self, fleet: FleetSnapshot):
         self._fleet = fleet
@@ -521,25 +439,15 @@
                 if any(isinstance(output, Resume) for output in outputs):
                     self._note_lost(request, now_s)
                 self._apply(request, outputs, now_s)
-        expired = [item for item in self._parked if now_s >= item[1]]
-        if expired:
-            self._parked = [item for item in self._parked if now_s < item[1]]
-        for http, _ in expired:
-            self._refuse(http.exchange, f"x{http.exchange}", refuse_stale())
         self._metrics.record(table.STREAMS, len(self._requests))
 
-    @handler("drain", channel="*")
-    def _on_drain(self):
-        self._leaving = True
-
-    @handler("http_stop_listening", channel="*")
-    def _on_stop_listening(self):
+    @handler("front_closed")
+    def _on_front_closed(self):
         self._closing = True
         self._check_drained()
 
     def _check_drained(self):
-        idle = not self._requests and not self._parked
-        if self._closing and idle and not self._drained:
+        if self._closing and not self._requests and not self._drained:
             self._drained = True
             log_event("gateway_drained")
             self.fire(drained("gateway"), "role")
--- a/chervilgw/runtime/role.py
+++ b/chervilgw/runtime/role.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import time
+from collections.abc import Mapping
 
 from circuits import BaseComponent, Event, Timer, handler
 
@@ -19,6 +20,9 @@
 """Time for the last bytes to leave the sockets before the process ends."""
 
 
+Steps = Mapping[str, tuple[str, type[Event]] | None]
+
+
 class notice_over(Event):  # noqa: N801
     """The load balancer had the time to notice that this entry is leaving."""
 
@@ -30,9 +34,9 @@
 class ShutdownTask(BaseComponent):
     """Shutdown task; see :func:`make_shutdown_task`."""
 
-    def __init__(self, steps: tuple[tuple[str, Event | None], ...], notice_s, channel):
+    def __init__(self, steps: Steps, notice_s: float, channel):
         super().__init__(channel=channel)
-        self._steps = dict(steps)
+        self._steps = steps
         self._notice_s = notice_s
         self._started = False
 
@@ -52,9 +56,10 @@
 
     @handler("drained")
     def _on_drained(self, task: str):
-        following = self._steps.get(task)
+        following = self._steps[task]
         if following is not None:
-            self.fire(following, "quota")
+            target, event_type = following
+            self.fire(event_type(), target)
             return
         log_event("shutdown_finished")
         Timer(FLUSH_S, exit_due(), self.channel).register(self)
@@ -78,16 +83,14 @@
         sys.stdout.flush()
 
 
-def make_shutdown_task(
-    steps: tuple[tuple[str, Event | None], ...], notice_s: float, channel="role"
-) -> ShutdownTask:
+def make_shutdown_task(steps: Steps, notice_s: float, channel="role") -> ShutdownTask:
     """Return the task that carries out a planned stop.
 
     Parameters
     ----------
-    steps : tuple of (str, Event or None)
-        For the name of a drained task, the event that the next task gets, or None if
-        the process ends then.
+    steps : mapping of str to (str, type of Event) or None
+        For the name of a drained task, the channel and event that come next, or None
+        if the process ends then.
     notice_s : float
         Time for the load balancer to notice that the process is not ready.
     channel : str
--- a/chervilgw/sidecar/app.py
+++ b/chervilgw/sidecar/app.py
@@ -91,6 +91,6 @@
         make_crash_task(),
         make_runner(runner),
         backend_task,
-        make_shutdown_task((("runner", None),), 0.0),
+        make_shutdown_task({"runner": None}, 0.0),
         make_ready_task({"peer": links.me.address}),
     )
