--- a/chervilgw/sidecar/runner.py
+++ b/chervilgw/sidecar/runner.py
@@ -31,9 +31,15 @@
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.relay.answers import make_answer_store
 from chervilgw.runtime.control_events import crash_seen, drained, load_changed
-from chervilgw.runtime.events import HttpCall, http_call, http_call_cancel, peer_send
+from chervilgw.runtime.events import http_call, http_call_cancel, peer_send
 from chervilgw.scheduling.fair_queue import QueuedItem, QueueLimits, make_fair_queue
 from chervilgw.sidecar.admission import Arrival, is_open, make_admission, may_wait
+from chervilgw.sidecar.calls import (
+    answer_headers,
+    backend_lost,
+    make_backend_call,
+    refusal_of_status,
+)
 from chervilgw.sidecar.errors import DamagedAnswer
 from chervilgw.sidecar.events import (
     EngineView,
@@ -46,7 +52,6 @@
 )
 from chervilgw.sidecar.generation import (
     Generation,
-    engine_request_body,
     make_generation,
     service_messages,
 )
@@ -61,9 +66,6 @@
 is accepted, so that a planned stop costs no retries."""
 ANSWERS_BYTES = 8_000_000
 ANSWERS_KEPT_S = 30.0
-FIRST_TOKEN_TIMEOUT_S = 60.0
-IDLE_TIMEOUT_S = 5.0
-SERVICE_TIMEOUT_S = 30.0
 PART_BYTES = 65_536
 
 
@@ -251,61 +253,30 @@
         self._calls[call] = dispatch.request_id
         if dispatch.kind is BackendKind.ENGINE:
             run.generation = make_generation(dispatch)
-            self._start_generation(run)
+            self._start(run)
         elif dispatch.idempotency_key and not dispatch.idempotent:
             run.booking = True
             self.fire(booking_request(dispatch), "bookings")
         else:
-            self._start_service(run)
-
-    def _start_generation(self, run: _Run):
-        dispatch = run.dispatch
-        self._call(
-            run,
-            HttpCall(
-                run.call,
-                self.channel,
-                self._options.address,
-                "POST",
-                dispatch.path,
-                (("Content-Type", "application/json"),),
-                engine_request_body(dispatch),
-                timeout_s=FIRST_TOKEN_TIMEOUT_S,
-                idle_timeout_s=IDLE_TIMEOUT_S,
-                fresh=True,
-                stream=True,
-            ),
-        )
-
-    def _start_service(self, run: _Run):
-        dispatch = run.dispatch
-        self._call(
-            run,
-            HttpCall(
-                run.call,
-                self.channel,
-                self._options.address,
-                dispatch.method,
-                dispatch.path,
-                dispatch.headers,
-                dispatch.body,
-                timeout_s=SERVICE_TIMEOUT_S,
-                # A kept connection that the service closes at the same moment would
-                # leave a booking's outcome unknown; a lookup is simply repeated.
-                fresh=not dispatch.idempotent,
-            ),
-        )
+            self._start(run)
 
-    def _call(self, run: _Run, call: HttpCall):
+    def _start(self, run: _Run):
         now_s = time.monotonic()
         self._send(Started(run.dispatch.request_id), now_s)
+        call = make_backend_call(
+            run.dispatch,
+            run.call,
+            self.channel,
+            self._options.address,
+            run.generation is not None,
+        )
         self.fire(http_call(call), "http-client")
 
     @handler("run_booking")
     def _on_run_booking(self, request_id):
         run = self._runs.get(request_id)
         if run is not None:
-            self._start_service(run)
+            self._start(run)
 
     @handler("answer_booking")
     def _on_answer_booking(self, request_id, answer):
@@ -354,7 +325,7 @@
         if run.generation is None:
             self._answer_service(run, answer.status, answer.headers, answer.body)
         elif run.status != 200:
-            self._end_run(run, _engine_refusal(run.status))
+            self._end_run(run, refusal_of_status(run.status))
         else:
             self._end_generation(run)
 
@@ -370,7 +341,7 @@
 
     def _answer_service(self, run: _Run, status, headers, body):
         now_s = time.monotonic()
-        kept = tuple((n, v) for n, v in headers if n.lower() in _ANSWER_HEADERS)
+        kept = answer_headers(headers)
         if run.booking:
             answer = (run.dispatch.request_id, status, kept, body)
             self.fire(booking_finished(*answer), "bookings")
@@ -391,11 +362,11 @@
             run.broken = True
             self.fire(engine_probe(), "engine")
         else:
-            self._end_run(run, _lost(RunState.UNKNOWN, failed.detail))
+            self._end_run(run, backend_lost(RunState.UNKNOWN, failed.detail))
 
     def _break_off(self, run: _Run, detail: str):
         self.fire(http_call_cancel(run.call), "http-client")
-        self._end_run(run, _lost(RunState.RUN, detail))
+        self._end_run(run, backend_lost(RunState.RUN, detail))
 
     @handler("engine_verdict")
     def _on_verdict(self, crash: CrashId | None):
@@ -406,7 +377,7 @@
         for run in runs:
             if crash is not None or run.broken:
                 detail = "the engine ended before the answer was complete"
-                self._end_run(run, _lost(RunState.RUN, detail), crash)
+                self._end_run(run, backend_lost(RunState.RUN, detail), crash)
 
     def _report_crash(self, crash: CrashId, digests: tuple[Digest, ...]):
         report = CrashReport(crash, self._options.me.vm, digests, _wall_ms())
@@ -629,9 +600,6 @@
         self.fire(drained("runner"), "role")
 
 
-_ANSWER_HEADERS = frozenset({"content-type", "location", "etag", "cache-control"})
-
-
 def _wall_ms() -> int:
     return int(time.time() * 1000)
 
@@ -651,23 +619,11 @@
     return made + (end.prompt_tokens if end else run.generation.prompt_tokens)
 
 
-def _lost(run_state: RunState, detail: str) -> Refusal:
-    return Refusal(RefusalReason.BACKEND_LOST, run_state, detail, 0.0)
-
-
 def _engine_down() -> Refusal:
     detail = "the backend server's engine is down"
     return make_refusal(RefusalReason.BACKEND_LOST, detail, 0.5)
 
 
-def _engine_refusal(status: int) -> Refusal:
-    if status == 404:
-        detail = "the model is not loaded on the engine"
-        return make_refusal(RefusalReason.MODEL_NOT_LOADED, detail, 0.5)
-    detail = f"the engine answered with status {status}"
-    return make_refusal(RefusalReason.BACKEND_ERROR, detail, 0.5)
-
-
 def make_runner(options: RunnerOptions, channel: str = "runner") -> Runner:
     """Return a runner task.
 
