Split the sidecar's runner into answer, queue and run tasks; confirm before running

Also, after a pause queued attempts ran before the sidecar had confirmed its configuration and its list of dead entries, so an attempt of an entry whose units others had taken over could run. Ruled out: a check at arrival only, since the attempt is queued by then. Change: nothing runs while the configuration or the dead entries are unconfirmed; the dead entries have a confirmation time of their own, from log reads or peers' heartbeats; attempts that waited over 1 s unconfirmed are refused not run.

--- a/chervilgw/bookings/task.py
+++ b/chervilgw/bookings/task.py
@@ -118,11 +118,11 @@
                 case Read(_, start):
                     self._read(output, start)
                 case Run(attempt):
-                    self.fire(run_booking(attempt), "runner")
+                    self.fire(run_booking(attempt), "runs")
                 case Answer(attempt, answer):
-                    self.fire(answer_booking(attempt, answer), "runner")
+                    self.fire(answer_booking(attempt, answer), "runs")
                 case Refuse(attempt, refusal):
-                    self.fire(refuse_booking(attempt, refusal), "runner")
+                    self.fire(refuse_booking(attempt, refusal), "runs")
 
     def _read(self, operation: Read, start: int):
         call = f"booking-read-{next(self._numbers)}"
--- a/chervilgw/quota/dead_task.py
+++ b/chervilgw/quota/dead_task.py
@@ -4,7 +4,8 @@
 
 from circuits import BaseComponent, handler
 
-from chervilgw.core.ids import NO_OFFSET, Offset
+from chervilgw.configuration.freshness import CONFIRM_WITHIN_S
+from chervilgw.core.ids import NO_OFFSET, Incarnation, Offset
 from chervilgw.quota.errors import QuotaError
 from chervilgw.quota.members import Members
 from chervilgw.quota.records import record_from_mapping
@@ -18,8 +19,10 @@
         super().__init__(channel=channel)
         self._members = Members()
         self._offset = NO_OFFSET
-        self._log_ok = False
         self._newest = NO_OFFSET
+        self._log_ok = False
+        self._confirmed_s = float("-inf")
+        self._gone: frozenset[Incarnation] = frozenset()
         self._published = None
 
     @handler("log_page")
@@ -31,12 +34,13 @@
                 self._members.fold(self._offset, record_from_mapping(mapping))
             except QuotaError:
                 continue
-        self._publish()
+        if self._offset + 1 >= page.next_offset:
+            self._confirm(asked_s)
+        self.fire(ledger_status(self._offset), "fleet")
 
     @handler("log_failed")
     def _on_failed(self, stream):
         self._log_ok = False
-        self._publish()
 
     @handler("log_expired")
     def _on_expired(self, stream, oldest):
@@ -45,17 +49,28 @@
     @handler("peer_heartbeat")
     def _on_heartbeat(self, peer, heartbeat, echoed_s):
         self._newest = max(self._newest, heartbeat.ledger_offset)
+        # Without the log no death can be recorded, so a peer that has read no further
+        # confirms the view. A process that started in the outage goes by the list.
+        unread = self._offset == NO_OFFSET
+        if echoed_s is not None and (unread or self._newest <= self._offset):
+            self._confirm(echoed_s)
+
+    @handler("fleet_changed", channel="*")
+    def _on_fleet(self, fleet):
+        if fleet.gone != self._gone:
+            self._gone = fleet.gone
+            self._publish()
+
+    def _confirm(self, asked_s: float):
+        self._confirmed_s = max(self._confirmed_s, asked_s)
         self._publish()
 
     def _publish(self):
-        # Without the log, a peer that has read further may know of an entry's death
-        # that this process does not know of.
-        behind = not self._log_ok and self._newest > self._offset
-        state = (self._members.dead(), behind)
+        dead = self._members.dead() | self._gone
+        state = (dead, self._confirmed_s + CONFIRM_WITHIN_S)
         if state != self._published:
             self._published = state
             self.fire(dead_incarnations(*state), "*")
-            self.fire(ledger_status(self._offset), "fleet")
 
 
 def make_dead_task(channel: str = "dead") -> DeadTask:
--- a/chervilgw/runtime/control_events.py
+++ b/chervilgw/runtime/control_events.py
@@ -46,7 +46,7 @@
 
 
 class dead_incarnations(Event):  # noqa: N801
-    """Entries whose requests are refused: frozenset, whether it may be incomplete."""
+    """Entries whose requests are refused: frozenset, until when it is confirmed."""
 
 
 class quota_reserve(Event):  # noqa: N801
--- a/chervilgw/sidecar/admission.py
+++ b/chervilgw/sidecar/admission.py
@@ -38,8 +38,7 @@
 def check_origin(arrival: Arrival, now_s: float) -> Result[Arrival, Refusal]:
     """Refuse attempts of an entry whose share units others may have taken over."""
     origin = arrival.dispatch.request_id.origin
-    # Of each VM only the latest dead incarnation is listed; earlier ones are dead too.
-    if any(d.vm == origin.vm and origin <= d for d in arrival.dead):
+    if is_dead(origin, arrival.dead):
         detail = "the entry that sent the request was declared dead"
         return Failure(make_refusal(RefusalReason.DEAD_ORIGIN, detail))
     return Success(arrival)
@@ -96,6 +95,30 @@
     return route is not None and route.open
 
 
+def is_dead(incarnation: Incarnation, dead: frozenset[Incarnation]) -> bool:
+    """Return whether an incarnation, or a later one of its VM, was declared dead.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        Process that sent a request.
+    dead : frozenset of Incarnation
+        Latest dead incarnation of each VM; earlier ones are dead too.
+
+    Returns
+    -------
+    bool
+
+    Examples
+    --------
+    >>> from chervilgw.core.ids import VmId
+    >>> dead = frozenset({Incarnation(VmId("e1"), 5)})
+    >>> is_dead(Incarnation(VmId("e1"), 4), dead)
+    True
+    """
+    return any(each.vm == incarnation.vm and incarnation <= each for each in dead)
+
+
 def make_admission() -> Filter[Arrival, Arrival]:
     """Return the pipeline of all filters, in the order of their cost."""
     return make_pipeline(
--- /dev/null
+++ b/chervilgw/sidecar/answers_task.py
@@ -0,0 +1,67 @@
+"""Answer task: records what is sent to entries, so that they can look it up again."""
+
+from __future__ import annotations
+
+import time
+
+from circuits import BaseComponent, handler
+
+from chervilgw.core.messages import Cancel, Dispatch, LookUp
+from chervilgw.relay.answers import make_answer_store
+from chervilgw.runtime.events import peer_send
+from chervilgw.sidecar.events import attempt_arrived, attempt_cancelled
+
+STORE_BYTES = 8_000_000
+KEPT_S = 30.0
+
+
+class AnswerTask(BaseComponent):
+    """Answer task; see :func:`make_answer_task`."""
+
+    def __init__(self, channel):
+        super().__init__(channel=channel)
+        self._store = make_answer_store(STORE_BYTES, KEPT_S)
+
+    @handler("peer_messages")
+    def _on_messages(self, peer, messages):
+        # Cancels take the same way as dispatches, so that none overtakes its dispatch.
+        for message in messages:
+            if isinstance(message, Dispatch):
+                if self._store.begin(message.request_id, message.resume_position):
+                    self.fire(attempt_arrived(message), "queue")
+            elif isinstance(message, Cancel):
+                self.fire(attempt_cancelled(message.request_id), "queue")
+            elif isinstance(message, LookUp):
+                self._repeat(message, peer.incarnation)
+
+    @handler("attempt_answer")
+    def _on_answer(self, message):
+        self._store.record(message, time.monotonic())
+        self.fire(peer_send(message.request_id.origin, message), "links")
+
+    @handler("attempt_repeat")
+    def _on_repeat(self, request_id):
+        self._repeat(LookUp(request_id, 0), request_id.origin)
+
+    def _repeat(self, look_up: LookUp, origin):
+        for answer in self._store.look_up(look_up, time.monotonic()):
+            self.fire(peer_send(origin, answer), "links")
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        self._store.tick(now_s)
+
+
+def make_answer_task(channel: str = "answers") -> AnswerTask:
+    """Return an answer task.
+
+    Parameters
+    ----------
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    AnswerTask
+    """
+    return AnswerTask(channel)
--- a/chervilgw/sidecar/app.py
+++ b/chervilgw/sidecar/app.py
@@ -30,8 +30,10 @@
 from chervilgw.runtime.role import make_links, make_ready_task, make_shutdown_task
 from chervilgw.runtime.router import make_message_router
 from chervilgw.settings import SidecarSettings
+from chervilgw.sidecar.answers_task import make_answer_task
 from chervilgw.sidecar.engine_task import EngineOptions, make_engine_task
-from chervilgw.sidecar.runner import RunnerOptions, make_runner
+from chervilgw.sidecar.queue_task import QueueOptions, make_queue_task
+from chervilgw.sidecar.run_task import make_run_task
 
 ROUTES = {
     Heartbeat: "fleet",
@@ -41,9 +43,9 @@
     ConfigSnapshot: "config",
     PermitGrant: "engine",
     CrashReport: "crashes",
-    Dispatch: "runner",
-    Cancel: "runner",
-    LookUp: "runner",
+    Dispatch: "answers",
+    Cancel: "answers",
+    LookUp: "answers",
 }
 SNAPSHOT_JITTER_S = (5.0, 60.0)
 """Later than the entries' jitter, so that usually an entry writes the snapshot."""
@@ -64,10 +66,8 @@
     links = make_links(settings, Role.SIDECAR)
     me = links.me.incarnation
     readers = {Stream.SHARES: "dead", Stream.CRASHES: "crashes"}
-    runner = RunnerOptions(
-        me,
+    queue = QueueOptions(
         settings.backend,
-        settings.backend_address,
         settings.pool,
         settings.services,
         settings.max_running,
@@ -89,8 +89,10 @@
         make_fleet_task(links.me, settings.platform.list),
         make_dead_task(),
         make_crash_task(),
-        make_runner(runner),
+        make_answer_task(),
+        make_queue_task(queue),
+        make_run_task(me.vm, settings.backend_address),
         backend_task,
-        make_shutdown_task({"runner": None}, 0.0),
+        make_shutdown_task({"queue": None}, 0.0),
         make_ready_task({"peer": links.me.address}),
     )
--- a/chervilgw/sidecar/calls.py
+++ b/chervilgw/sidecar/calls.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from chervilgw.core.messages import Dispatch
+from chervilgw.core.ids import CrashId, RequestId
+from chervilgw.core.messages import Dispatch, Refused
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.runtime.events import Headers, HttpCall
@@ -92,3 +93,37 @@
 def backend_lost(run: RunState, detail: str) -> Refusal:
     """Return the refusal of an attempt whose answer broke off."""
     return Refusal(RefusalReason.BACKEND_LOST, run, detail, 0.0)
+
+
+def refuse_engine_down() -> Refusal:
+    """Return the refusal of an attempt that reached a server without its engine."""
+    detail = "the backend server's engine is down"
+    return make_refusal(RefusalReason.BACKEND_LOST, detail, 0.5)
+
+
+def refused(
+    request_id: RequestId, refusal: Refusal, crash: CrashId | None = None
+) -> Refused:
+    """Return the message that tells an entry of a refusal.
+
+    Parameters
+    ----------
+    request_id : RequestId
+        The attempt.
+    refusal : Refusal
+        Why it has no complete answer.
+    crash : CrashId or None
+        Crash of the backend server that ended it.
+
+    Returns
+    -------
+    Refused
+    """
+    return Refused(
+        request_id,
+        refusal.reason,
+        refusal.run,
+        refusal.detail,
+        refusal.retry_after_s,
+        crash,
+    )
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -239,7 +239,7 @@
         self._settle_permits()
         if self._probing:
             self._probing = False
-            self.fire(engine_verdict(None), "runner")
+            self.fire(engine_verdict(None), "runs")
 
     def _make_ledger(self, now_s) -> MemoryLedger:
         first_fencing = self._options.me.start_ms * FENCING_PER_MS + next(self._ledgers)
@@ -256,7 +256,7 @@
         if self._ledger is not None or self._probing:
             crash = CrashId(f"{self._options.me}/{next(self._crashes)}")
             log_event("engine_crashed", level="warning", crash=crash)
-            self.fire(engine_verdict(crash), "runner")
+            self.fire(engine_verdict(crash), "runs")
         self._probing = False
         self._ledger = None
         self._accepted_s.clear()
@@ -275,7 +275,7 @@
             view = EngineView(True, self._capacity_bytes, free_bytes, resident)
         if view != self._view:
             self._view = view
-            self.fire(engine_view(view), "runner")
+            self.fire(engine_view(view), "queue")
         changing = {CopyState.LOADING.value, CopyState.UNLOADING.value}
         return not changing.isdisjoint(view.resident.values())
 
@@ -368,7 +368,7 @@
     def _retire(self, name, now_s):
         if now_s - self._retiring.get(name, float("-inf")) > DECIDE_S:
             self._retiring[name] = now_s
-            self.fire(engine_retire(name), "runner")
+            self.fire(engine_retire(name), "queue")
 
     def _send_permit(self, permit: _Permit, now_s):
         entries = [
--- a/chervilgw/sidecar/events.py
+++ b/chervilgw/sidecar/events.py
@@ -72,3 +72,31 @@
 
 class booking_lost(Event):  # noqa: N801
     """The service gave no answer: request id, whether it may have run."""
+
+
+class attempt_arrived(Event):  # noqa: N801
+    """An attempt that was not seen before: ``Dispatch``."""
+
+
+class attempt_cancelled(Event):  # noqa: N801
+    """The entry cancels an attempt: request id."""
+
+
+class attempt_answer(Event):  # noqa: N801
+    """Record a message of an attempt and send it to its entry."""
+
+
+class attempt_repeat(Event):  # noqa: N801
+    """Send an attempt's recorded messages again: request id."""
+
+
+class run_begin(Event):  # noqa: N801
+    """Run an attempt now: ``Dispatch``."""
+
+
+class run_stop(Event):  # noqa: N801
+    """Stop a run that may be stopped: request id, ``RefusalReason``."""
+
+
+class run_ended(Event):  # noqa: N801
+    """A run has ended: request id, tokens that it used."""
--- a/chervilgw/sidecar/loading.py
+++ b/chervilgw/sidecar/loading.py
@@ -81,6 +81,14 @@
     return CopySpec(ModelName(name), model.version, model.size_bytes)
 
 
+def copies_needed(state: ConfigurationState, target: str) -> tuple[str, ...]:
+    """Return the copies that a request needs: the model, and the adapter if any."""
+    adapter = state.items[Kind.ADAPTER].get(target)
+    if adapter is None:
+        return (target,)
+    return (adapter.value.base_model, target)
+
+
 def model_specs(state: ConfigurationState) -> tuple[ModelSpec, ...]:
     """Return all configured models in the form that the placement uses."""
     return tuple(
--- /dev/null
+++ b/chervilgw/sidecar/queue_task.py
@@ -0,0 +1,420 @@
+"""Queue task: admits attempts, queues them fairly, and starts them in order."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+from circuits import BaseComponent, handler
+from returns.pipeline import is_successful
+from returns.result import Failure
+
+from chervilgw.configuration.freshness import refuse_stale
+from chervilgw.configuration.lookups import defaults, lifted_blocks
+from chervilgw.configuration.state import ConfigurationState, empty_state
+from chervilgw.configuration.values import Kind
+from chervilgw.core.ids import Digest, Incarnation, RequestId
+from chervilgw.core.messages import CrashReport, Dispatch, Load
+from chervilgw.core.refusals import Refusal, make_refusal
+from chervilgw.core.states import BackendKind, CopyState, RefusalReason
+from chervilgw.crashes import make_crash_tracker, make_suspect_gate
+from chervilgw.keys.authenticate import check_identity
+from chervilgw.runtime.control_events import drained, load_changed
+from chervilgw.scheduling.fair_queue import QueuedItem, QueueLimits, make_fair_queue
+from chervilgw.sidecar.admission import (
+    Arrival,
+    is_dead,
+    is_open,
+    make_admission,
+    may_wait,
+)
+from chervilgw.sidecar.calls import refuse_engine_down, refused
+from chervilgw.sidecar.events import (
+    EngineView,
+    attempt_answer,
+    attempt_repeat,
+    engine_retired,
+    engine_want,
+    run_begin,
+    run_stop,
+)
+from chervilgw.sidecar.loading import copies_needed
+from chervilgw.telemetry import log_event
+
+PARK_S = 1.0
+"""How long an attempt waits for newer configuration records before it is refused."""
+ORPHAN_S = 3.0
+"""How long a run goes on without a connection to its entry, which may look it up."""
+LEAVING_GRACE_S = 1.5
+"""Entries need this long to learn that the server is leaving; what they send until then
+is accepted, so that a planned stop costs no retries."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueOptions:
+    """Options of the queue task.
+
+    Parameters
+    ----------
+    kind : BackendKind
+        What the backend server runs.
+    pool : str
+        Pool of the backend server.
+    services : tuple of str
+        Names of the plain services, empty for an engine.
+    max_running : int
+        Requests at the engine or service at once.
+    queue_tokens : int
+        Tokens that may wait in all.
+    """
+
+    kind: BackendKind
+    pool: str
+    services: tuple[str, ...]
+    max_running: int
+    queue_tokens: int = 2_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    item: QueuedItem
+    dispatch: Dispatch
+
+
+class QueueTask(BaseComponent):
+    """Queue task; see :func:`make_queue_task`."""
+
+    def __init__(self, options: QueueOptions, channel):
+        super().__init__(channel=channel)
+        self._options = options
+        self._state: ConfigurationState = empty_state()
+        self._config_until_s = self._dead_until_s = float("-inf")
+        self._dead: frozenset[Incarnation] = frozenset()
+        self._admit = make_admission()
+        self._weights: dict = {}
+        self._fair_queue = make_fair_queue(
+            QueueLimits(options.queue_tokens, options.queue_tokens, self._weights)
+        )
+        self._parked: dict[RequestId, tuple[Dispatch, float]] = {}
+        self._waiting: dict[RequestId, Dispatch] = {}
+        self._running: dict[RequestId, _Running] = {}
+        self._crashes = make_crash_tracker()
+        self._gate = make_suspect_gate()
+        self._engine = EngineView()
+        self._retiring: set[str] = set()
+        self._orphans: dict[Incarnation, float] = {}
+        self._load: Load | None = None
+        self._refuse_from_s = float("inf")
+        self._drained = False
+
+    # Arrival.
+
+    @handler("attempt_arrived")
+    def _on_arrived(self, dispatch: Dispatch):
+        now_s = time.monotonic()
+        self._consider(dispatch, now_s, now_s + PARK_S)
+        self._pump(now_s)
+
+    def _consider(self, dispatch: Dispatch, now_s, park_until_s):
+        arrival = Arrival(
+            dispatch,
+            self._state,
+            self._fresh_until_s,
+            self._dead,
+            now_s >= self._refuse_from_s,
+            self._check_block,
+        )
+        result = self._admit(arrival, now_s)
+        if may_wait(result) and now_s < park_until_s:
+            self._parked[dispatch.request_id] = (dispatch, park_until_s)
+            return
+        if is_successful(result):
+            result = self._enqueue(dispatch, now_s)
+        if not is_successful(result):
+            self._refuse(dispatch.request_id, result.failure())
+
+    @property
+    def _fresh_until_s(self) -> float:
+        return min(self._config_until_s, self._dead_until_s)
+
+    def _check_block(self, digest: Digest):
+        return self._crashes.check(digest, _wall_ms(), lifted_blocks(self._state))
+
+    def _enqueue(self, dispatch: Dispatch, now_s):
+        if dispatch.kind is BackendKind.ENGINE and not self._engine.up:
+            return Failure(refuse_engine_down())
+        left_s = dispatch.deadline_s
+        item = QueuedItem(
+            dispatch.request_id,
+            dispatch.customer,
+            dispatch.target,
+            max(1, dispatch.charge_tokens),
+            dispatch.urgency,
+            None if left_s is None else now_s + left_s,
+        )
+        result = self._fair_queue.push(item, now_s)
+        if is_successful(result):
+            self._waiting[dispatch.request_id] = dispatch
+        return result
+
+    def _retry_parked(self, now_s):
+        parked, self._parked = self._parked, {}
+        for dispatch, until_s in parked.values():
+            self._consider(dispatch, now_s, until_s)
+
+    # Starting.
+
+    def _pump(self, now_s):
+        # After a pause nothing runs before the view is confirmed again: the entry that
+        # sent a queued attempt may be declared dead, or its key withdrawn.
+        while now_s <= self._fresh_until_s and self._has_slot():
+            item = self._fair_queue.pop(now_s, self._can_run)
+            if item is None:
+                break
+            dispatch = self._waiting.pop(item.request_id)
+            self._gate.enter(item.request_id, bool(dispatch.suspect_of))
+            self._running[item.request_id] = _Running(item, dispatch)
+            self.fire(run_begin(dispatch), "runs")
+        self._want_models()
+
+    def _has_slot(self) -> bool:
+        return len(self._running) < self._options.max_running
+
+    def _can_run(self, item: QueuedItem) -> bool:
+        dispatch = self._waiting[item.request_id]
+        if dispatch.suspect_of and self._gate.busy:
+            return False
+        if dispatch.kind is BackendKind.SERVICE:
+            return True
+        return all(map(self._is_usable, copies_needed(self._state, dispatch.target)))
+
+    def _is_usable(self, name: str) -> bool:
+        loaded = self._engine.resident.get(name) == CopyState.LOADED.value
+        return loaded and name not in self._retiring
+
+    def _want_models(self):
+        if self._options.kind is not BackendKind.ENGINE or not self._waiting:
+            return
+        targets = {dispatch.target for dispatch in self._waiting.values()}
+        names = {n for target in targets for n in copies_needed(self._state, target)}
+        missing = tuple(n for n in sorted(names) if n not in self._engine.resident)
+        if missing:
+            self.fire(engine_want(missing), "engine")
+
+    @handler("run_ended")
+    def _on_run_ended(self, request_id, used_tokens):
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return
+        now_s = time.monotonic()
+        self._gate.leave(request_id)
+        self._fair_queue.settle(running.item, used_tokens, now_s)
+        self._pump(now_s)
+
+    # The engine's copies.
+
+    @handler("engine_view")
+    def _on_engine_view(self, view: EngineView):
+        self._engine = view
+        if not view.up:
+            # Nothing says when the engine returns, so its queue goes elsewhere.
+            for request_id in list(self._waiting):
+                self._drop_waiting(request_id, refuse_engine_down())
+        loaded = CopyState.LOADED.value
+        self._retiring = {n for n in self._retiring if view.resident.get(n) == loaded}
+        self._pump(time.monotonic())
+
+    @handler("engine_retire")
+    def _on_engine_retire(self, name):
+        idle = not any(
+            name in copies_needed(self._state, running.dispatch.target)
+            for running in self._running.values()
+        )
+        if idle:
+            self._retiring.add(name)
+        self.fire(engine_retired(name, idle), "engine")
+
+    # Ends before the run, and stops.
+
+    @handler("attempt_cancelled")
+    def _on_cancelled(self, request_id):
+        refusal = make_refusal(RefusalReason.CANCELLED, "the caller disconnected")
+        if request_id in self._parked or request_id in self._waiting:
+            self._drop_waiting(request_id, refusal)
+        elif request_id in self._running:
+            self._stop(request_id, RefusalReason.CANCELLED)
+        else:
+            self.fire(attempt_repeat(request_id), "answers")
+
+    def _drop_waiting(self, request_id, refusal: Refusal):
+        self._parked.pop(request_id, None)
+        if self._waiting.pop(request_id, None) is not None:
+            self._fair_queue.remove(request_id)
+        self._refuse(request_id, refusal)
+
+    def _stop(self, request_id, reason: RefusalReason):
+        self.fire(run_stop(request_id, reason), "runs")
+
+    def _refuse(self, request_id, refusal: Refusal):
+        self.fire(attempt_answer(refused(request_id, refusal)), "answers")
+
+    @handler("config_applied", channel="*")
+    def _on_config(self, state):
+        now_s = time.monotonic()
+        self._state = state
+        self._crashes.set_block_s(defaults(state).crash_block_s)
+        for name, item in state.items[Kind.CUSTOMER].items():
+            self._weights[name] = item.value.weight
+        self._stop_withdrawn()
+        self._retry_parked(now_s)
+        self._pump(now_s)
+
+    def _stop_withdrawn(self):
+        for request_id, dispatch in list(self._waiting.items()):
+            refusal = self._key_refusal(dispatch)
+            if refusal is not None:
+                self._drop_waiting(request_id, refusal)
+        for request_id, running in self._running.items():
+            refusal = self._key_refusal(running.dispatch)
+            if refusal is not None and running.dispatch.kind is BackendKind.ENGINE:
+                self._stop(request_id, refusal.reason)
+
+    def _key_refusal(self, dispatch: Dispatch) -> Refusal | None:
+        if not dispatch.key and is_open(self._state, dispatch):
+            return None
+        checked = check_identity(self._state, dispatch.key, dispatch.customer)
+        return None if is_successful(checked) else checked.failure()
+
+    @handler("config_fresh", channel="*")
+    def _on_config_fresh(self, until_s):
+        self._config_until_s = until_s
+        self._on_fresher()
+
+    @handler("dead_incarnations", channel="*")
+    def _on_dead(self, dead, until_s):
+        self._dead, self._dead_until_s = dead, until_s
+        detail = "the entry that sent the request was declared dead"
+        refusal = make_refusal(RefusalReason.DEAD_ORIGIN, detail)
+        for request_id in [*self._waiting, *self._parked]:
+            if is_dead(request_id.origin, dead):
+                self._drop_waiting(request_id, refusal)
+        self._on_fresher()
+
+    def _on_fresher(self):
+        now_s = time.monotonic()
+        if now_s <= self._fresh_until_s:
+            self._retry_parked(now_s)
+            self._pump(now_s)
+
+    @handler("crash_known", channel="*")
+    def _on_crash_known(self, report: CrashReport):
+        blocked = self._crashes.on_crash_report(report, _wall_ms())
+        blamed_here = [
+            request_id
+            for request_id, running in self._running.items()
+            if running.dispatch.digest in report.digests
+        ]
+        # An attempt that started before the report may be the guilty one as well.
+        for request_id in self._gate.adopt(blamed_here):
+            self._stop(request_id, RefusalReason.SUSPECT_BUSY)
+        for request_id, running in self._running.items():
+            if running.dispatch.digest in blocked:
+                self._stop(request_id, RefusalReason.BLOCKED_AFTER_CRASHES)
+
+    # Connections to entries.
+
+    @handler("peer_up", channel="*")
+    def _on_peer_up(self, peer):
+        self._orphans.pop(peer.incarnation, None)
+
+    @handler("peer_down", channel="*")
+    def _on_peer_down(self, peer):
+        self._orphans[peer.incarnation] = time.monotonic()
+        detail = "the connection to the entry was lost before the run"
+        refusal = make_refusal(RefusalReason.BACKEND_LOST, detail, 0.0)
+        for request_id in [*self._waiting, *self._parked]:
+            if request_id.origin == peer.incarnation:
+                self._drop_waiting(request_id, refusal)
+
+    def _stop_orphans(self, now_s):
+        for origin, since_s in list(self._orphans.items()):
+            if now_s - since_s < ORPHAN_S:
+                continue
+            del self._orphans[origin]
+            for request_id in self._running:
+                if request_id.origin == origin:
+                    self._stop(request_id, RefusalReason.CANCELLED)
+
+    # Time, load, planned stop.
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        for request_id, (dispatch, until_s) in list(self._parked.items()):
+            if now_s >= until_s:
+                del self._parked[request_id]
+                self._consider(dispatch, now_s, until_s)
+        self._expire(now_s)
+        self._stop_orphans(now_s)
+        self._pump(now_s)
+        self._report_load()
+        if now_s >= self._refuse_from_s:
+            self._check_drained()
+
+    def _expire(self, now_s):
+        detail = "the deadline passed while the request was queued"
+        refusal = make_refusal(RefusalReason.DEADLINE_UNREACHABLE, detail)
+        for item in self._fair_queue.expire(now_s):
+            self._waiting.pop(item.request_id)
+            self._refuse(item.request_id, refusal)
+        if now_s > self._fresh_until_s + PARK_S:
+            for request_id in list(self._waiting):
+                self._drop_waiting(request_id, refuse_stale())
+
+    def _report_load(self):
+        options = self._options
+        load = Load(
+            options.kind,
+            self._engine.capacity_bytes,
+            self._engine.free_bytes,
+            len(self._running),
+            len(self._fair_queue),
+            dict(self._engine.resident),
+            self._fair_queue.tokens_by_target(),
+            options.services,
+            options.pool,
+        )
+        if load != self._load:
+            self._load = load
+            self.fire(load_changed(load), "fleet")
+
+    @handler("drain", channel="*")
+    def _on_drain(self):
+        self._refuse_from_s = time.monotonic() + LEAVING_GRACE_S
+
+    def _check_drained(self):
+        if self._running or self._waiting or self._parked or self._drained:
+            return
+        self._drained = True
+        log_event("queue_drained")
+        self.fire(drained("queue"), "role")
+
+
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def make_queue_task(options: QueueOptions, channel: str = "queue") -> QueueTask:
+    """Return a queue task.
+
+    Parameters
+    ----------
+    options : QueueOptions
+        The backend server and its bounds.
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    QueueTask
+    """
+    return QueueTask(options, channel)
