Let no quorum confirm an empty configuration

They would refuse every key as wrong instead of answering 503.

Change: a process at no offset counts no quorum; the log still confirms an empty stream.

--- a/chervilgw/configuration/freshness.py
+++ b/chervilgw/configuration/freshness.py
@@ -149,6 +149,10 @@
 
         With this process that is a majority, so no two separate groups both pass.
         """
+        if self._own_offset == NO_OFFSET:
+            # A process without any configuration has nothing to confirm: two that were
+            # restarted together would otherwise confirm to each other that it is empty.
+            return _NEVER
         others = set(live_vms) - {self._me}
         needed = (len(others) + 1) // 2
         if not needed:
--- a/chervilgw/configuration/tests/test_freshness.py
+++ b/chervilgw/configuration/tests/test_freshness.py
@@ -81,3 +81,13 @@
     beat(freshness, "b1", 12.0)
     assert passes(freshness, 12.4)
     assert not passes(freshness, 12.6)
+
+
+def test_a_quorum_does_not_confirm_an_empty_configuration():
+    """Guards against refusing all keys as wrong after a restart without the log."""
+    freshness = make_freshness("e1")
+    for peer in ("e2", "b1"):
+        beat(freshness, peer, 10.0, offset=-1)
+    assert not passes(freshness, 10.0)
+    freshness.on_log_read(10.0)
+    assert passes(freshness, 10.0)
