--- a/fleet/tests/test_faults_quota.py
+++ b/fleet/tests/test_faults_quota.py
@@ -157,3 +157,21 @@
         assert state["started"] >= len(models)
         assert state["refused"] == 0
         assert state["peak_at_once"] <= 2
+
+
+def test_loss_of_an_entry_does_not_refuse_a_customer_within_its_rate():
+    """Guards against wrongful refusals while a dead entry's units are not collected."""
+    with small_fleet(engines=0, models=(), services=2) as fleet:
+        key = fleet.keys["tenants"]
+        address = http_address(fleet, "entry-2")
+        path = "/services/casework/stock/bed"
+        # 60 tokens a second of a rate of 5,000 with a burst of 50,000.
+        with Traffic(
+            lambda n: call(address, "GET", path, key=key), per_s=60, threads=8
+        ) as traffic:
+            fleet.wait_for(lambda: len(traffic.sent) >= 60, "traffic")
+            fleet.vms["entry-1"].daemon.kill()
+            fleet.wait_for(lambda: len(traffic.sent) >= 400, "traffic")
+        refused = traffic.failed()
+        print(f"{len(refused)} of {len(traffic.sent)} refused")
+        assert len(refused) <= 1, (len(refused), refused[:3])
