Index the holders of each model once per placement decision

Each decision scanned all servers for every model, three times, and again for every copy that might be removed, so its time grew with servers x models. Every sidecar decides twice a second. A cache between decisions was ruled out: the reports change with each heartbeat.

--- a/chervilgw/placement/copies.py
+++ b/chervilgw/placement/copies.py
@@ -88,10 +88,16 @@
         self.free = {server.vm: server.load.free_bytes for server in self.live}
         self.evicted: dict[VmId, set[ModelName]] = {s.vm: set() for s in self.live}
         self.loads: list[ModelSpec] = []
+        # Indexed once: a scan of all servers for each model, and for each copy that
+        # might be removed, makes one decision quadratic in the size of the fleet.
+        self._copies: dict[str, list[tuple[ServerView, str]]] = {}
+        for server in self.live:
+            for name, state in server.load.resident.items():
+                self._copies.setdefault(name, []).append((server, state))
 
     def holders(self, name: ModelName, *states: str) -> list[ServerView]:
         """Return live servers that have the model in one of the states."""
-        return [s for s in self.live if s.load.resident.get(name) in states]
+        return [s for s, state in self._copies.get(name, ()) if state in states]
 
     def candidates(self, spec: ModelSpec) -> list[ServerView]:
         """Return live servers of the pool in order that do not have the model."""
