Search the fleet view once per heartbeat round instead of once per peer

Every peer's heartbeat sorted and searched all known VMs, so a round cost peers x VMs, although nearly all peers have seen the same version. The searches are now shared by version. Sharing the encoded frame was ruled out for now: sequence and echo differ by peer.

--- a/chervilgw/membership/task.py
+++ b/chervilgw/membership/task.py
@@ -83,8 +83,13 @@
     def _beat(self, now_s):
         self._report_self(now_s)
         self._publish(now_s)
+        # Most peers have seen the same version, and each search looks at every VM.
+        changes = {}
         for state in self._peers.values():
-            self._send_heartbeat(state, now_s)
+            version = state.reports_version
+            if version not in changes:
+                changes[version] = self._view.reports_since(version)
+            self._send_heartbeat(state, now_s, changes[version])
         if self._me.role is Role.ENTRY:
             self._dial(now_s)
 
@@ -101,11 +106,11 @@
         )
         self._view.on_report(report, now_s)
 
-    def _send_heartbeat(self, state: _PeerState, now_s):
+    def _send_heartbeat(self, state: _PeerState, now_s, changes):
         state.sequence += 1
         state.sent_s[state.sequence] = now_s
         state.sent_s.pop(state.sequence - ECHOES_KEPT, None)
-        state.reports_version, reports = self._view.reports_since(state.reports_version)
+        state.reports_version, reports = changes
         offset, confirmed_s = self._config
         heartbeat = Heartbeat(
             state.sequence,
@@ -172,7 +177,8 @@
         if self._state is VmState.LEAVING:
             notice = Leaving(self._me.incarnation)
             self.fire(peer_send(peer.incarnation, notice), "links")
-        self._send_heartbeat(state, now_s)
+        changes = self._view.reports_since(state.reports_version)
+        self._send_heartbeat(state, now_s, changes)
         self._publish(now_s)
 
     @handler("peer_down", channel="*")
