--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -124,25 +124,40 @@
 
 
 def measure_throughput(engines: int, streams: int, tokens: int) -> None:
-    """Print how many chunks a second one entry relays."""
+    """Print how many chunks a second one entry relays, and what each role spends."""
     with start_fleet(fleet_plan(1.0, engines, streams)) as fleet:
         wait_copies(fleet, engines)
         key = raise_limits(fleet)
         entry = psutil.Process(fleet.vms["entry-1"].daemon.pid)
+        sidecars = [
+            psutil.Process(fleet.vms[f"engine-{number + 1}"].daemon.pid)
+            for number in range(engines)
+        ]
         reader = StreamReader(fleet.entry_addresses()[0], key, streams, tokens)
-        before = entry.cpu_times()
+        before_s, sidecars_s = _spent_s([entry]), _spent_s(sidecars)
+        before_bytes = entry.memory_info().rss
         took_s = reader.run("m", bound_s=120)
-        after = entry.cpu_times()
+        cpu_s = _spent_s([entry]) - before_s
+        sidecars_s = _spent_s(sidecars) - sidecars_s
+        added_bytes = entry.memory_info().rss - before_bytes
     chunks = sum(len(times) for times in reader.chunk_times_s)
-    cpu_s = after.user + after.system - before.user - before.system
     print(
         f"throughput: {chunks / took_s:,.0f} chunks/s through one entry "
         f"(target {TARGET_CHUNKS_PER_S:,}; ratio {chunks / took_s / 5300:.2f}); "
-        f"{streams} streams, {reader.done} complete, "
-        f"{cpu_s / chunks * 1e6:.0f} us of processor time a chunk at the entry"
+        f"{streams} streams of {tokens} tokens, {reader.done} complete, "
+        f"{cpu_s / chunks * 1e6:.0f} us of processor time a chunk at the entry, "
+        f"{sidecars_s / chunks * 1e6:.0f} us at the sidecars; a stream "
+        f"{cpu_s / streams * 1e6:,.0f} and {sidecars_s / streams * 1e6:,.0f} us in "
+        f"{chunks / streams:.0f} chunks; the entry's resident "
+        f"memory grew by {added_bytes / streams / 1000:.1f} kB a stream"
     )
 
 
+def _spent_s(processes: list[psutil.Process]) -> float:
+    times = [process.cpu_times() for process in processes]
+    return sum(each.user + each.system for each in times)
+
+
 def measure_gaps(streams: int, tokens: int) -> None:
     """Print the gaps between chunks at 37 ms between tokens from the engine."""
     with start_fleet(fleet_plan(37.0, 2, streams)) as fleet:
@@ -232,6 +247,7 @@
     """Run all parts, or those that are named."""
     parts = {
         "throughput": lambda: measure_throughput(4, 100, 400),
+        "requests": lambda: measure_throughput(4, 400, 1),
         "gaps": lambda: measure_gaps(100, 200),
         "added": lambda: measure_added_time(1000, 100.0),
         "idle": lambda: measure_idle(10.0),
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,6 +19,7 @@
 import psutil
 
 from benchmarks import slopes_inputs as inputs
+from benchmarks.slopes_graph import graph_rows
 from benchmarks.slopes_inputs import Row, allocated_bytes, cpu_us
 from benchmarks.slopes_memory import import_rows, link_rows
 from chervilgw.codec.frames import encode, make_decoder
@@ -251,6 +252,7 @@
     "queue": queue_rows,
     "imports": import_rows,
     "links": link_rows,
+    "graph": graph_rows,
 }
 
 
