--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -234,11 +234,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareRequest:
-    """Ask an entry for units of a budget."""
+    """Ask an entry for units of a budget.
+
+    With ``spare_only`` the receiver gives only what its own demand leaves over.
+    """
 
     budget: BudgetName
     units: int
     ledger_offset: Offset
+    spare_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/quota/exchange.py
+++ b/chervilgw/quota/exchange.py
@@ -101,7 +101,7 @@
         if allowed:
             self._askers[message.budget] = _Asker(sender, now_s, now_s)
         if holding is not None and allowed and not contested:
-            gift = holding.surrender(message.units, now_s)
+            gift = holding.surrender(message.units, now_s, message.spare_only)
         send = self.outgoing.send(sender, message.budget, gift, members.offset, now_s)
         if not gift[0]:
             return [send]
--- a/chervilgw/quota/holdings.py
+++ b/chervilgw/quota/holdings.py
@@ -31,6 +31,9 @@
 FULL_PART = 0.9
 # Smaller gifts than this part of a request cost more messages than they help.
 SMALLEST_GIFT = 0.02
+# A budget whose fair share fills fewer tokens than this is not spread without demand: a
+# budget with a burst of 1 has to be in one place.
+SMALLEST_STANDING = 16.0
 # Amounts are whole tokens or uses.
 SMALLEST_DEBIT = 1.0
 
@@ -89,7 +92,13 @@
         """Return whether refilled tokens are about to be dropped."""
         ...
 
-    def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
+    def standing_units(self, members: int) -> int:
+        """Return the units to hold without any demand, in case a peer is lost."""
+        ...
+
+    def surrender(
+        self, asked: int, now_s: float, spare_only: bool = False
+    ) -> tuple[int, float]:
         """Remove units and level for a peer that asked."""
         ...
 
@@ -201,7 +210,14 @@
             self.bucket.level + self.bucket.outstanding >= FULL_PART * self.bucket.cap
         )
 
-    def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
+    def standing_units(self, members: int) -> int:
+        units = self.first_units(members)
+        filled = self.bucket.burst * units / SHARE_UNITS
+        return units if filled >= SMALLEST_STANDING else 0
+
+    def surrender(
+        self, asked: int, now_s: float, spare_only: bool = False
+    ) -> tuple[int, float]:
         bucket = self.bucket
         bucket.advance(now_s)
         if bucket.burst <= 0 or asked <= 0 or not bucket.units:
@@ -210,7 +226,13 @@
         # these units: a budget with a burst of 1 needs all of them in one place.
         useless = bucket.cap < SMALLEST_DEBIT
         wanted = 0 if useless else self.wanted_units(now_s)
-        units = min(asked, max(0, bucket.units - wanted))
+        spare = max(0, bucket.units - wanted)
+        if spare_only:
+            # Half of the spare units stay, so that two idle entries do not send the
+            # same units to and fro.
+            units = min(asked, spare // 2)
+            return bucket.take(units, bucket.level * units / bucket.units, now_s)
+        units = min(asked, spare)
         # Below the own demand only half of the level is given, with as many units as it
         # fills: a busy peer may be short for a moment while this entry is not.
         half = int(bucket.level / 2 * SHARE_UNITS / bucket.burst)
@@ -318,7 +340,12 @@
     def is_full(self, now_s: float) -> bool:
         return False
 
-    def surrender(self, asked: int, now_s: float) -> tuple[int, float]:
+    def standing_units(self, members: int) -> int:
+        return 0
+
+    def surrender(
+        self, asked: int, now_s: float, spare_only: bool = False
+    ) -> tuple[int, float]:
         units = max(0, min(asked, self._units - self._needed(self.used)))
         self._units -= units
         return units, 0.0
--- a/chervilgw/quota/reservations.py
+++ b/chervilgw/quota/reservations.py
@@ -20,6 +20,8 @@
 # Units are asked for only when less than this part of the wanted ones is held: entries
 # whose demand varies would otherwise pass units to and fro.
 REBALANCE_BELOW = 0.8
+# The same for the fair share that is held without demand.
+STANDING_BELOW = 0.5
 # Longest wait of a reservation while no units of its budget were seen since it was
 # configured: nobody holds any before the first collection.
 FIRST_UNITS_WAIT_S = 2.0
@@ -37,6 +39,8 @@
     opened_s: float
     # Units that demand or a first share calls for; asked for without a reservation.
     target: int = 0
+    # Whether only what peers do not need is asked for.
+    spare_only: bool = False
     rebalance_at_s: float = 0.0
     lacking_since_s: float | None = None
     fruitless_collections: int = 0
@@ -196,7 +200,8 @@
             if not peers:
                 return outputs
             queue.open_round(peers)
-        request = ShareRequest(budget, asked, self._offset)
+        spare_only = state.spare_only and not queue.waiters
+        request = ShareRequest(budget, asked, self._offset, spare_only)
         return outputs + [
             Send(peer, request) for peer in queue.next_peers(holding.fanout, now_s)
         ]
@@ -205,10 +210,16 @@
         wanted = holding.wanted_units(now_s)
         if not holding.units:
             wanted = max(wanted, holding.first_units(self._members))
+        state.spare_only = False
         if holding.units < wanted * REBALANCE_BELOW:
             state.target = min(SHARE_UNITS, wanted)
-        else:
-            state.target = 0
+            return
+        # An entry that served little holds little. When the holder of the rest is lost,
+        # its units are missing until they are collected, so each keeps a fair share of
+        # what nobody needs.
+        standing = holding.standing_units(self._members)
+        state.spare_only = holding.units < standing * STANDING_BELOW
+        state.target = standing if state.spare_only else 0
 
     def _units_to_ask(self, holding: Holding, state: _State, now_s: float) -> int:
         if state.queue.waiters:
--- a/chervilgw/quota/tests/test_holdings.py
+++ b/chervilgw/quota/tests/test_holdings.py
@@ -23,3 +23,16 @@
     for step in range(200):
         holding.note_demand(1, step * 0.1)
     assert holding.surrender(500_000, now_s=20.0)[0] < 500_000
+
+
+def test_an_idle_entry_gets_only_what_the_holder_does_not_need():
+    """Guards against a busy entry that loses tokens to one without demand."""
+    holding = RateHolding(100.0, 1000.0, now_s=0.0)
+    holding.put(SHARE_UNITS, 1000.0, now_s=0.0)
+    for second in range(30):
+        holding.note_demand(80.0, now_s=float(second))
+    units, _ = holding.surrender(333_333, now_s=30.0, spare_only=True)
+    assert units <= 100_000
+    idle = RateHolding(100.0, 1000.0, now_s=0.0)
+    idle.put(SHARE_UNITS, 1000.0, now_s=0.0)
+    assert idle.surrender(333_333, now_s=30.0, spare_only=True)[0] == 333_333
