Load without a permit only after the loss of an entry

Cause: at the start of a fleet many loads wait over 2 s for the store's rate, and would all have gone without a permit. Change: the rule applies for 120 s after this sidecar lost a link to an entry.

--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -13,7 +13,7 @@
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
 from chervilgw.core.messages import PermitGrant, PermitRelease, PermitRequest
-from chervilgw.core.states import CopyState, RefusalReason, VmState
+from chervilgw.core.states import CopyState, RefusalReason, Role, VmState
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
 from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
@@ -49,9 +49,11 @@
 BUSY_READ_S = 0.1
 PERMIT_REPEAT_S = 0.5
 PERMIT_WAIT_S = 2.0
-"""After this a model that nobody else serves is loaded without a permit: the entry that
-held the store's budget may be lost, and without the log nothing collects its units. The
-store refuses what is over its own limit, and the load is tried again."""
+ENTRY_LOSS_MATTERS_S = 120.0
+"""After the loss of an entry, a model that nobody else serves is loaded without a permit
+once it waited for :data:`PERMIT_WAIT_S`: the lost entry may have held the store's budget,
+and without the log nothing collects its units. The store refuses what is over its own
+limit, and the load is tried again."""
 LOST_ORDER_S = 2.0
 """An order that the engine accepted, but does not list this long after, was lost."""
 FENCING_PER_MS = 1024
@@ -118,6 +120,7 @@
         self._demand = make_demand_tracker(DEMAND)
         self._crashes = count(1)
         self._crash: CrashId | None = None
+        self._entry_lost_s = float("-inf")
         self._probing = False
         self._draining = False
         self._view = EngineView()
@@ -132,6 +135,11 @@
     def _on_fleet(self, fleet):
         self._fleet = fleet
 
+    @handler("peer_down", channel="*")
+    def _on_peer_down(self, peer):
+        if peer.role is Role.ENTRY:
+            self._entry_lost_s = time.monotonic()
+
     @handler("drain", channel="*")
     def _on_drain(self):
         self._draining = True
@@ -396,7 +404,7 @@
         for permit in list(self._permits.values()):
             if permit.granted:
                 continue
-            if now_s - permit.first_asked_s > PERMIT_WAIT_S and self._must_load(permit):
+            if self._must_load(permit, now_s):
                 log_event("load_without_permit", model=permit.spec.name)
                 self._load(permit, now_s)
             elif now_s - permit.asked_s > 4 * PERMIT_REPEAT_S:
@@ -422,8 +430,12 @@
         if not permit.granted:
             self._load(permit, now_s)
 
-    def _must_load(self, permit: _Permit) -> bool:
-        """Return whether no other live server could serve what the permit is for."""
+    def _must_load(self, permit: _Permit, now_s) -> bool:
+        """Return whether to load without a permit what no other server has."""
+        if now_s - permit.first_asked_s <= PERMIT_WAIT_S:
+            return False
+        if now_s - self._entry_lost_s > ENTRY_LOSS_MATTERS_S:
+            return False
         return not any(
             server.vm != self._options.me.vm
             and server.state is VmState.LIVE
