--- a/fleet/tests/faulting.py
+++ b/fleet/tests/faulting.py
@@ -175,7 +175,7 @@
     def wait(model: str) -> float:
         while not answers(fleet, model, address):
             assert time.monotonic() - since_s < bound_s, f"{model} does not answer"
-            time.sleep(POLL_S)
+            threading.Event().wait(POLL_S)
         return time.monotonic() - since_s
 
     with ThreadPoolExecutor(len(models)) as pool:
--- a/fleet/tests/test_interrupts.py
+++ b/fleet/tests/test_interrupts.py
@@ -3,6 +3,7 @@
 import json
 import os
 import subprocess
+import threading
 import time
 import uuid
 from signal import SIGINT, SIGTERM
@@ -48,7 +49,7 @@
         while len(self.marked()) < count:
             assert self.child.poll() is None
             assert time.monotonic() < deadline_s
-            time.sleep(0.01)
+            threading.Event().wait(0.01)
 
     def stop(self, number) -> tuple[int, str]:
         """Send a signal; return exit status and output."""
