--- a/chervilgw/routing/retries.py
+++ b/chervilgw/routing/retries.py
@@ -42,8 +42,8 @@
         self._balance = min(self._burst, self._balance + self._ratio)
 
     def _refill(self, now_s: float) -> None:
-        gain = max(0.0, now_s - self._refilled_s) * self._refill_per_s
-        self._refilled_s = max(now_s, self._refilled_s)
+        gain = (now_s - self._refilled_s) * self._refill_per_s
+        self._refilled_s = now_s
         self._balance = min(self._burst, self._balance + gain)
 
     def try_retry(
