Answer prompts of 512 characters and more

Cause: the gateway called PrefixIndex.share() with one VM in place of a list, and put its result, a mapping, where a number belongs. With a prompt long enough to have prefixes (512 characters) the cost of a server raised a TypeError, the attempt was never sent and the caller waited until it gave up. Found by reading; all tests used short prompts. Ruled out: the index itself, which has a unit test with a list of VMs. Change: one call for all VMs, and a test that sends a long prompt twice by the public client library.

--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -152,10 +152,8 @@
     def _prefix_share(self, priced: Priced, now_s):
         if not priced.prefixes:
             return {}
-        return {
-            server.vm: self._prefixes.share(server.vm, priced.prefixes, now_s)
-            for server in self._fleet.servers
-        }
+        vms = [server.vm for server in self._fleet.servers]
+        return self._prefixes.share(vms, priced.prefixes, now_s)
 
     def _send(self, request: Inflight, request_id, vm, message, now_s):
         server = next(s for s in self._fleet.servers if s.vm == vm)
--- a/fleet/tests/test_openai_client.py
+++ b/fleet/tests/test_openai_client.py
@@ -40,6 +40,16 @@
     assert len(answer.choices[0].text.split()) == 5
 
 
+def test_long_prompts_are_answered(client):
+    """Guards against an attempt that fails on the prefixes of a long prompt."""
+    client = client.with_options(timeout=10.0, max_retries=0)
+    prompt = " ".join(f"reading {number}" for number in range(400))
+    options = {"model": "draft-small", "prompt": prompt, "max_tokens": 5}
+    first, again = (client.completions.create(**options) for _ in range(2))
+    assert first.choices[0].text == again.choices[0].text
+    assert len(first.choices[0].text.split()) == 5
+
+
 def test_errors_have_the_library_classes(fleet, client):
     """Guards against a status or error body that callers' handlers do not know."""
     with pytest.raises(openai.NotFoundError) as unknown:
