Let a suspect give way once it has run past the place of the crash

Cause: suspects run one at a time on a server and each ran to its end. After the loss of a sidecar with 8 streams on two servers the last of them was silent for 10 to 12 s, and a caller with a timeout of 12 s left (seen in test_sidecar_killed_in_mid_stream on a loaded machine). Ruled out: trying suspects side by side; a second crash would then blame innocents. Change: a suspect that made 16 tokens beyond its resume point frees the gate and is no longer blamed first. The crash machine gets the rule that innocents may pass and the poisonous request may not; at most two crashes and no innocent blocked hold.

--- a/chervilgw/crashes/gate.py
+++ b/chervilgw/crashes/gate.py
@@ -66,7 +66,7 @@
         return tuple(attempt for attempt in attempts if attempt != self._running)
 
     def leave(self, attempt: RequestId) -> None:
-        """Note that an attempt ended, in whatever way.
+        """Note that an attempt ended, in whatever way, or is no suspect any more.
 
         Parameters
         ----------
--- a/chervilgw/crashes/tests/test_crashes.py
+++ b/chervilgw/crashes/tests/test_crashes.py
@@ -97,6 +97,20 @@
         for tracker in self.trackers:
             tracker.on_completed(digest)
 
+    @precondition(lambda self: any(running for _, running in self.servers))
+    @rule(data=st.data())
+    def pass_trial(self, data):
+        """A suspect runs past the place of the crash; the poisonous one cannot."""
+        index = data.draw(st.sampled_from([i for i in range(3) if self.servers[i][1]]))
+        gate, running = self.servers[index]
+        attempt = data.draw(st.sampled_from(sorted(running)))
+        digest, suspect = running[attempt]
+        if digest == "poison":
+            self.crash(index)
+        elif suspect:
+            gate.leave(attempt)
+            running[attempt] = (digest, False)
+
     def crash(self, index):
         self.crashes += 1
         _, running = self.servers[index]
--- a/chervilgw/sidecar/events.py
+++ b/chervilgw/sidecar/events.py
@@ -98,5 +98,9 @@
     """Stop a run that may be stopped: request id, ``RefusalReason``."""
 
 
+class suspect_passed(Event):  # noqa: N801
+    """A suspect ran past the place of the crash: request id."""
+
+
 class run_ended(Event):  # noqa: N801
     """A run has ended: request id, tokens that it used."""
--- a/chervilgw/sidecar/queue_task.py
+++ b/chervilgw/sidecar/queue_task.py
@@ -211,6 +211,11 @@
         self._fair_queue.settle(running.item, used_tokens, now_s)
         self._pump(now_s)
 
+    @handler("suspect_passed")
+    def _on_suspect_passed(self, request_id):
+        self._gate.leave(request_id)
+        self._pump(time.monotonic())
+
     # The engine's copies.
 
     @handler("engine_view")
--- a/chervilgw/sidecar/run_task.py
+++ b/chervilgw/sidecar/run_task.py
@@ -31,6 +31,7 @@
     booking_request,
     engine_probe,
     run_ended,
+    suspect_passed,
 )
 from chervilgw.sidecar.generation import (
     Generation,
@@ -39,6 +40,10 @@
 )
 
 PART_BYTES = 65_536
+TRIAL_TOKENS = 16
+"""A suspect that made so many tokens beyond its resume point is not what crashed the
+engine: the tokens made at the crash, but not relayed, are fewer. The others that wait
+to be tried then need not wait for its end."""
 
 
 @dataclass(slots=True)
@@ -49,6 +54,15 @@
     status: int = 0
     booking: bool = False
     broken: bool = False
+    on_trial: bool = False
+
+    def passes_trial(self) -> bool:
+        """Return whether a suspect has just run past the place of the crash."""
+        made = self.generation.position - self.dispatch.resume_position
+        if not self.on_trial or made < TRIAL_TOKENS:
+            return False
+        self.on_trial = False
+        return True
 
     def used_tokens(self, end: End | None = None) -> int:
         """Return the tokens that the attempt cost its backend server."""
@@ -75,6 +89,7 @@
     def _on_begin(self, dispatch: Dispatch):
         call = f"run-{next(self._numbers)}"
         run = self._runs[dispatch.request_id] = _Run(dispatch, call)
+        run.on_trial = bool(dispatch.suspect_of)
         self._calls[call] = dispatch.request_id
         if dispatch.kind is BackendKind.ENGINE:
             run.generation = make_generation(dispatch)
@@ -145,6 +160,8 @@
             return
         for chunk in chunks:
             self._answer(chunk)
+        if run.passes_trial():
+            self.fire(suspect_passed(run.dispatch.request_id), "queue")
 
     @handler("call_done")
     def _on_call_done(self, answer):
@@ -199,7 +216,7 @@
     def _on_verdict(self, crash: CrashId | None):
         runs = [run for run in self._runs.values() if run.generation is not None]
         if crash is not None and runs:
-            running = {r.dispatch.digest: bool(r.dispatch.suspect_of) for r in runs}
+            running = {r.dispatch.digest: r.on_trial for r in runs}
             now_ms = int(time.time() * 1000)
             report = CrashReport(crash, self._vm, blamed(running), now_ms)
             self.fire(crash_seen(report), "crashes")
