Check the daemons' logs at the end of each fleet of a test

Cause: the gateway failed on every long prompt, and no test looked for the handler_failed lines that the daemons wrote. Change: start_fleet() raises an error if a daemon logged an error that no handler caught. The line has the type of the error in place of its message, which may hold a prompt. Ruled out: ending the process; its other requests go on.

--- a/chervilgw/runtime/app.py
+++ b/chervilgw/runtime/app.py
@@ -11,6 +11,8 @@
 from chervilgw.telemetry import log_event
 
 POLL_EVERY_S = 0.002
+HANDLER_FAILED = "handler_failed"
+"""Log event of an error that no handler caught; always a defect."""
 
 
 class Poller(EPoll):
@@ -51,10 +53,10 @@
     @handler("exception", channel="*", priority=-1)
     def _on_exception(self, kind, error, trace, handler=None, fevent=None):
         # The library would only print the trace. A failed handler is a defect, but the
-        # process goes on serving its other requests.
+        # process goes on serving its other requests. The message of an error may hold a
+        # prompt, so only its type is logged.
         where = "".join(trace) if isinstance(trace, list) else str(trace)
-        detail = f"{kind.__name__}: {error}"
-        log_event("handler_failed", level="error", detail=detail, trace=where)
+        log_event(HANDLER_FAILED, level="error", error=kind.__name__, trace=where)
 
 
 def make_app(*tasks: BaseComponent) -> App:
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -15,6 +15,7 @@
 import yaml
 
 from chervilgw.keys.operators import issue_operator_key
+from chervilgw.runtime.app import HANDLER_FAILED
 from fleet.client import call
 from fleet.interrupts import interrupts_held
 from fleet.plan import FleetPlan
@@ -406,6 +407,13 @@
             if vm.daemon is not None:
                 yield vm.role, vm.name, vm.zone, vm.daemon
 
+    def check_logs(self) -> None:
+        """Raise an error if a daemon logged an error that no handler caught."""
+        for path in sorted((self.folder / "logs").glob("*.log")):
+            for line in path.read_text().splitlines():
+                if f'"event": "{HANDLER_FAILED}"' in line:
+                    raise FleetError(f"{path.name}: {line}")
+
     # Ending.
 
     def stop(self) -> dict[str, int]:
@@ -459,6 +467,7 @@
     try:
         fleet.start()
         yield fleet
+        fleet.check_logs()
     finally:
         with interrupts_held():
             fleet.kill()
