Compare the server that has the prompt cached, and count prefixes

Cause: routing compared two random holders, so that the one with the cached prompt was seldom among them, and a bonus by share valued a short prompt like a long one. The count of own work since a report stopped at zero, so that requests that ended were forgotten. Ruled out: all holders compared (entries then choose alike by the same late report); own work counted two or three times, for other entries.

--- a/chervilgw/entry/filters/choose.py
+++ b/chervilgw/entry/filters/choose.py
@@ -37,7 +37,7 @@
         priced.adapter,
         priced.pool,
         priced.size_bytes,
-        message.prefix_share,
+        message.cached_prefixes,
         message.excluded,
     )
     return choose_server(
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -134,7 +134,7 @@
             self._fleet,
             self._options.zone,
             self._outstanding.counts,
-            self._prefix_share(priced, now_s),
+            self._cached_prefixes(priced, now_s),
             frozenset(request.excluded),
             request.suspect_of,
             random.random(),
@@ -149,11 +149,11 @@
         routed = result.unwrap()
         self._send(request, request_id, routed.vm, routed.message, now_s)
 
-    def _prefix_share(self, priced: Priced, now_s):
+    def _cached_prefixes(self, priced: Priced, now_s):
         if not priced.prefixes:
             return {}
         vms = [server.vm for server in self._fleet.servers]
-        return self._prefixes.share(vms, priced.prefixes, now_s)
+        return self._prefixes.cached(vms, priced.prefixes, now_s)
 
     def _send(self, request: Inflight, request_id, vm, message, now_s):
         server = next(s for s in self._fleet.servers if s.vm == vm)
--- a/chervilgw/entry/messages.py
+++ b/chervilgw/entry/messages.py
@@ -127,7 +127,7 @@
     fleet: FleetSnapshot
     zone: str
     outstanding: Mapping[VmId, int]
-    prefix_share: Mapping[VmId, float]
+    cached_prefixes: Mapping[VmId, int]
     excluded: frozenset[VmId]
     suspect_of: tuple[CrashId, ...]
     random_value: float
--- a/chervilgw/entry/outstanding.py
+++ b/chervilgw/entry/outstanding.py
@@ -13,7 +13,11 @@
 
 
 class Outstanding:
-    """Counts of attempts by VM; see :func:`make_outstanding`."""
+    """Counts of attempts by VM; see :func:`make_outstanding`.
+
+    A count is negative if more attempts ended than were sent since the report, which
+    still counts those that ended.
+    """
 
     def __init__(self) -> None:
         self.counts: Counter[VmId] = Counter()
@@ -24,8 +28,8 @@
         self.counts[vm] += 1
 
     def ended(self, vm: VmId) -> None:
-        """Take an attempt back, unless a report has already counted it."""
-        self.counts[vm] = max(0, self.counts[vm] - 1)
+        """Take an attempt back; a later report no longer counts it."""
+        self.counts[vm] -= 1
 
     def on_servers(self, servers: Iterable[ServerView], now_s: float) -> None:
         """Start to count anew for servers with a newer report, which counts the rest.
--- a/chervilgw/routing/choice.py
+++ b/chervilgw/routing/choice.py
@@ -14,9 +14,9 @@
 from chervilgw.routing.order import preferred_order
 
 # Weights in units of one queued request. A resident adapter saves a cold start of up to
-# 20 ms, a fully cached prompt most of a prefill, the same zone about 1 ms.
+# 20 ms, a cached prefix the prefill of about a hundred tokens, the same zone 1 ms.
 ADAPTER_BONUS = 1.0
-PREFIX_BONUS = 2.0
+PREFIX_BONUS = 1.0
 ZONE_BONUS = 0.25
 RETRY_AFTER_S = 1.0
 
@@ -26,8 +26,8 @@
     """What the choice needs to know of a request.
 
     Either ``model`` (with ``pool`` and maybe ``adapter``) or ``service`` is set.
-    ``size_bytes`` is the model's weight size. ``prefix_share`` maps a VM to the share
-    of the prompt whose prefix it probably has cached, from the prefix index.
+    ``size_bytes`` is the model's weight size. ``cached_prefixes`` maps a VM to the
+    number of the prompt's prefixes that it probably has cached, from the prefix index.
     """
 
     customer: CustomerId
@@ -37,7 +37,7 @@
     adapter: str | None = None
     pool: str = "default"
     size_bytes: int = 0
-    prefix_share: Mapping[VmId, float] | None = None
+    cached_prefixes: Mapping[VmId, int] | None = None
     excluded: frozenset[VmId] = frozenset()
 
 
@@ -101,7 +101,7 @@
         # Sorted, so that a random value selects the same pair in each process.
         holders.sort(key=lambda server: server.vm)
         best = min(
-            _pick_two(holders, random_value),
+            _candidates(request, holders, random_value),
             key=lambda server: _cost(request, server, own_outstanding),
         )
         return Success(Choice(best.vm))
@@ -130,10 +130,24 @@
     return server.is_engine(request.pool)
 
 
+def _candidates(
+    request: RouteRequest, holders: list[ServerView], random_value: float
+) -> list[ServerView]:
+    """Return two random holders, and the one with most prefixes of the prompt.
+
+    Among two random ones alone the server that has the prompt cached is seldom found.
+    """
+    candidates = _pick_two(holders, random_value)
+    cached = request.cached_prefixes
+    if cached:
+        candidates.append(max(holders, key=lambda server: cached.get(server.vm, 0)))
+    return candidates
+
+
 def _pick_two(holders: list[ServerView], random_value: float) -> list[ServerView]:
     count = len(holders)
     if count == 1:
-        return holders
+        return list(holders)
     pair = min(int(random_value * count * (count - 1)), count * (count - 1) - 1)
     first, second = divmod(pair, count - 1)
     return [holders[first], holders[second + (second >= first)]]
@@ -146,7 +160,7 @@
     cost = float(load.running + load.queued + own_outstanding.get(server.vm, 0))
     if request.adapter is not None and server.holds(request.adapter):
         cost -= ADAPTER_BONUS
-    cost -= PREFIX_BONUS * (request.prefix_share or {}).get(server.vm, 0.0)
+    cost -= PREFIX_BONUS * (request.cached_prefixes or {}).get(server.vm, 0)
     if server.zone == request.zone:
         cost -= ZONE_BONUS
     return cost
--- a/chervilgw/routing/prefixes.py
+++ b/chervilgw/routing/prefixes.py
@@ -54,11 +54,11 @@
         self._seen.pop(vm, None)
         self._sequence.pop(vm, None)
 
-    def share(
+    def cached(
         self, vms: Iterable[VmId], digests: Sequence[Digest], now_s: float
-    ) -> dict[VmId, float]:
-        """Return for each server the share of leading digests it has, where not 0."""
-        shares = {}
+    ) -> dict[VmId, int]:
+        """Return for each server how many leading digests it has, where not 0."""
+        counts = {}
         for vm in vms:
             known = self._seen.get(vm)
             length = 0
@@ -68,8 +68,8 @@
                     break
                 length += 1
             if length:
-                shares[vm] = length / len(digests)
-        return shares
+                counts[vm] = length
+        return counts
 
 
 def make_prefix_index(per_server: int = 4096, age_s: float = 300.0) -> PrefixIndex:
@@ -91,7 +91,7 @@
     >>> index = make_prefix_index()
     >>> index.on_dispatch(VmId("a"), [Digest("1"), Digest("2")], now_s=0.0)
     >>> asked = [Digest("1"), Digest("2"), Digest("3"), Digest("4")]
-    >>> index.share([VmId("a"), VmId("b")], asked, now_s=1.0)
-    {'a': 0.5}
+    >>> index.cached([VmId("a"), VmId("b")], asked, now_s=1.0)
+    {'a': 2}
     """
     return PrefixIndex(per_server, age_s)
