Watch an accepted order until it ends

Cause: an order was watched only until the engine listed it, as accepted or running. When the store refused the load later, or a fence raised for another order rejected a late order at its start, nothing told the memory ledger. On an engine that checks fencing numbers no later report is final by itself, so the copy stayed loading or unloading for good, its memory reserved, and no other server loaded the model either.

Ruled out: room that nothing makes (the engine had both places free), permits (granted), the eviction choice.

Change: a decision module watches accepted orders until their effect or end is known. In the ledger, a report that is final for an unload settles it, a load that was rejected is repeated under a new id, and an unload that was given up is not attempted again, since each attempt put off the final report.

--- a/chervilgw/placement/memory.py
+++ b/chervilgw/placement/memory.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
 
@@ -109,6 +109,11 @@
             for (name, version), copy in self._copies.items()
         )
 
+    def pending_orders(self) -> frozenset[str]:
+        """Return the ids of the orders whose effect is not known yet."""
+        copies = self._copies.values()
+        return frozenset(c.pending.order.order_id for c in copies if c.pending)
+
     def want_load(
         self, name: ModelName, version: str, size_bytes: int, now_s: float
     ) -> Result[Order, Refusal]:
@@ -154,10 +159,11 @@
                 copy.pending = _Pending(order, now_s)
                 return Success(order)
         for _, copy in found:
-            if copy.pending and copy.pending.order.kind is OrderKind.UNLOAD:
-                return Success(self._attempt(copy.pending, now_s))
-            if copy.pending:
-                copy.pending.given_up = True
+            pending = copy.pending
+            if pending and pending.order.kind is OrderKind.LOAD:
+                pending.given_up = True
+            elif pending and not pending.given_up:
+                return Success(self._attempt(pending, now_s))
         text = f"no loaded copy of {name} on this server"
         wait_s = self._settle_s if found else None
         return Failure(make_refusal(RefusalReason.MODEL_NOT_LOADED, text, wait_s))
@@ -232,9 +238,13 @@
     def _make_order(
         self, kind: OrderKind, name: ModelName, version: str, size_bytes: int
     ) -> Order:
+        return Order(
+            self._next_order_id(), kind, name, version, size_bytes, self._fencing
+        )
+
+    def _next_order_id(self) -> str:
         self._counter += 1
-        order_id = f"{self._id_prefix}-{self._counter}"
-        return Order(order_id, kind, name, version, size_bytes, self._fencing)
+        return f"{self._id_prefix}-{self._counter}"
 
     def _attempt(self, pending: _Pending, now_s: float) -> Order:
         old = pending.order
@@ -285,7 +295,9 @@
             if engine_copy.state is CopyState.LOADED:
                 copy.state, copy.seen_at_s = CopyState.LOADED, now_s
                 copy.order_id, copy.pending = engine_copy.order_id, None
-        elif pending.given_up and self._is_final(pending, report, requested_at_s):
+        elif self._is_final(pending, report, requested_at_s):
+            # Either the unload is running, or no attempt of it can take effect any
+            # more: a fence raised for another order has rejected it, for example.
             copy.state, copy.pending = engine_copy.state, None
 
     def _apply_missing(
@@ -303,7 +315,10 @@
             if pending.given_up:
                 self._remove(key, now_s)
             else:
-                # No attempt took effect or can; repeating is safe.
+                # No attempt took effect or can, so repeating is safe. The engine may
+                # know the old id as a rejected order and would not do it again.
+                order_id = copy.order_id = self._next_order_id()
+                pending.order = replace(pending.order, order_id=order_id)
                 pending.lost = True
 
     def _remove(self, key: CopyKey, now_s: float) -> None:
--- a/chervilgw/placement/orders.py
+++ b/chervilgw/placement/orders.py
@@ -24,6 +24,16 @@
     LOST = "lost"
 
 
+class OrderProgress(Enum):
+    """How far the engine is with an order, as its report says."""
+
+    ACCEPTED = "accepted"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
 @dataclass(frozen=True, slots=True)
 class Order:
     """Load or unload one copy; the engine does each ``order_id`` at most once."""
--- a/chervilgw/placement/tests/test_memory.py
+++ b/chervilgw/placement/tests/test_memory.py
@@ -303,3 +303,62 @@
     ledger.on_order_answer(order.order_id, OrderAnswer.OK, SETTLE_S)
     ledger.on_engine_state(EngineReport(()), SETTLE_S, SETTLE_S + 1)
     assert ledger.free_bytes == CAPACITY - 6
+
+
+def fenced_ledger():
+    """Return a ledger that issues orders, on an engine that checks fencing numbers."""
+    ledger = MemoryLedger(CAPACITY, True, SETTLE_S, 1, 0.0)
+    ledger.on_engine_state(EngineReport((), 1), 0.1, 0.1)
+    return ledger
+
+
+def report_after(ledger, order_id, state, now_s):
+    """Apply a report that lists the copy and the fence that the ledger asked for."""
+    copies = (EngineCopy("a", "1", 6, state, order_id),)
+    fences = [o.fencing for o in ledger.tick(now_s) if isinstance(o, Fence)]
+    report = EngineReport(copies, max(fences))
+    ledger.on_engine_state(report, now_s, now_s)
+
+
+def test_unload_that_a_fence_rejected_is_ordered_again():
+    """Guards against a copy that stays unloading when the engine drops its order.
+
+    The engine accepted the unload, and a fence for a failed load overtook it.
+    """
+    ledger = fenced_ledger()
+    load = ledger.want_load("a", "1", 6, 1.0).unwrap()
+    ledger.on_order_answer(load.order_id, OrderAnswer.OK, 1.1)
+    unload = ledger.want_unload("a", 2.0).unwrap()
+    failed = ledger.want_load("c", "1", 4, 2.0).unwrap()
+    ledger.on_order_answer(failed.order_id, OrderAnswer.REFUSED, 2.1)
+    report_after(ledger, load.order_id, CopyState.LOADED, 3.0)
+    assert ledger.free_bytes == CAPACITY - 6
+    again = ledger.want_unload("a", 3.1).unwrap()
+    assert again.order_id != unload.order_id
+    assert again.fencing > unload.fencing
+
+
+def test_load_that_a_fence_rejected_is_repeated_under_a_new_id():
+    """Guards against repeating an id that the engine will not do any more."""
+    ledger = fenced_ledger()
+    load = ledger.want_load("c", "1", 4, 1.0).unwrap()
+    failed = ledger.want_load("b", "1", 6, 1.0).unwrap()
+    ledger.on_order_answer(failed.order_id, OrderAnswer.REFUSED, 1.1)
+    fence = next(o for o in ledger.tick(2.0) if isinstance(o, Fence))
+    ledger.on_engine_state(EngineReport((), fence.fencing), 2.1, 2.1)
+    repeated = [o for o in ledger.tick(3.2) if isinstance(o, Order)]
+    assert [(o.name, o.fencing) for o in repeated] == [("c", fence.fencing)]
+    assert repeated[0].order_id != load.order_id
+    assert ledger.free_bytes == CAPACITY - 4
+
+
+def test_unload_that_was_given_up_is_not_attempted_again():
+    """Guards against attempts that put off the report that is final for the order."""
+    ledger = fenced_ledger()
+    load = ledger.want_load("a", "1", 6, 1.0).unwrap()
+    ledger.on_order_answer(load.order_id, OrderAnswer.OK, 1.1)
+    unload = ledger.want_unload("a", 2.0).unwrap()
+    ledger.on_order_answer(unload.order_id, OrderAnswer.REFUSED, 2.1)
+    assert not isinstance(ledger.want_unload("a", 2.5), Success)
+    report_after(ledger, load.order_id, CopyState.LOADED, 3.0)
+    assert isinstance(ledger.want_unload("a", 3.1), Success)
--- a/chervilgw/platform/engine.py
+++ b/chervilgw/platform/engine.py
@@ -10,7 +10,13 @@
 
 from chervilgw.core.ids import ModelName
 from chervilgw.core.states import CopyState
-from chervilgw.placement.orders import EngineCopy, EngineReport, Fence, Order
+from chervilgw.placement.orders import (
+    EngineCopy,
+    EngineReport,
+    Fence,
+    Order,
+    OrderProgress,
+)
 from chervilgw.platform.errors import PlatformError
 from chervilgw.runtime.events import CallDone, HttpCall
 
@@ -20,15 +26,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
-    """What the engine says of itself.
-
-    ``orders`` maps an order id to the engine's word for its state.
-    """
+    """What the engine says of itself; ``orders`` holds the progress by order id."""
 
     capacity_bytes: int
     report: EngineReport
     adapters: frozenset[str]
-    orders: Mapping[str, str] = field(default_factory=dict)
+    orders: Mapping[str, OrderProgress] = field(default_factory=dict)
     crashes: int = 0
 
 
@@ -114,7 +117,7 @@
         return Failure(PlatformError(text, may_have_run=False))
     try:
         body = json.loads(answer.body)
-        resident = body["resident"]
+        resident, orders = body["resident"], body.get("orders", {})
         copies = tuple(
             EngineCopy(
                 ModelName(item["name"]),
@@ -132,7 +135,7 @@
                 int(body["capacity_bytes"]),
                 report,
                 frozenset(adapters),
-                dict(body.get("orders", {})),
+                {name: OrderProgress(p) for name, p in orders.items()},
                 int(body.get("crashes", 0)),
             )
         )
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -28,6 +28,7 @@
     parse_state,
 )
 from chervilgw.runtime.events import http_call, peer_send
+from chervilgw.sidecar.accepted import make_accepted_orders
 from chervilgw.sidecar.events import (
     EngineView,
     engine_retire,
@@ -54,8 +55,6 @@
 permit once it waited for :data:`PERMIT_WAIT_S`: the lost entry may have held the
 store's budget, and without the log nothing collects its units. The store refuses what
 is over its own limit, and the load is tried again."""
-LOST_ORDER_S = 2.0
-"""An order that the engine accepted, but does not list this long after, was lost."""
 FENCING_PER_MS = 1024
 DEMAND = DemandThresholds(high_tokens=4000, low_tokens=400)
 """Tokens that wait per copy: about 4 s and 0.4 s of an engine's work."""
@@ -109,7 +108,7 @@
         self._state_call: tuple[str, float] | None = None
         self._next_read_s = self._next_decide_s = 0.0
         self._order_calls: dict[str, str] = {}
-        self._accepted_s: dict[str, float] = {}
+        self._accepted = make_accepted_orders()
         self._wants = Wants()
         self._permits: dict[str, _Permit] = {}
         self._last_used_s: dict[str, float] = {}
@@ -214,7 +213,7 @@
             self._ledger_answer(order_id, OrderAnswer.REFUSED, now_s)
         elif answer.status == 202:
             # Accepted is not done: the copy's state comes with the next state read.
-            self._accepted_s[order_id] = now_s
+            self._accepted.add(order_id, now_s)
             self._next_read_s = now_s
         else:
             self._ledger_answer(order_id, OrderAnswer.LOST, now_s)
@@ -240,14 +239,10 @@
             self._capacity_bytes = state.capacity_bytes
             self._ledger = self._make_ledger(now_s)
         self._ledger.on_engine_state(state.report, requested_s, now_s)
-        for order_id, accepted_s in list(self._accepted_s.items()):
-            if order_id in state.orders:
-                del self._accepted_s[order_id]
-                if state.orders[order_id] in ("failed", "refused"):
-                    self._ledger_answer(order_id, OrderAnswer.REFUSED, now_s)
-            elif requested_s - accepted_s > LOST_ORDER_S:
-                del self._accepted_s[order_id]
-                self._ledger_answer(order_id, OrderAnswer.LOST, now_s)
+        pending = self._ledger.pending_orders()
+        ended = self._accepted.observe(state.orders, pending, requested_s)
+        for order_id, answer in ended:
+            self._ledger_answer(order_id, answer, now_s)
         busy = self._publish()
         self._next_read_s = now_s + (BUSY_READ_S if busy else DECIDE_S)
         self._settle_permits()
@@ -276,7 +271,7 @@
             self.fire(engine_verdict(self._crash), "runs")
         self._probing = False
         self._ledger = None
-        self._accepted_s.clear()
+        self._accepted = make_accepted_orders()
         self._retiring.clear()
         for permit in list(self._permits.values()):
             self._release(permit)
@@ -330,6 +325,10 @@
             spec = copy_spec(self._state, copy.name)
             if spec is None or copy.version == spec.version:
                 continue
+            if copy.state is CopyState.UNLOADING:
+                # The ledger repeats the order. Another attempt here would put off the
+                # report that is final for it.
+                continue
             if (spec.name, spec.version) in loaded:
                 order = self._ledger.want_unload(copy.name, now_s, copy.version)
                 if is_successful(order):
