Move the load permits into a decision module

Change: sidecar/permits.py decides whom to ask, when to ask again, when to load without a permit and what to release; its outputs are messages to entries and loads to start. The choice of the copy to retire, the versions to refresh and the wants to serve are functions of sidecar/loading.py; the meaning of an order's HTTP status is with the engine's codec. Same times and rules as before.

--- a/chervilgw/platform/engine.py
+++ b/chervilgw/platform/engine.py
@@ -15,6 +15,7 @@
     EngineReport,
     Fence,
     Order,
+    OrderAnswer,
     OrderProgress,
 )
 from chervilgw.platform.errors import PlatformError
@@ -89,6 +90,21 @@
     return _post(spec, call, "/orders", body)
 
 
+def parse_order_status(status: int) -> OrderAnswer | None:
+    """Return what an answer to an order says; None for an order that was accepted.
+
+    Accepted is not done: the order's effect comes with a later state report.
+
+    Examples
+    --------
+    >>> parse_order_status(409), parse_order_status(202)
+    (<OrderAnswer.REFUSED: 'refused'>, None)
+    """
+    if status == 202:
+        return None
+    return OrderAnswer.REFUSED if status == 409 else OrderAnswer.LOST
+
+
 def make_fence_call(spec: EngineClientSpec, call: str, fence: Fence) -> HttpCall:
     """Return the call that raises the engine's fencing number."""
     return _post(spec, call, "/fence", {"fencing": fence.fencing})
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import random
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import count
 
@@ -12,8 +12,8 @@
 
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
-from chervilgw.core.messages import PermitGrant, PermitRelease, PermitRequest
-from chervilgw.core.states import CopyState, RefusalReason, Role, VmState
+from chervilgw.core.messages import PermitGrant
+from chervilgw.core.states import CopyState, RefusalReason, Role
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
 from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
@@ -25,6 +25,7 @@
     make_fence_call,
     make_order_call,
     make_state_call,
+    parse_order_status,
     parse_state,
 )
 from chervilgw.runtime.events import http_call, peer_send
@@ -38,23 +39,18 @@
 from chervilgw.sidecar.loading import (
     CopySpec,
     Wants,
-    choose_eviction,
+    choose_retirement,
     copy_spec,
     merge_versions,
     model_specs,
+    outdated_copies,
     reachable_servers,
 )
+from chervilgw.sidecar.permits import PermitOutput, Tell, make_load_permits
 from chervilgw.telemetry import log_event
 
 DECIDE_S = 0.5
 BUSY_READ_S = 0.1
-PERMIT_REPEAT_S = 0.5
-PERMIT_WAIT_S = 2.0
-ENTRY_LOSS_MATTERS_S = 120.0
-"""After the loss of an entry, a model that nobody else serves is loaded without a
-permit once it waited for :data:`PERMIT_WAIT_S`: the lost entry may have held the
-store's budget, and without the log nothing collects its units. The store refuses what
-is over its own limit, and the load is tried again."""
 FENCING_PER_MS = 1024
 DEMAND = DemandThresholds(high_tokens=4000, low_tokens=400)
 """Tokens that wait per copy: about 4 s and 0.4 s of an engine's work."""
@@ -82,16 +78,6 @@
     settle_s: float
 
 
-@dataclass(slots=True)
-class _Permit:
-    permit_id: str
-    spec: CopySpec
-    asked_s: float
-    first_asked_s: float
-    entry: Incarnation | None = None
-    granted: bool = False
-
-
 class EngineTask(BaseComponent):
     """Engine task; see :func:`make_engine_task`."""
 
@@ -110,7 +96,7 @@
         self._order_calls: dict[str, str] = {}
         self._accepted = make_accepted_orders()
         self._wants = Wants()
-        self._permits: dict[str, _Permit] = {}
+        self._permits = make_load_permits(options.me)
         self._last_used_s: dict[str, float] = {}
         self._last_changes: dict[ModelName, float] = {}
         self._retiring: dict[str, float] = {}
@@ -119,7 +105,6 @@
         self._demand = make_demand_tracker(DEMAND)
         self._crashes = count(1)
         self._crash: CrashId | None = None
-        self._entry_lost_s = float("-inf")
         self._probing = False
         self._draining = False
         self._view = EngineView()
@@ -137,7 +122,7 @@
     @handler("peer_down", channel="*")
     def _on_peer_down(self, peer):
         if peer.role is Role.ENTRY:
-            self._entry_lost_s = time.monotonic()
+            self._permits.on_entry_lost(time.monotonic())
 
     @handler("drain", channel="*")
     def _on_drain(self):
@@ -171,7 +156,8 @@
     def _on_messages(self, peer, messages):
         for message in messages:
             if isinstance(message, PermitGrant):
-                self._on_grant(peer.incarnation, message, time.monotonic())
+                outputs = self._permits.on_grant(peer.incarnation, message)
+                self._apply_permits(outputs, time.monotonic())
 
     # The engine's state.
 
@@ -183,7 +169,9 @@
             return
         for output in self._ledger.tick(now_s):
             self._send(output, now_s)
-        self._repeat_permits(now_s)
+        servers = self._fleet.servers
+        outputs = self._permits.tick(self._connected_entries(), servers, now_s)
+        self._apply_permits(outputs, now_s)
         if now_s >= self._next_decide_s and self._ledger.ready:
             self._next_decide_s = now_s + DECIDE_S
             self._decide(now_s)
@@ -209,14 +197,12 @@
             self._on_order_status(self._order_calls.pop(answer.call), answer, now_s)
 
     def _on_order_status(self, order_id, answer, now_s):
-        if answer.status == 409:
-            self._ledger_answer(order_id, OrderAnswer.REFUSED, now_s)
-        elif answer.status == 202:
-            # Accepted is not done: the copy's state comes with the next state read.
+        outcome = parse_order_status(answer.status)
+        if outcome is None:
             self._accepted.add(order_id, now_s)
             self._next_read_s = now_s
         else:
-            self._ledger_answer(order_id, OrderAnswer.LOST, now_s)
+            self._ledger_answer(order_id, outcome, now_s)
 
     @handler("call_failed")
     def _on_call_failed(self, failed):
@@ -240,12 +226,11 @@
             self._ledger = self._make_ledger(now_s)
         self._ledger.on_engine_state(state.report, requested_s, now_s)
         pending = self._ledger.pending_orders()
-        ended = self._accepted.observe(state.orders, pending, requested_s)
-        for order_id, answer in ended:
-            self._ledger_answer(order_id, answer, now_s)
+        for ended in self._accepted.observe(state.orders, pending, requested_s):
+            self._ledger_answer(*ended, now_s)
         busy = self._publish()
         self._next_read_s = now_s + (BUSY_READ_S if busy else DECIDE_S)
-        self._settle_permits()
+        self._apply_permits(self._permits.settle(self._ledger.resident()), now_s)
         if self._probing:
             self._probing = False
             self.fire(engine_verdict(None), "runs")
@@ -265,16 +250,14 @@
         if self._ledger is not None:
             self._crash = CrashId(f"{self._options.me}/{next(self._crashes)}")
             log_event("engine_crashed", level="warning", crash=self._crash)
-            self.fire(engine_verdict(self._crash), "runs")
-        elif self._probing:
-            # The same crash as before: the engine has not been back since.
+        if self._ledger is not None or self._probing:
+            # Without a ledger it is the crash of before: the engine was not back since.
             self.fire(engine_verdict(self._crash), "runs")
         self._probing = False
         self._ledger = None
         self._accepted = make_accepted_orders()
         self._retiring.clear()
-        for permit in list(self._permits.values()):
-            self._release(permit)
+        self._apply_permits(self._permits.release_all(), time.monotonic())
         self._publish()
 
     def _publish(self) -> bool:
@@ -296,16 +279,10 @@
     def _decide(self, now_s):
         if self._draining:
             return
-        servers = reachable_servers(self._fleet.servers, self._options.me.vm)
+        me, models = self._options.me.vm, model_specs(self._state)
+        servers = reachable_servers(self._fleet.servers, me)
         demand = self._demand.observe(servers, now_s)
-        actions = decide(
-            self._options.me.vm,
-            servers,
-            model_specs(self._state),
-            demand,
-            self._last_changes,
-            now_s,
-        )
+        actions = decide(me, servers, models, demand, self._last_changes, now_s)
         for action in actions:
             if isinstance(action, LoadCopy):
                 self._ask_permit(action.name, now_s)
@@ -314,40 +291,19 @@
         self._refresh_versions(now_s)
 
     def _refresh_versions(self, now_s):
-        """Load the configured version beside an old one, then unload the old one."""
-        copies = self._ledger.resident()
-        loaded = {
-            (copy.name, copy.version)
-            for copy in copies
-            if copy.state is CopyState.LOADED
-        }
-        for copy in copies:
-            spec = copy_spec(self._state, copy.name)
-            if spec is None or copy.version == spec.version:
-                continue
-            if copy.state is CopyState.UNLOADING:
-                # The ledger repeats the order. Another attempt here would put off the
-                # report that is final for it.
-                continue
-            if (spec.name, spec.version) in loaded:
-                order = self._ledger.want_unload(copy.name, now_s, copy.version)
-                if is_successful(order):
-                    self._send(order.unwrap(), now_s)
-            elif copy.state is CopyState.LOADED:
-                self._ask_permit(copy.name, now_s)
+        replaced, waiting = outdated_copies(self._state, self._ledger.resident())
+        for copy in replaced:
+            order = self._ledger.want_unload(copy.name, now_s, copy.version)
+            if is_successful(order):
+                self._send(order.unwrap(), now_s)
+        for copy in waiting:
+            self._ask_permit(copy.name, now_s)
 
     def _serve_wants(self, now_s):
         if self._ledger is None or not self._ledger.ready:
             return
-        for name in self._wants.current(now_s):
-            spec = copy_spec(self._state, name)
-            if spec is None or self._view.resident.get(name) == CopyState.LOADED.value:
-                self._wants.since_s.pop(name, None)
-            elif name not in self._view.resident:
-                needs_base = spec.base_model and (
-                    self._view.resident.get(spec.base_model) != CopyState.LOADED.value
-                )
-                self._ask_permit(spec.base_model if needs_base else name, now_s)
+        for name in self._wants.missing(self._state, self._view.resident, now_s):
+            self._ask_permit(name, now_s)
 
     def _ask_permit(self, name, now_s):
         spec = copy_spec(self._state, name)
@@ -356,19 +312,14 @@
         if spec.size_bytes > self._ledger.free_bytes:
             self._make_room(spec, now_s)
             return
-        permit_id = f"{self._options.me}/{next(self._numbers)}"
-        permit = self._permits[name] = _Permit(permit_id, spec, now_s, now_s)
-        self._send_permit(permit, now_s)
+        outputs = self._permits.ask(spec, self._connected_entries(), now_s)
+        self._apply_permits(outputs, now_s)
 
     def _make_room(self, spec, now_s):
-        """Retire a copy so that a wanted one fits.
-
-        Without a copy to spare, an old version gives way to the new one of the same
-        model: its requests end first, and those that follow wait for the load.
-        """
         if self._retiring:
             return
-        copy = choose_eviction(
+        name = choose_retirement(
+            spec,
             self._state,
             self._ledger.resident(),
             self._fleet.servers,
@@ -376,101 +327,37 @@
             self._last_used_s,
             spec.size_bytes - self._ledger.free_bytes,
         )
-        if copy is not None:
-            self._retire(copy.name, now_s)
-        elif self._view.resident.get(spec.name) == CopyState.LOADED.value:
-            self._retire(spec.name, now_s)
+        if name is not None:
+            self._retire(name, now_s)
 
     def _retire(self, name, now_s):
         if now_s - self._retiring.get(name, float("-inf")) > DECIDE_S:
             self._retiring[name] = now_s
             self.fire(engine_retire(name), "queue")
 
-    def _send_permit(self, permit: _Permit, now_s):
-        entries = [
-            entry.incarnation
-            for entry in self._fleet.entries
-            if entry.connected and entry.incarnation != permit.entry
-        ]
-        if entries:
-            permit.entry = random.choice(entries)
-        permit.asked_s = now_s
-        if permit.entry is not None:
-            request = PermitRequest(permit.permit_id, permit.spec.budgets)
-            self._tell(permit.entry, request)
-
-    def _repeat_permits(self, now_s):
-        for permit in list(self._permits.values()):
-            if permit.granted:
-                continue
-            if self._must_load(permit, now_s):
-                log_event("load_without_permit", model=permit.spec.name)
-                self._load(permit, now_s)
-            elif now_s - permit.asked_s > 4 * PERMIT_REPEAT_S:
-                # The entry may be frozen; another one holds its own part. The request
-                # would otherwise wait on there and use up a load of the store's rate.
-                if permit.entry is not None:
-                    self._tell(permit.entry, PermitRelease(permit.permit_id))
-                permit.permit_id = f"{self._options.me}/{next(self._numbers)}"
-                self._send_permit(permit, now_s)
-
-    def _on_grant(self, entry: Incarnation, grant: PermitGrant, now_s):
-        permit = next(
-            (p for p in self._permits.values() if p.permit_id == grant.permit_id), None
-        )
-        if permit is None or self._ledger is None:
-            if grant.granted:
-                # The request was repeated at another entry in the meantime.
-                self._tell(entry, PermitRelease(grant.permit_id))
-            return
-        if not grant.granted:
-            del self._permits[permit.spec.name]
-            return
-        if not permit.granted:
-            self._load(permit, now_s)
-
-    def _must_load(self, permit: _Permit, now_s) -> bool:
-        """Return whether to load without a permit what no other server has."""
-        if now_s - permit.first_asked_s <= PERMIT_WAIT_S:
-            return False
-        if now_s - self._entry_lost_s > ENTRY_LOSS_MATTERS_S:
-            return False
-        return not any(
-            server.vm != self._options.me.vm
-            and server.state is VmState.LIVE
-            and server.holds(permit.spec.name)
-            for server in self._fleet.servers
-        )
+    def _connected_entries(self) -> list[Incarnation]:
+        return [e.incarnation for e in self._fleet.entries if e.connected]
 
-    def _load(self, permit: _Permit, now_s):
-        permit.granted = True
-        spec = permit.spec
+    def _apply_permits(self, outputs: Iterable[PermitOutput], now_s):
+        for output in outputs:
+            if isinstance(output, Tell):
+                self.fire(peer_send(output.to, output.message), "links")
+            else:
+                if not output.permitted:
+                    log_event("load_without_permit", model=output.spec.name)
+                self._load(output.spec, now_s)
+
+    def _load(self, spec: CopySpec, now_s):
         result = self._ledger.want_load(spec.name, spec.version, spec.size_bytes, now_s)
         if is_successful(result):
             self._last_changes[spec.name] = now_s
             self._send(result.unwrap(), now_s)
             self._publish()
             return
-        self._release(permit)
+        self._apply_permits(self._permits.release(spec.name), now_s)
         if result.failure().reason is RefusalReason.NO_ROOM:
             self._make_room(spec, now_s)
 
-    def _settle_permits(self):
-        """Release the permits of loads that have ended."""
-        present = {(c.name, c.version): c.state for c in self._ledger.resident()}
-        for permit in list(self._permits.values()):
-            key = (permit.spec.name, permit.spec.version)
-            if permit.granted and present.get(key) is not CopyState.LOADING:
-                self._release(permit)
-
-    def _release(self, permit: _Permit):
-        self._permits.pop(permit.spec.name, None)
-        if permit.entry is not None:
-            self._tell(permit.entry, PermitRelease(permit.permit_id))
-
-    def _tell(self, incarnation, message):
-        self.fire(peer_send(incarnation, message), "links")
-
     def _send(self, output: Order | Fence | ReadState, now_s):
         match output:
             case ReadState():
--- a/chervilgw/sidecar/loading.py
+++ b/chervilgw/sidecar/loading.py
@@ -54,6 +54,35 @@
                 del self.since_s[name]
         return tuple(self.since_s)
 
+    def missing(
+        self, state: ConfigurationState, resident: Mapping[str, str], now_s: float
+    ) -> tuple[str, ...]:
+        """Return what to load for them: an adapter only once its model is loaded.
+
+        Parameters
+        ----------
+        state : ConfigurationState
+            Current configuration.
+        resident : mapping of str to str
+            State of each copy on this server, as of :func:`merge_versions`.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        tuple of str
+        """
+        loaded = CopyState.LOADED.value
+        found = []
+        for name in self.current(now_s):
+            spec = copy_spec(state, name)
+            if spec is None or resident.get(name) == loaded:
+                self.since_s.pop(name, None)
+            elif name not in resident:
+                base = spec.base_model
+                found.append(base if base and resident.get(base) != loaded else name)
+        return tuple(found)
+
 
 def copy_spec(state: ConfigurationState, name: str) -> CopySpec | None:
     """Return the configured copy of a model or adapter, or None.
@@ -178,6 +207,80 @@
     return candidates[0] if candidates else None
 
 
+def choose_retirement(
+    spec: CopySpec,
+    state: ConfigurationState,
+    copies: Iterable[ResidentCopy],
+    servers: Iterable[ServerView],
+    me: VmId,
+    last_used_s: Mapping[str, float],
+    missing_bytes: int,
+) -> ModelName | None:
+    """Return the name of the copy to retire so that a wanted one fits, or None.
+
+    Without a copy to spare, an old version gives way to the new one of the same model:
+    its requests end first, and those that follow wait for the load.
+
+    Parameters
+    ----------
+    spec : CopySpec
+        The wanted copy.
+    state, copies, servers, me, last_used_s, missing_bytes
+        See :func:`choose_eviction`.
+
+    Returns
+    -------
+    ModelName or None
+    """
+    copies = tuple(copies)
+    copy = choose_eviction(state, copies, servers, me, last_used_s, missing_bytes)
+    if copy is not None:
+        return copy.name
+    loaded = {copy.name for copy in copies if copy.state is CopyState.LOADED}
+    return spec.name if spec.name in loaded else None
+
+
+def outdated_copies(
+    state: ConfigurationState, copies: Iterable[ResidentCopy]
+) -> tuple[tuple[ResidentCopy, ...], tuple[ResidentCopy, ...]]:
+    """Return the old versions to unload, and those whose new version is to be loaded.
+
+    The configured version is loaded beside an old one, and the old one goes after that.
+
+    Parameters
+    ----------
+    state : ConfigurationState
+        Current configuration.
+    copies : iterable of ResidentCopy
+        Copies on this server.
+
+    Returns
+    -------
+    tuple of (tuple of ResidentCopy, tuple of ResidentCopy)
+
+    Examples
+    --------
+    >>> from chervilgw.configuration.state import empty_state
+    >>> outdated_copies(empty_state(), [ResidentCopy("m", "1", 5, CopyState.LOADED)])
+    ((), ())
+    """
+    copies = tuple(copies)
+    loaded = {(c.name, c.version) for c in copies if c.state is CopyState.LOADED}
+    replaced, waiting = [], []
+    for copy in copies:
+        spec = copy_spec(state, copy.name)
+        # The ledger repeats the order of an unload. Another attempt would only put off
+        # the report that is final for it.
+        done = copy.state is CopyState.UNLOADING
+        if spec is None or copy.version == spec.version or done:
+            continue
+        if (spec.name, spec.version) in loaded:
+            replaced.append(copy)
+        elif copy.state is CopyState.LOADED:
+            waiting.append(copy)
+    return tuple(replaced), tuple(waiting)
+
+
 def has_earlier_holder(name: str, servers: Iterable[ServerView], me: VmId) -> bool:
     """Return whether a live server that precedes this one has the model loaded."""
     own_rank = rank(name, me)
