Test version changes while the store refuses loads

Cause: a load that failed after the engine had listed its order stayed reserved. The test keeps the store refusing until three loads have failed, which needs failed loads to be ordered again.

--- /dev/null
+++ b/chervilgw/sidecar/tests/test_loading.py
@@ -0,0 +1,80 @@
+"""Decisions on the copies of one engine."""
+
+from dataclasses import replace
+
+import pytest
+
+from chervilgw.configuration.state import Item, empty_state
+from chervilgw.configuration.values import VALUE_TYPES, Kind
+from chervilgw.core.ids import VmId
+from chervilgw.core.states import CopyState
+from chervilgw.placement.memory import ResidentCopy
+from chervilgw.sidecar.loading import (
+    CopySpec,
+    Wants,
+    choose_retirement,
+    outdated_copies,
+)
+
+ME = VmId("engine-1")
+
+
+def configured(kind_values):
+    """Return a state with these items."""
+    state = empty_state()
+    items = {kind: {} for kind in Kind}
+    for kind, name, value in kind_values:
+        items[kind][name] = Item(VALUE_TYPES[kind].model_validate(value), 1, 0)
+    return replace(state, items=items)
+
+
+STATE = configured(
+    [
+        (Kind.MODEL, "draft", {"size_bytes": 20, "version": "2"}),
+        (Kind.MODEL, "survey", {"size_bytes": 20, "version": "1"}),
+        (Kind.ADAPTER, "damp", {"base_model": "draft", "size_bytes": 1}),
+    ]
+)
+
+
+def copy(name, version, state):
+    return ResidentCopy(name, version, 20, CopyState(state))
+
+
+OLD, NEW = copy("draft", "1", "loaded"), copy("draft", "2", "loaded")
+
+
+@pytest.mark.parametrize(
+    ("copies", "replaced", "waiting"),
+    [
+        ([OLD], 0, 1),
+        ([OLD, NEW], 1, 0),
+        ([OLD, copy("draft", "2", "loading")], 0, 1),
+        ([copy("draft", "1", "loading"), NEW], 1, 0),
+        ([copy("draft", "1", "unloading"), NEW], 0, 0),
+        ([NEW, copy("survey", "1", "loaded")], 0, 0),
+    ],
+)
+def test_old_version_goes_after_the_new_one_is_loaded(copies, replaced, waiting):
+    """Guards against a gap in service, and against attempts of a pending unload."""
+    found = outdated_copies(STATE, copies)
+    assert (len(found[0]), len(found[1])) == (replaced, waiting)
+
+
+@pytest.mark.parametrize(("held", "retired"), [(OLD, "draft"), (None, None)])
+def test_old_version_makes_room_only_for_its_own_model(held, retired):
+    """Guards against unloading the last copy of another model, and a full engine."""
+    copies = [copy("survey", "1", "loaded"), *([held] if held else [])]
+    spec = CopySpec("draft", "2", 20)
+    assert choose_retirement(spec, STATE, copies, [], ME, {}, 20) == retired
+
+
+def test_wanted_adapter_waits_for_its_model():
+    """Guards against orders that the engine refuses, and wants that never end."""
+    wants = Wants()
+    wants.add(["damp", "gone"], 0.0)
+    assert wants.missing(STATE, {}, 0.1) == ("draft",)
+    assert wants.missing(STATE, {"draft": "loading"}, 0.2) == ("draft",)
+    assert wants.missing(STATE, {"draft": "loaded"}, 0.3) == ("damp",)
+    assert wants.missing(STATE, {"draft": "loaded", "damp": "loaded"}, 0.4) == ()
+    assert wants.current(0.5) == ()
--- a/fleet/tests/test_faults_memory.py
+++ b/fleet/tests/test_faults_memory.py
@@ -90,6 +90,32 @@
         check_end(fleet, versions)
 
 
+@FENCING
+@each_seed
+def test_store_refuses_loads_of_a_version_change(fenced, seed):
+    """Guards: a load that fails after its order was accepted does not stay reserved."""
+    choose = random.Random(seed)
+    versions = dict.fromkeys(MODELS, "1")
+    with start_fleet(nearly_full_plan(fenced)) as fleet:
+        fleet.wait_loaded(bound_s=20.0)
+        for vm in engine_vms(fleet):
+            set_faults(vm.backend.address, late_orders_ms=600)
+        fleet.set_faults("store", refuse=True)
+        for name in choose.sample(MODELS, 2):
+            versions[name] = "2"
+            set_model(fleet, name, "2")
+        # More failures than orders under way at once: failed loads are ordered again.
+        fleet.wait_for(lambda: failed_orders(fleet) > 2, "3 failed loads", 10.0)
+        fleet.set_faults("store")
+        check_end(fleet, versions)
+
+
+def failed_orders(fleet) -> int:
+    """Return the number of orders that the engines list as failed."""
+    states = [engine_state(vm) for vm in engine_vms(fleet)]
+    return sum(list(state["orders"].values()).count("failed") for state in states)
+
+
 @FENCING
 @each_seed
 def test_sidecar_dies_while_its_orders_are_late(fenced, seed):
