Move the running attempts into a decision module

Change: sidecar/running.py keeps the running attempts, the suspect gate and the lost entries, and returns the attempts to stop. Same rules and times as before.

--- a/chervilgw/sidecar/queue_task.py
+++ b/chervilgw/sidecar/queue_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from circuits import BaseComponent, handler
@@ -17,7 +18,7 @@
 from chervilgw.core.messages import CrashReport, Dispatch, Load
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import BackendKind, CopyState, RefusalReason
-from chervilgw.crashes import make_crash_tracker, make_suspect_gate
+from chervilgw.crashes import make_crash_tracker
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.runtime.control_events import drained, load_changed
 from chervilgw.scheduling.fair_queue import QueuedItem, QueueLimits, make_fair_queue
@@ -39,12 +40,11 @@
     run_stop,
 )
 from chervilgw.sidecar.loading import copies_needed
+from chervilgw.sidecar.running import StopRun, make_running_attempts
 from chervilgw.telemetry import log_event
 
 PARK_S = 1.0
 """How long an attempt waits for newer configuration records before it is refused."""
-ORPHAN_S = 3.0
-"""How long a run goes on without a connection to its entry, which may look it up."""
 LEAVING_GRACE_S = 1.5
 """Entries need this long to learn that the server is leaving; what they send until then
 is accepted, so that a planned stop costs no retries."""
@@ -75,12 +75,6 @@
     queue_tokens: int = 2_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class _Running:
-    item: QueuedItem
-    dispatch: Dispatch
-
-
 class QueueTask(BaseComponent):
     """Queue task; see :func:`make_queue_task`."""
 
@@ -97,12 +91,10 @@
         )
         self._parked: dict[RequestId, tuple[Dispatch, float]] = {}
         self._waiting: dict[RequestId, Dispatch] = {}
-        self._running: dict[RequestId, _Running] = {}
+        self._running = make_running_attempts()
         self._crashes = make_crash_tracker()
-        self._gate = make_suspect_gate()
         self._engine = EngineView()
         self._retiring: set[str] = set()
-        self._orphans: dict[Incarnation, float] = {}
         self._load: Load | None = None
         self._refuse_from_s = float("inf")
         self._drained = False
@@ -172,8 +164,7 @@
             if item is None:
                 break
             dispatch = self._waiting.pop(item.request_id)
-            self._gate.enter(item.request_id, bool(dispatch.suspect_of))
-            self._running[item.request_id] = _Running(item, dispatch)
+            self._running.begin(item, dispatch)
             self.fire(run_begin(dispatch), "runs")
         self._want_models()
 
@@ -182,7 +173,7 @@
 
     def _can_run(self, item: QueuedItem) -> bool:
         dispatch = self._waiting[item.request_id]
-        if dispatch.suspect_of and self._gate.busy:
+        if dispatch.suspect_of and self._running.suspect_runs:
             return False
         if dispatch.kind is BackendKind.SERVICE:
             return True
@@ -203,12 +194,11 @@
 
     @handler("run_ended")
     def _on_run_ended(self, request_id, used_tokens):
-        running = self._running.pop(request_id, None)
-        if running is None:
+        item = self._running.end(request_id)
+        if item is None:
             return
         now_s = time.monotonic()
-        self._gate.leave(request_id)
-        self._fair_queue.settle(running.item, used_tokens, now_s)
+        self._fair_queue.settle(item, used_tokens, now_s)
         self._pump(now_s)
 
     # The engine's copies.
@@ -226,10 +216,7 @@
 
     @handler("engine_retire")
     def _on_engine_retire(self, name):
-        idle = not any(
-            name in copies_needed(self._state, running.dispatch.target)
-            for running in self._running.values()
-        )
+        idle = not self._running.use_copy(name, self._state)
         if idle:
             self._retiring.add(name)
         self.fire(engine_retired(name, idle), "engine")
@@ -242,7 +229,7 @@
         if request_id in self._parked or request_id in self._waiting:
             self._drop_waiting(request_id, refusal)
         elif request_id in self._running:
-            self._stop(request_id, RefusalReason.CANCELLED)
+            self._stop([StopRun(request_id, RefusalReason.CANCELLED)])
         else:
             self.fire(attempt_repeat(request_id), "answers")
 
@@ -252,8 +239,9 @@
             self._fair_queue.remove(request_id)
         self._refuse(request_id, refusal)
 
-    def _stop(self, request_id, reason: RefusalReason):
-        self.fire(run_stop(request_id, reason), "runs")
+    def _stop(self, stops: Iterable[StopRun]):
+        for stop in stops:
+            self.fire(run_stop(stop.request_id, stop.reason), "runs")
 
     def _refuse(self, request_id, refusal: Refusal):
         self.fire(attempt_answer(refused(request_id, refusal)), "answers")
@@ -274,10 +262,7 @@
             refusal = self._key_refusal(dispatch)
             if refusal is not None:
                 self._drop_waiting(request_id, refusal)
-        for request_id, running in self._running.items():
-            refusal = self._key_refusal(running.dispatch)
-            if refusal is not None and running.dispatch.kind is BackendKind.ENGINE:
-                self._stop(request_id, refusal.reason)
+        self._stop(self._running.withdrawn(self._key_refusal))
 
     def _key_refusal(self, dispatch: Dispatch) -> Refusal | None:
         if not dispatch.key and is_open(self._state, dispatch):
@@ -309,44 +294,23 @@
     @handler("crash_known", channel="*")
     def _on_crash_known(self, report: CrashReport):
         blocked = self._crashes.on_crash_report(report, _wall_ms())
-        if report.cleared:
-            return
-        blamed_here = [
-            request_id
-            for request_id, running in self._running.items()
-            if running.dispatch.digest in report.digests
-        ]
-        # An attempt that started before the report may be the guilty one as well.
-        for request_id in self._gate.adopt(blamed_here):
-            self._stop(request_id, RefusalReason.SUSPECT_BUSY)
-        for request_id, running in self._running.items():
-            if running.dispatch.digest in blocked:
-                self._stop(request_id, RefusalReason.BLOCKED_AFTER_CRASHES)
+        self._stop(self._running.on_crash(report, blocked))
 
     # Connections to entries.
 
     @handler("peer_up", channel="*")
     def _on_peer_up(self, peer):
-        self._orphans.pop(peer.incarnation, None)
+        self._running.on_entry_back(peer.incarnation)
 
     @handler("peer_down", channel="*")
     def _on_peer_down(self, peer):
-        self._orphans[peer.incarnation] = time.monotonic()
+        self._running.on_entry_lost(peer.incarnation, time.monotonic())
         detail = "the connection to the entry was lost before the run"
         refusal = make_refusal(RefusalReason.BACKEND_LOST, detail, 0.0)
         for request_id in [*self._waiting, *self._parked]:
             if request_id.origin == peer.incarnation:
                 self._drop_waiting(request_id, refusal)
 
-    def _stop_orphans(self, now_s):
-        for origin, since_s in list(self._orphans.items()):
-            if now_s - since_s < ORPHAN_S:
-                continue
-            del self._orphans[origin]
-            for request_id in self._running:
-                if request_id.origin == origin:
-                    self._stop(request_id, RefusalReason.CANCELLED)
-
     # Time, load, planned stop.
 
     @handler("clock_tick", channel="*")
@@ -356,7 +320,7 @@
                 del self._parked[request_id]
                 self._consider(dispatch, now_s, until_s)
         self._expire(now_s)
-        self._stop_orphans(now_s)
+        self._stop(self._running.orphaned(now_s))
         self._pump(now_s)
         self._report_load()
         if now_s >= self._refuse_from_s:
--- /dev/null
+++ b/chervilgw/sidecar/running.py
@@ -0,0 +1,183 @@
+"""Attempts that run at the engine or service, and the reasons to stop one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from chervilgw.configuration.state import ConfigurationState
+from chervilgw.core.ids import Digest, Incarnation, RequestId
+from chervilgw.core.messages import CrashReport, Dispatch
+from chervilgw.core.refusals import Refusal
+from chervilgw.core.states import BackendKind, RefusalReason
+from chervilgw.crashes import make_suspect_gate
+from chervilgw.scheduling.fair_queue import QueuedItem
+from chervilgw.sidecar.loading import copies_needed
+
+ORPHAN_S = 3.0
+"""How long a run goes on without a connection to its entry, which may look it up."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stop a running attempt."""
+
+    request_id: RequestId
+    reason: RefusalReason
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    item: QueuedItem
+    dispatch: Dispatch
+
+
+class RunningAttempts:
+    """Running attempts of one backend server; see :func:`make_running_attempts`."""
+
+    def __init__(self, orphan_s: float):
+        self._orphan_s = orphan_s
+        self._running: dict[RequestId, _Running] = {}
+        self._gate = make_suspect_gate()
+        self._lost_s: dict[Incarnation, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of running attempts."""
+        return len(self._running)
+
+    def __contains__(self, request_id: RequestId) -> bool:
+        """Return whether the attempt runs."""
+        return request_id in self._running
+
+    @property
+    def suspect_runs(self) -> bool:
+        """Return whether one of them was running at a crash."""
+        return self._gate.busy
+
+    def begin(self, item: QueuedItem, dispatch: Dispatch) -> None:
+        """Note that an attempt starts."""
+        self._gate.enter(item.request_id, bool(dispatch.suspect_of))
+        self._running[item.request_id] = _Running(item, dispatch)
+
+    def end(self, request_id: RequestId) -> QueuedItem | None:
+        """Note that an attempt ended; return its queue item, or None if unknown."""
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return None
+        self._gate.leave(request_id)
+        return running.item
+
+    def use_copy(self, name: str, state: ConfigurationState) -> bool:
+        """Return whether one of them uses a copy of this model or adapter."""
+        return any(
+            name in copies_needed(state, running.dispatch.target)
+            for running in self._running.values()
+        )
+
+    def withdrawn(
+        self, check: Callable[[Dispatch], Refusal | None]
+    ) -> tuple[StopRun, ...]:
+        """Return the attempts to stop because they may no longer run.
+
+        A request at a plain service goes on: its effect cannot be taken back.
+
+        Parameters
+        ----------
+        check : callable
+            Returns why an attempt may not run, or None.
+
+        Returns
+        -------
+        tuple of StopRun
+        """
+        return tuple(
+            StopRun(request_id, refusal.reason)
+            for request_id, running in self._running.items()
+            if running.dispatch.kind is BackendKind.ENGINE
+            and (refusal := check(running.dispatch)) is not None
+        )
+
+    def on_crash(
+        self, report: CrashReport, blocked: Collection[Digest]
+    ) -> tuple[StopRun, ...]:
+        """Return the attempts to stop after a crash elsewhere.
+
+        An attempt that started before the report may be the guilty one as well, so that
+        only one of the suspects goes on here.
+
+        Parameters
+        ----------
+        report : CrashReport
+            The crash, with the requests that were running.
+        blocked : collection of Digest
+            Requests that are blocked by now.
+
+        Returns
+        -------
+        tuple of StopRun
+        """
+        if report.cleared:
+            return ()
+        suspects = self._with_digests(report.digests)
+        stops = [
+            StopRun(request_id, RefusalReason.SUSPECT_BUSY)
+            for request_id in self._gate.adopt(suspects)
+        ]
+        stops += [
+            StopRun(request_id, RefusalReason.BLOCKED_AFTER_CRASHES)
+            for request_id in self._with_digests(blocked)
+        ]
+        return tuple(stops)
+
+    def on_entry_lost(self, entry: Incarnation, now_s: float) -> None:
+        """Note that the connection to an entry was lost."""
+        self._lost_s[entry] = now_s
+
+    def on_entry_back(self, entry: Incarnation) -> None:
+        """Note that an entry is connected."""
+        self._lost_s.pop(entry, None)
+
+    def orphaned(self, now_s: float) -> tuple[StopRun, ...]:
+        """Return the attempts to stop because their entry has long been away."""
+        gone = {
+            entry
+            for entry, lost_s in self._lost_s.items()
+            if now_s - lost_s >= self._orphan_s
+        }
+        for entry in gone:
+            del self._lost_s[entry]
+        return tuple(
+            StopRun(request_id, RefusalReason.CANCELLED)
+            for request_id in self._running
+            if request_id.origin in gone
+        )
+
+    def _with_digests(self, digests: Collection[Digest]) -> list[RequestId]:
+        return [
+            request_id
+            for request_id, running in self._running.items()
+            if running.dispatch.digest in digests
+        ]
+
+
+def make_running_attempts(orphan_s: float = ORPHAN_S) -> RunningAttempts:
+    """Return the running attempts of a backend server that runs none yet.
+
+    Parameters
+    ----------
+    orphan_s : float
+        How long an attempt runs on without a connection to its entry.
+
+    Returns
+    -------
+    RunningAttempts
+
+    Examples
+    --------
+    >>> from chervilgw.core.ids import VmId
+    >>> running = make_running_attempts()
+    >>> running.on_entry_lost(Incarnation(VmId("entry-1"), 1), now_s=0.0)
+    >>> len(running), running.orphaned(now_s=3.0)
+    (0, ())
+    """
+    return RunningAttempts(orphan_s)
--- /dev/null
+++ b/chervilgw/sidecar/tests/test_running.py
@@ -0,0 +1,80 @@
+"""Running attempts and the reasons to stop one."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chervilgw.configuration.state import empty_state
+from chervilgw.core.ids import Incarnation, RequestId, VmId
+from chervilgw.core.messages import CrashReport
+from chervilgw.core.refusals import make_refusal
+from chervilgw.core.states import BackendKind, RefusalReason
+from chervilgw.sidecar.running import ORPHAN_S, StopRun, make_running_attempts
+
+ENTRY, OTHER = (Incarnation(VmId(f"entry-{n}"), 1) for n in (1, 2))
+FIRST, SECOND, THIRD = RequestId(ENTRY, 1), RequestId(ENTRY, 2), RequestId(OTHER, 1)
+WITHDRAWN = make_refusal(RefusalReason.CANCELLED, "withdrawn")
+
+
+def begin(running, request_id, digest, kind=BackendKind.ENGINE, suspect_of=()):
+    dispatch = SimpleNamespace(
+        target="draft", digest=digest, kind=kind, suspect_of=suspect_of
+    )
+    running.begin(SimpleNamespace(request_id=request_id), dispatch)
+
+
+@pytest.fixture
+def running():
+    attempts = make_running_attempts()
+    begin(attempts, FIRST, "a")
+    begin(attempts, SECOND, "b")
+    begin(attempts, THIRD, "c", BackendKind.SERVICE)
+    return attempts
+
+
+def crash(*digests, cleared=False):
+    return CrashReport("engine-2/1", VmId("engine-2"), digests, 0, cleared)
+
+
+def test_one_suspect_goes_on_after_a_crash_elsewhere(running):
+    """Guards against an innocent request beside the guilty one at two crashes."""
+    busy = StopRun(SECOND, RefusalReason.SUSPECT_BUSY)
+    assert running.on_crash(crash("a", "b"), ()) == (busy,)
+    assert running.suspect_runs
+    running.end(FIRST)
+    assert not running.suspect_runs
+
+
+def test_blocked_request_is_stopped(running):
+    """Guards against a third crash by a request that is blocked by now."""
+    assert running.on_crash(crash("x", cleared=True), {"a"}) == ()
+    stops = running.on_crash(crash("x"), {"a"})
+    assert stops == (StopRun(FIRST, RefusalReason.BLOCKED_AFTER_CRASHES),)
+
+
+def test_withdrawn_key_stops_streams_only(running):
+    """Guards against a booking that is cut off after it took effect."""
+    stops = running.withdrawn(lambda dispatch: WITHDRAWN)
+    assert [stop.request_id for stop in stops] == [FIRST, SECOND]
+    assert running.withdrawn(lambda dispatch: None) == ()
+
+
+def test_runs_of_a_lost_entry_are_stopped_unless_it_returns(running):
+    """Guards against work for a caller that nobody serves any more."""
+    running.on_entry_lost(ENTRY, 0.0)
+    running.on_entry_lost(OTHER, 0.0)
+    running.on_entry_back(OTHER)
+    assert running.orphaned(ORPHAN_S - 0.1) == ()
+    stops = running.orphaned(ORPHAN_S)
+    assert [stop.request_id for stop in stops] == [FIRST, SECOND]
+    assert running.orphaned(ORPHAN_S + 0.1) == ()
+
+
+def test_copy_is_in_use_until_its_last_attempt_ended(running):
+    """Guards against an unload below a running request."""
+    assert running.use_copy("draft", empty_state())
+    assert not running.use_copy("survey", empty_state())
+    for request_id in (FIRST, SECOND, THIRD):
+        running.end(request_id)
+    assert not running.use_copy("draft", empty_state())
+    assert running.end(FIRST) is None
