Let a retired copy that stays loaded take attempts again

Cause: the queue kept new attempts from a copy that was to be unloaded until the copy was no longer listed as loaded. With two versions loaded the unload of the old one leaves the name loaded, and an unload that the ledger refused changes nothing, so that the server reported the model and never ran a request for it. Found by reading; no run of a fleet showed it.

Change: a retirement ends after 1 s. The engine's task orders the unload within the same turn of events, and the copy then counts as unloading.

--- a/chervilgw/sidecar/queue_task.py
+++ b/chervilgw/sidecar/queue_task.py
@@ -94,7 +94,6 @@
         self._running = make_running_attempts()
         self._crashes = make_crash_tracker()
         self._engine = EngineView()
-        self._retiring: set[str] = set()
         self._load: Load | None = None
         self._refuse_from_s = float("inf")
         self._drained = False
@@ -160,7 +159,7 @@
         # After a pause nothing runs before the view is confirmed again: the entry that
         # sent a queued attempt may be declared dead, or its key withdrawn.
         while now_s <= self._fresh_until_s and self._has_slot():
-            item = self._fair_queue.pop(now_s, self._can_run)
+            item = self._fair_queue.pop(now_s, lambda item: self._can_run(item, now_s))
             if item is None:
                 break
             dispatch = self._waiting.pop(item.request_id)
@@ -171,17 +170,17 @@
     def _has_slot(self) -> bool:
         return len(self._running) < self._options.max_running
 
-    def _can_run(self, item: QueuedItem) -> bool:
+    def _can_run(self, item: QueuedItem, now_s) -> bool:
         dispatch = self._waiting[item.request_id]
         if dispatch.suspect_of and self._running.suspect_runs:
             return False
         if dispatch.kind is BackendKind.SERVICE:
             return True
-        return all(map(self._is_usable, copies_needed(self._state, dispatch.target)))
-
-    def _is_usable(self, name: str) -> bool:
-        loaded = self._engine.resident.get(name) == CopyState.LOADED.value
-        return loaded and name not in self._retiring
+        return all(
+            self._engine.resident.get(name) == CopyState.LOADED.value
+            and not self._running.is_retired(name, now_s)
+            for name in copies_needed(self._state, dispatch.target)
+        )
 
     def _want_models(self):
         if self._options.kind is not BackendKind.ENGINE or not self._waiting:
@@ -210,15 +209,12 @@
             # Nothing says when the engine returns, so its queue goes elsewhere.
             for request_id in list(self._waiting):
                 self._drop_waiting(request_id, refuse_engine_down())
-        loaded = CopyState.LOADED.value
-        self._retiring = {n for n in self._retiring if view.resident.get(n) == loaded}
+        self._running.on_copies(view.resident)
         self._pump(time.monotonic())
 
     @handler("engine_retire")
     def _on_engine_retire(self, name):
-        idle = not self._running.use_copy(name, self._state)
-        if idle:
-            self._retiring.add(name)
+        idle = self._running.retire(name, self._state, time.monotonic())
         self.fire(engine_retired(name, idle), "engine")
 
     # Ends before the run, and stops.
--- a/chervilgw/sidecar/running.py
+++ b/chervilgw/sidecar/running.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from chervilgw.configuration.state import ConfigurationState
 from chervilgw.core.ids import Digest, Incarnation, RequestId
 from chervilgw.core.messages import CrashReport, Dispatch
 from chervilgw.core.refusals import Refusal
-from chervilgw.core.states import BackendKind, RefusalReason
+from chervilgw.core.states import BackendKind, CopyState, RefusalReason
 from chervilgw.crashes import make_suspect_gate
 from chervilgw.scheduling.fair_queue import QueuedItem
 from chervilgw.sidecar.loading import copies_needed
@@ -17,6 +17,11 @@
 ORPHAN_S = 3.0
 """How long a run goes on without a connection to its entry, which may look it up."""
 
+RETIRE_S = 1.0
+"""How long a copy that is to be unloaded takes no new attempts. The engine's task
+orders the unload at once, after which the copy no longer counts as loaded; if it did
+not, or another version of the copy stays loaded, attempts go on."""
+
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
@@ -40,6 +45,7 @@
         self._running: dict[RequestId, _Running] = {}
         self._gate = make_suspect_gate()
         self._lost_s: dict[Incarnation, float] = {}
+        self._retired_s: dict[str, float] = {}
 
     def __len__(self) -> int:
         """Return the number of running attempts."""
@@ -67,12 +73,38 @@
         self._gate.leave(request_id)
         return running.item
 
-    def use_copy(self, name: str, state: ConfigurationState) -> bool:
-        """Return whether one of them uses a copy of this model or adapter."""
-        return any(
-            name in copies_needed(state, running.dispatch.target)
-            for running in self._running.values()
-        )
+    def retire(self, name: str, state: ConfigurationState, now_s: float) -> bool:
+        """Keep new attempts from a copy, unless a running one uses it.
+
+        Parameters
+        ----------
+        name : str
+            Model or adapter.
+        state : ConfigurationState
+            Current configuration.
+        now_s : float
+            Present time.
+
+        Returns
+        -------
+        bool
+            Whether the copy is idle and stays so for :data:`RETIRE_S`.
+        """
+        for running in self._running.values():
+            if name in copies_needed(state, running.dispatch.target):
+                return False
+        self._retired_s[name] = now_s
+        return True
+
+    def on_copies(self, resident: Mapping[str, str]) -> None:
+        """Forget the retirement of copies that are no longer loaded."""
+        for name in list(self._retired_s):
+            if resident.get(name) != CopyState.LOADED.value:
+                del self._retired_s[name]
+
+    def is_retired(self, name: str, now_s: float) -> bool:
+        """Return whether new attempts must not use the copy."""
+        return now_s - self._retired_s.get(name, float("-inf")) < RETIRE_S
 
     def withdrawn(
         self, check: Callable[[Dispatch], Refusal | None]
--- a/chervilgw/sidecar/tests/test_running.py
+++ b/chervilgw/sidecar/tests/test_running.py
@@ -9,7 +9,7 @@
 from chervilgw.core.messages import CrashReport
 from chervilgw.core.refusals import make_refusal
 from chervilgw.core.states import BackendKind, RefusalReason
-from chervilgw.sidecar.running import ORPHAN_S, StopRun, make_running_attempts
+from chervilgw.sidecar.running import ORPHAN_S, RETIRE_S, StopRun, make_running_attempts
 
 ENTRY, OTHER = (Incarnation(VmId(f"entry-{n}"), 1) for n in (1, 2))
 FIRST, SECOND, THIRD = RequestId(ENTRY, 1), RequestId(ENTRY, 2), RequestId(OTHER, 1)
@@ -70,11 +70,24 @@
     assert running.orphaned(ORPHAN_S + 0.1) == ()
 
 
-def test_copy_is_in_use_until_its_last_attempt_ended(running):
+def test_copy_is_retired_after_its_last_attempt(running):
     """Guards against an unload below a running request."""
-    assert running.use_copy("draft", empty_state())
-    assert not running.use_copy("survey", empty_state())
+    state = empty_state()
+    assert running.retire("survey", state, 0.0)
     for request_id in (FIRST, SECOND, THIRD):
+        assert not running.retire("draft", state, 0.0)
+        assert not running.is_retired("draft", 0.0)
         running.end(request_id)
-    assert not running.use_copy("draft", empty_state())
+    assert running.retire("draft", state, 0.0)
+    assert running.is_retired("draft", 0.0)
+    running.on_copies({"draft": "unloading"})
+    assert not running.is_retired("draft", 0.1)
     assert running.end(FIRST) is None
+
+
+def test_copy_that_stays_loaded_takes_attempts_again(running):
+    """Guards against a model that nobody serves after its old version went."""
+    assert running.retire("survey", empty_state(), 0.0)
+    running.on_copies({"survey": "loaded"})
+    assert running.is_retired("survey", RETIRE_S - 0.1)
+    assert not running.is_retired("survey", RETIRE_S)
