--- a/chervilgw/platform/engine.py
+++ b/chervilgw/platform/engine.py
@@ -10,7 +10,14 @@
 
 from chervilgw.core.ids import ModelName
 from chervilgw.core.states import CopyState
-from chervilgw.placement.orders import EngineCopy, EngineReport, Fence, Order
+from chervilgw.placement.orders import (
+    EngineCopy,
+    EngineReport,
+    Fence,
+    Order,
+    OrderAnswer,
+    OrderProgress,
+)
 from chervilgw.platform.errors import PlatformError
 from chervilgw.runtime.events import CallDone, HttpCall
 
@@ -20,15 +27,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
-    """What the engine says of itself.
-
-    ``orders`` maps an order id to the engine's word for its state.
-    """
+    """What the engine says of itself; ``orders`` holds the progress by order id."""
 
     capacity_bytes: int
     report: EngineReport
     adapters: frozenset[str]
-    orders: Mapping[str, str] = field(default_factory=dict)
+    orders: Mapping[str, OrderProgress] = field(default_factory=dict)
     crashes: int = 0
 
 
@@ -86,6 +90,21 @@
     return _post(spec, call, "/orders", body)
 
 
+def parse_order_status(status: int) -> OrderAnswer | None:
+    """Return what an answer to an order says; None for an order that was accepted.
+
+    Accepted is not done: the order's effect comes with a later state report.
+
+    Examples
+    --------
+    >>> parse_order_status(409), parse_order_status(202)
+    (<OrderAnswer.REFUSED: 'refused'>, None)
+    """
+    if status == 202:
+        return None
+    return OrderAnswer.REFUSED if status == 409 else OrderAnswer.LOST
+
+
 def make_fence_call(spec: EngineClientSpec, call: str, fence: Fence) -> HttpCall:
     """Return the call that raises the engine's fencing number."""
     return _post(spec, call, "/fence", {"fencing": fence.fencing})
@@ -114,7 +133,7 @@
         return Failure(PlatformError(text, may_have_run=False))
     try:
         body = json.loads(answer.body)
-        resident = body["resident"]
+        resident, orders = body["resident"], body.get("orders", {})
         copies = tuple(
             EngineCopy(
                 ModelName(item["name"]),
@@ -132,7 +151,7 @@
                 int(body["capacity_bytes"]),
                 report,
                 frozenset(adapters),
-                dict(body.get("orders", {})),
+                {name: OrderProgress(p) for name, p in orders.items()},
                 int(body.get("crashes", 0)),
             )
         )
