Name a crash only to the attempts that it blames

Cause: a sidecar put the crash's id into the refusal of every attempt that was running, and the entry counts that crash against the attempt. A suspect that had passed its trial and ran beside the guilty one was counted twice and blocked (test_two_crashes_then_refused_everywhere_and_lifted). Ruled out: the trial itself; the crash report named the guilty one alone. Change: only attempts in the report get the id. The booking test of a frozen sidecar freezes after the service has received the booking; it froze after the intent, and on a loaded machine that was before the call, so that no run could come.

--- a/chervilgw/sidecar/queue_task.py
+++ b/chervilgw/sidecar/queue_task.py
@@ -202,7 +202,7 @@
 
     @handler("suspect_passed")
     def _on_suspect_passed(self, request_id):
-        self._gate.leave(request_id)
+        self._running.pass_suspect(request_id)
         self._pump(time.monotonic())
 
     # The engine's copies.
--- a/chervilgw/sidecar/run_task.py
+++ b/chervilgw/sidecar/run_task.py
@@ -8,7 +8,7 @@
 
 from circuits import BaseComponent, handler
 
-from chervilgw.core.ids import CrashId, RequestId, VmId
+from chervilgw.core.ids import CrashId, Digest, RequestId, VmId
 from chervilgw.core.messages import CrashReport, Dispatch, End, Started
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import BackendKind, RefusalReason, RunState
@@ -215,15 +215,18 @@
     @handler("engine_verdict")
     def _on_verdict(self, crash: CrashId | None):
         runs = [run for run in self._runs.values() if run.generation is not None]
+        guilty: tuple[Digest, ...] = ()
         if crash is not None and runs:
-            running = {r.dispatch.digest: r.on_trial for r in runs}
+            guilty = blamed({run.dispatch.digest: run.on_trial for run in runs})
             now_ms = int(time.time() * 1000)
-            report = CrashReport(crash, self._vm, blamed(running), now_ms)
+            report = CrashReport(crash, self._vm, guilty, now_ms)
             self.fire(crash_seen(report), "crashes")
         for run in runs:
             if crash is not None or run.broken:
                 detail = "the engine ended before the answer was complete"
-                self._refuse(run, backend_lost(RunState.RUN, detail), crash)
+                # The entry counts the crash against an attempt that names it.
+                named = crash if run.dispatch.digest in guilty else None
+                self._refuse(run, backend_lost(RunState.RUN, detail), named)
 
     # Ends.
 
--- a/chervilgw/sidecar/running.py
+++ b/chervilgw/sidecar/running.py
@@ -73,6 +73,10 @@
         self._gate.leave(request_id)
         return running.item
 
+    def pass_suspect(self, request_id: RequestId) -> None:
+        """Let another suspect run beside one that is past the place of the crash."""
+        self._gate.leave(request_id)
+
     def retire(self, name: str, state: ConfigurationState, now_s: float) -> bool:
         """Keep new attempts from a copy, unless a running one uses it.
 
--- a/fleet/tests/test_faults_bookings.py
+++ b/fleet/tests/test_faults_bookings.py
@@ -262,6 +262,16 @@
         assert runs_of(runs_file)["known"] == 1
 
 
+def services(fleet) -> list[str]:
+    return [fleet.vms[name].backend.address for name in SERVICES]
+
+
+def has_booking(address: str) -> bool:
+    """Return whether a service has received a booking, run or not."""
+    seen = call(address, "GET", "/seen").json()["requests"]
+    return any(request["method"] == "POST" for request in seen)
+
+
 def test_repeat_after_the_sidecar_died_between_intent_and_result(runs_file):
     """Guards against a second run by the other sidecar, while the first is frozen."""
     with booking_fleet(runs_file) as fleet:
@@ -270,11 +280,8 @@
         for name in SERVICES:
             fleet.set_faults(name, delay_ms=1500)
         first = in_background(book, one, key, "slow", "slow")
-        appended = "/streams/bookings/records?from=0"
-        log = fleet.stand_ins["log"].address
-        fleet.wait_for(
-            lambda: call(log, "GET", appended).json()["records"], "the intent"
-        )
+        # A service gets the booking only after its intent is in the log.
+        fleet.wait_for(lambda: any(map(has_booking, services(fleet))), "the call")
         for name in SERVICES:
             fleet.vms[name].daemon.freeze()
         repeat = in_background(book, two, key, "slow", "slow")
