Send requests to a server that is loading the model when holders are busy

Change: a server that is loading the model is a candidate with a cost of 8 queued requests on top. The attempt waits in its queue until the load ends.

--- a/chervilgw/routing/choice.py
+++ b/chervilgw/routing/choice.py
@@ -18,6 +18,9 @@
 ADAPTER_BONUS = 1.0
 PREFIX_BONUS = 2.0
 ZONE_BONUS = 0.25
+# A server that is still loading the model counts as this much busier than a holder. A
+# queue longer than that lasts about as long as the rest of a load.
+LOADING_COST = 8.0
 RETRY_AFTER_S = 1.0
 
 
@@ -43,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """The selected server; ``needs_load`` if it must load the model first."""
+    """The selected server; ``needs_load`` if the model is not loaded there yet."""
 
     vm: VmId
     needs_load: bool = False
@@ -94,17 +97,21 @@
         # Few servers hold a model, so this test goes first: it leaves the others for
         # the case that no holder is usable.
         name = request.model or ""
-        holders = [s for s in servers if s.holds(name) and _is_usable(request, s)]
+        having = [s for s in servers if name in s.load.resident]
+        having = [s for s in having if _is_usable(request, s)]
+        holders = [s for s in having if s.holds(name)]
     else:
         holders = [s for s in servers if _is_usable(request, s)]
     if holders:
+        if request.service is None:
+            holders += [s for s in having if _is_loading(request, s)]
         # Sorted, so that a random value selects the same pair in each process.
         holders.sort(key=lambda server: server.vm)
         best = min(
             _pick_two(holders, random_value),
             key=lambda server: _cost(request, server, own_outstanding),
         )
-        return Success(Choice(best.vm))
+        return Success(Choice(best.vm, _is_loading(request, best)))
     usable = [s for s in servers if _is_usable(request, s)]
     if request.service is not None or not usable:
         text = f"no live backend server for {request.service or request.model}"
@@ -123,6 +130,11 @@
     )
 
 
+def _is_loading(request: RouteRequest, server: ServerView) -> bool:
+    state = server.load.resident.get(request.model or "")
+    return state == CopyState.LOADING.value
+
+
 def _serves(request: RouteRequest, server: ServerView) -> bool:
     if request.service is not None:
         is_service = server.load.kind is BackendKind.SERVICE
@@ -149,6 +161,8 @@
     cost -= PREFIX_BONUS * (request.prefix_share or {}).get(server.vm, 0.0)
     if server.zone == request.zone:
         cost -= ZONE_BONUS
+    if _is_loading(request, server):
+        cost += LOADING_COST
     return cost
 
 
--- a/chervilgw/routing/tests/test_routing.py
+++ b/chervilgw/routing/tests/test_routing.py
@@ -99,6 +99,21 @@
     assert large.reason is RefusalReason.NO_ROOM
 
 
+def test_long_queue_sends_requests_to_a_server_that_is_loading():
+    """Guards against waiting at the only holder when a second copy is ready earlier."""
+    loading = make_server(1, resident={"m": "loading"})
+    for value in (0.1, 0.9):
+        for queued, vm in ((7, "b0"), (9, "b1")):
+            holder = make_server(0, zones=1, queued=queued, resident={"m": "loaded"})
+            choice = choose(
+                request_for(zone="z9"), [holder, loading], {}, 0.0, value
+            ).unwrap()
+            assert (choice.vm, choice.needs_load) == (vm, vm == "b1")
+        excluded = request_for(excluded=frozenset({"b1"}))
+        choice = choose(excluded, [holder, loading], {}, 0.0, value).unwrap()
+        assert choice.vm == "b0"
+
+
 def test_bonuses_and_own_outstanding_decide_between_equals():
     """Guards against cold starts and recomputed prefixes at equal load."""
     held = {"m": "loaded"}
