Add a copy only when every holder has a queue, on a server without one

Cause: after a second copy was loaded, the backlog of the first holder kept the tokens per copy above the threshold, and a third copy followed at once. A copy for demand was placed by rank alone, also on a server that was as busy as the first.

Change: demand is high when 400 tokens wait per copy and the whole queue of every holder is over 800 tokens. Copies for demand go first to servers without a queue. The thresholds are now a constant of the placement module; the benchmark uses it.

--- a/benchmarks/policy_fakes.py
+++ b/benchmarks/policy_fakes.py
@@ -20,7 +20,7 @@
 from chervilgw.core.messages import Load
 from chervilgw.core.states import BackendKind, VmState
 from chervilgw.placement.copies import CopyLimits, LoadCopy, decide
-from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
+from chervilgw.placement.demand import THRESHOLDS, DemandThresholds, make_demand_tracker
 from chervilgw.routing.choice import RouteRequest, choose
 from chervilgw.routing.order import preferred_order
 from chervilgw.scheduling.fair_queue import QueuedItem, QueueLimits, make_fair_queue
@@ -37,7 +37,7 @@
     queue: str = "ours"
     placement: str = "ours"
     limits: CopyLimits = CopyLimits()
-    thresholds: DemandThresholds = DemandThresholds(500, 50)
+    thresholds: DemandThresholds = THRESHOLDS
     slack: float = 0.25
 
 
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -73,6 +73,10 @@
     services: tuple[str, ...] = ()
     pool: str = "default"
 
+    def total_queue_tokens(self) -> int:
+        """Return the tokens waiting for all models."""
+        return sum(self.queue_tokens.values())
+
 
 @dataclass(frozen=True, slots=True)
 class VmReport:
--- a/chervilgw/placement/copies.py
+++ b/chervilgw/placement/copies.py
@@ -263,7 +263,11 @@
     if not present or plan.holders(spec.name, LOADING):
         return
     if len(present) < plan.limits.max_copies:
-        plan.place(spec, plan.candidates(spec), plan.limits.remove_after_s)
+        # A copy on a server with a queue of its own adds little. Sorting is stable, so
+        # the order is kept among those without a queue.
+        candidates = plan.candidates(spec)
+        candidates.sort(key=lambda server: server.load.total_queue_tokens() > 0)
+        plan.place(spec, candidates, plan.limits.remove_after_s)
 
 
 def _spare_copy(plan: _Plan, own: ServerView) -> set[ModelName]:
--- a/chervilgw/placement/demand.py
+++ b/chervilgw/placement/demand.py
@@ -25,10 +25,22 @@
 
 @dataclass(frozen=True, slots=True)
 class DemandThresholds:
-    """Tokens waiting per copy above which demand is high, and below which it is low."""
+    """Tokens waiting per copy above which demand is high, and below which it is low.
+
+    Demand is high only if ``busy_tokens`` are exceeded as well by the whole queue of
+    every server that holds the model. Otherwise a copy that has just been loaded and
+    can take the new requests does not stop the backlog of the first from asking for yet
+    another one.
+    """
 
     high_tokens: float
     low_tokens: float
+    busy_tokens: float = 0.0
+
+
+# From the policy benchmark, where one copy serves about 800 tokens/s: a queue of 1 s on
+# each holder. Lower values cost more moves for the same attainment.
+THRESHOLDS = DemandThresholds(high_tokens=400, low_tokens=50, busy_tokens=800)
 
 
 class DemandTracker:
@@ -45,17 +57,23 @@
         """Take in the present reports and return the demand for each model in them."""
         tokens: dict[str, int] = {}
         copies: dict[str, int] = {}
+        shortest: dict[str, int] = {}
         for server in servers:
             if server.state is not VmState.LIVE:
                 continue
+            queue = server.load.total_queue_tokens()
             for name, state in server.load.resident.items():
-                copies[name] = copies.get(name, 0) + (state == CopyState.LOADED.value)
+                loaded = state == CopyState.LOADED.value
+                copies[name] = copies.get(name, 0) + loaded
+                if loaded:
+                    shortest[name] = min(shortest.get(name, queue), queue)
             for name, waiting in server.load.queue_tokens.items():
                 tokens[name] = tokens.get(name, 0) + waiting
         demand = {}
         for name in tokens.keys() | copies.keys():
             per_copy = tokens.get(name, 0) / max(1, copies.get(name, 0))
-            high = per_copy > self._thresholds.high_tokens
+            busy = shortest.get(name, 0) > self._thresholds.busy_tokens
+            high = busy and per_copy > self._thresholds.high_tokens
             low = per_copy < self._thresholds.low_tokens
             demand[ModelName(name)] = ModelDemand(
                 tokens.get(name, 0),
--- a/chervilgw/placement/tests/test_copies.py
+++ b/chervilgw/placement/tests/test_copies.py
@@ -19,6 +19,7 @@
     ModelDemand,
     make_demand_tracker,
 )
+from chervilgw.routing.order import preferred_order
 
 CAPACITY = 100
 SPECS = [
@@ -198,3 +199,27 @@
     tracker.observe([calm], 7.0)
     gone = make_view(1, {}, VmState.GONE, tokens={"m0": 900})
     assert tracker.observe([calm, gone], 9.0)["m0"].low_for_s == 2.0
+
+
+def test_backlog_of_the_first_copy_asks_for_no_third():
+    """Guards against a move that only the backlog of the first holder asks for."""
+    tracker = make_demand_tracker(DemandThresholds(100, 10, busy_tokens=50))
+    first = make_view(0, {"m0": "loaded"}, tokens={"m0": 900})
+    for queue, high_for_s in (({}, 0.0), ({"m1": 60}, 0.0), ({"m1": 60}, 1.0)):
+        second = make_view(1, {"m0": "loaded"}, tokens=queue)
+        start_s = 1.0 if queue else 0.0
+        seen = tracker.observe([first, second], start_s + high_for_s)
+        assert seen["m0"].high_for_s == high_for_s
+
+
+def test_demand_copy_goes_to_a_server_without_a_queue():
+    """Guards against a further copy on a server that is as busy as the first."""
+    order = preferred_order("m0", [make_view(n, {}) for n in range(4)])
+    holder, busy, idle = (int(view.vm[1:]) for view in order[:3])
+    held = {n: {"m0": "loaded"} if n == holder else {"m1": "loaded"} for n in range(4)}
+    views = [
+        make_view(n, held[n], tokens={"m1": 500} if n == busy else {}) for n in range(4)
+    ]
+    specs, demand = [SPECS[0]], {"m0": HIGH}
+    chosen = [v.vm for v in views if decide(v.vm, views, specs, demand, {}, 0.0)]
+    assert chosen == [f"b{idle}"]
