Use the measured demand thresholds in the sidecar

Change: the sidecar takes the thresholds of the placement module. Unit tests of sidecar and placement pass; process-level tests were not run with it.

--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -16,7 +16,7 @@
 from chervilgw.core.states import CopyState, RefusalReason, Role, VmState
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
-from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
+from chervilgw.placement.demand import THRESHOLDS, make_demand_tracker
 from chervilgw.placement.memory import MemoryLedger, make_memory_ledger
 from chervilgw.placement.orders import Fence, Order, OrderAnswer, ReadState
 from chervilgw.platform.engine import (
@@ -57,8 +57,6 @@
 LOST_ORDER_S = 2.0
 """An order that the engine accepted, but does not list this long after, was lost."""
 FENCING_PER_MS = 1024
-DEMAND = DemandThresholds(high_tokens=4000, low_tokens=400)
-"""Tokens that wait per copy: about 4 s and 0.4 s of an engine's work."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +115,7 @@
         self._retiring: dict[str, float] = {}
         # Outlives the configuration item, so that a deleted adapter can be unloaded.
         self._adapter_base: dict[str, str | None] = {}
-        self._demand = make_demand_tracker(DEMAND)
+        self._demand = make_demand_tracker(THRESHOLDS)
         self._crashes = count(1)
         self._crash: CrashId | None = None
         self._entry_lost_s = float("-inf")
