--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -16,7 +16,7 @@
 from chervilgw.core.states import CopyState, RefusalReason, Role
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
-from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
+from chervilgw.placement.demand import THRESHOLDS, make_demand_tracker
 from chervilgw.placement.memory import MemoryLedger, make_memory_ledger
 from chervilgw.placement.orders import Fence, Order, OrderAnswer, ReadState
 from chervilgw.platform.engine import (
@@ -52,8 +52,6 @@
 DECIDE_S = 0.5
 BUSY_READ_S = 0.1
 FENCING_PER_MS = 1024
-DEMAND = DemandThresholds(high_tokens=4000, low_tokens=400)
-"""Tokens that wait per copy: about 4 s and 0.4 s of an engine's work."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +100,7 @@
         self._retiring: dict[str, float] = {}
         # Outlives the configuration item, so that a deleted adapter can be unloaded.
         self._adapter_base: dict[str, str | None] = {}
-        self._demand = make_demand_tracker(DEMAND)
+        self._demand = make_demand_tracker(THRESHOLDS)
         self._crashes = count(1)
         self._crash: CrashId | None = None
         self._probing = False
