Load without a permit also after a restart of the sidecar

Ruled out: to assume a loss at each start, since all loads of a fleet that starts would then go without permits after 2 s. Change: a sidecar takes losses of entries from the stream 'shares', and a loss matters for as long as the log cannot be read. Permits that no decision asks for any more are withdrawn after 1.5 s. A refused load keeps its waiting time.

--- a/chervilgw/quota/dead_task.py
+++ b/chervilgw/quota/dead_task.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import time
+
 from circuits import BaseComponent, handler
 
 from chervilgw.configuration.freshness import CONFIRM_WITHIN_S
 from chervilgw.core.ids import NO_OFFSET, Incarnation, Offset
+from chervilgw.core.states import Role
 from chervilgw.quota.errors import QuotaError
+from chervilgw.quota.losses import EntryLosses
 from chervilgw.quota.members import Members
 from chervilgw.quota.records import record_from_mapping
-from chervilgw.runtime.control_events import dead_incarnations, ledger_status
+from chervilgw.runtime.control_events import (
+    dead_incarnations,
+    entry_loss_matters,
+    ledger_status,
+)
 
 
 class DeadTask(BaseComponent):
@@ -24,23 +32,38 @@
         self._confirmed_s = float("-inf")
         self._gone: frozenset[Incarnation] = frozenset()
         self._published = None
+        self._losses = EntryLosses()
+        self._loss_until_s = self._losses.until_s
 
     @handler("log_page")
     def _on_page(self, stream, page, asked_s):
         self._log_ok = True
-        for offset, _, mapping in page.records:
+        for offset, time_ms, mapping in page.records:
             self._offset = Offset(offset)
             try:
                 self._members.fold(self._offset, record_from_mapping(mapping))
             except QuotaError:
                 continue
+            if self._members.loss_offset == self._offset:
+                age_s = max(0.0, time.time() - time_ms / 1000.0)
+                self._losses.on_loss(time.monotonic() - age_s)
         if self._offset + 1 >= page.next_offset:
+            self._losses.on_log_read()
             self._confirm(asked_s)
+        self._publish_loss()
         self.fire(ledger_status(self._offset), "fleet")
 
     @handler("log_failed")
     def _on_failed(self, stream):
         self._log_ok = False
+        self._losses.on_log_failed(time.monotonic())
+        self._publish_loss()
+
+    @handler("peer_down", channel="*")
+    def _on_peer_down(self, peer):
+        if peer.role is Role.ENTRY:
+            self._losses.on_loss(time.monotonic())
+            self._publish_loss()
 
     @handler("log_expired")
     def _on_expired(self, stream, oldest):
@@ -65,6 +88,11 @@
         self._confirmed_s = max(self._confirmed_s, asked_s)
         self._publish()
 
+    def _publish_loss(self):
+        if self._losses.until_s != self._loss_until_s:
+            self._loss_until_s = self._losses.until_s
+            self.fire(entry_loss_matters(self._loss_until_s), "engine")
+
     def _publish(self):
         dead = self._members.dead() | self._gone
         state = (dead, self._confirmed_s + CONFIRM_WITHIN_S)
--- a/chervilgw/runtime/control_events.py
+++ b/chervilgw/runtime/control_events.py
@@ -49,6 +49,14 @@
     """Entries whose requests are refused: frozenset, until when it is confirmed."""
 
 
+class entry_loss_matters(Event):  # noqa: N801
+    """Permits may be missing after the loss of an entry: until when, in seconds."""
+
+
+class quota_supplied(Event):  # noqa: N801
+    """The entry holds its shares, or has waited for them long enough."""
+
+
 class quota_reserve(Event):  # noqa: N801
     """Reserve an amount: token, budget, amount, reply channel."""
 
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -13,7 +13,7 @@
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
 from chervilgw.core.messages import PermitGrant, PermitRelease, PermitRequest
-from chervilgw.core.states import CopyState, RefusalReason, Role, VmState
+from chervilgw.core.states import CopyState, RefusalReason, VmState
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
 from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
@@ -36,6 +36,7 @@
 )
 from chervilgw.sidecar.loading import (
     CopySpec,
+    LoadAsks,
     Wants,
     choose_eviction,
     copy_spec,
@@ -49,11 +50,10 @@
 BUSY_READ_S = 0.1
 PERMIT_REPEAT_S = 0.5
 PERMIT_WAIT_S = 2.0
-ENTRY_LOSS_MATTERS_S = 120.0
-"""After the loss of an entry, a model that nobody else serves is loaded without a
-permit once it waited for :data:`PERMIT_WAIT_S`: the lost entry may have held the
-store's budget, and without the log nothing collects its units. The store refuses what
-is over its own limit, and the load is tried again."""
+"""While the loss of an entry matters, a model that nobody else serves is loaded without
+a permit once it was asked for this long: the lost entry may have held the store's
+budget, and without the log nothing collects its units. The store refuses what is over
+its own limit, and the load is tried again."""
 LOST_ORDER_S = 2.0
 """An order that the engine accepted, but does not list this long after, was lost."""
 FENCING_PER_MS = 1024
@@ -88,7 +88,6 @@
     permit_id: str
     spec: CopySpec
     asked_s: float
-    first_asked_s: float
     entry: Incarnation | None = None
     granted: bool = False
 
@@ -111,6 +110,7 @@
         self._order_calls: dict[str, str] = {}
         self._accepted_s: dict[str, float] = {}
         self._wants = Wants()
+        self._asks = LoadAsks()
         self._permits: dict[str, _Permit] = {}
         self._last_used_s: dict[str, float] = {}
         self._last_changes: dict[ModelName, float] = {}
@@ -120,7 +120,7 @@
         self._demand = make_demand_tracker(DEMAND)
         self._crashes = count(1)
         self._crash: CrashId | None = None
-        self._entry_lost_s = float("-inf")
+        self._loss_until_s = float("-inf")
         self._probing = False
         self._draining = False
         self._view = EngineView()
@@ -135,10 +135,9 @@
     def _on_fleet(self, fleet):
         self._fleet = fleet
 
-    @handler("peer_down", channel="*")
-    def _on_peer_down(self, peer):
-        if peer.role is Role.ENTRY:
-            self._entry_lost_s = time.monotonic()
+    @handler("entry_loss_matters")
+    def _on_entry_loss(self, until_s):
+        self._loss_until_s = until_s
 
     @handler("drain", channel="*")
     def _on_drain(self):
@@ -352,13 +351,16 @@
 
     def _ask_permit(self, name, now_s):
         spec = copy_spec(self._state, name)
-        if spec is None or name in self._permits:
+        if spec is None:
+            return
+        self._asks.add(name, now_s)
+        if name in self._permits:
             return
         if spec.size_bytes > self._ledger.free_bytes:
             self._make_room(spec, now_s)
             return
         permit_id = f"{self._options.me}/{next(self._numbers)}"
-        permit = self._permits[name] = _Permit(permit_id, spec, now_s, now_s)
+        permit = self._permits[name] = _Permit(permit_id, spec, now_s)
         self._send_permit(permit, now_s)
 
     def _make_room(self, spec, now_s):
@@ -401,6 +403,10 @@
             self._tell(permit.entry, request)
 
     def _repeat_permits(self, now_s):
+        for name in self._asks.expire(now_s):
+            permit = self._permits.get(name)
+            if permit is not None and not permit.granted:
+                self._release(permit)
         for permit in list(self._permits.values()):
             if permit.granted:
                 continue
@@ -432,9 +438,9 @@
 
     def _must_load(self, permit: _Permit, now_s) -> bool:
         """Return whether to load without a permit what no other server has."""
-        if now_s - permit.first_asked_s <= PERMIT_WAIT_S:
+        if self._asks.waited_s(permit.spec.name, now_s) <= PERMIT_WAIT_S:
             return False
-        if now_s - self._entry_lost_s > ENTRY_LOSS_MATTERS_S:
+        if now_s > self._loss_until_s:
             return False
         return not any(
             server.vm != self._options.me.vm
--- a/chervilgw/sidecar/loading.py
+++ b/chervilgw/sidecar/loading.py
@@ -18,6 +18,8 @@
 
 WANT_LASTS_S = 10.0
 """A want is repeated by the runner while requests wait; an old one is dropped."""
+ASK_LASTS_S = 1.5
+"""Three decisions, so that one with an old view of the fleet changes nothing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,40 @@
         return tuple(self.since_s)
 
 
+@dataclass(slots=True)
+class _Ask:
+    since_s: float
+    last_s: float
+
+
+@dataclass(slots=True)
+class LoadAsks:
+    """Loads that the decisions ask for, from the first time on until they stop.
+
+    Each decision repeats what it still needs. A load that none of them named for
+    :data:`ASK_LASTS_S` is no longer needed, for example as the server that holds the
+    model was not known yet when this process started.
+    """
+
+    asks: dict[str, _Ask] = field(default_factory=dict)
+
+    def add(self, name: str, now_s: float) -> None:
+        """Note that a decision asks for a load."""
+        self.asks.setdefault(name, _Ask(now_s, now_s)).last_s = now_s
+
+    def waited_s(self, name: str, now_s: float) -> float:
+        """Return how long a load has been asked for, failed attempts included."""
+        ask = self.asks.get(name)
+        return now_s - ask.since_s if ask is not None else 0.0
+
+    def expire(self, now_s: float) -> tuple[str, ...]:
+        """Forget the loads that are no longer asked for, and return their names."""
+        old = [n for n, ask in self.asks.items() if now_s - ask.last_s > ASK_LASTS_S]
+        for name in old:
+            del self.asks[name]
+        return tuple(old)
+
+
 def copy_spec(state: ConfigurationState, name: str) -> CopySpec | None:
     """Return the configured copy of a model or adapter, or None.
 
