Leave a peer half of its spare units when an entry asks for its first ones

Cause, from a trace: a restarted entry asked for half of the whole, and the only other entry gave all it had, 491,632 of 493,426 units. Tried and dropped: to ask for everything after a collection that brought no units. The collection that follows each restart is one of these, so nothing changed. Change: the first request is for spare units, of which the giver keeps half. The same holds for counts.

--- a/chervilgw/quota/holdings.py
+++ b/chervilgw/quota/holdings.py
@@ -227,7 +227,7 @@
         useless = bucket.cap < SMALLEST_DEBIT
         wanted = 0 if useless else self.wanted_units(now_s)
         spare = max(0, bucket.units - wanted)
-        if spare_only:
+        if spare_only and bucket.burst >= SMALLEST_STANDING:
             # Half of the spare units stay, so that two idle entries do not send the
             # same units to and fro.
             units = min(asked, spare // 2)
@@ -346,7 +346,10 @@
     def surrender(
         self, asked: int, now_s: float, spare_only: bool = False
     ) -> tuple[int, float]:
-        units = max(0, min(asked, self._units - self._needed(self.used)))
+        spare = self._units - self._needed(self.used)
+        if spare_only and self.count > 1:
+            spare = self._needed(self.count * spare // SHARE_UNITS // 2)
+        units = max(0, min(asked, spare))
         self._units -= units
         return units, 0.0
 
--- a/chervilgw/quota/reservations.py
+++ b/chervilgw/quota/reservations.py
@@ -212,9 +212,13 @@
 
     def _rebalance(self, holding: Holding, state: _State, now_s: float) -> None:
         wanted = holding.wanted_units(now_s)
-        if not holding.units:
-            wanted = max(wanted, holding.first_units(self._members))
         state.spare_only = False
+        first = 0 if holding.units else holding.first_units(self._members)
+        if first > wanted:
+            # A peer keeps half of what it does not need: this entry may be lost, and
+            # the peer would be left without units until they are collected.
+            state.spare_only, state.target = True, first
+            return
         if holding.units < wanted * REBALANCE_BELOW:
             state.target = min(SHARE_UNITS, wanted)
             return
--- a/chervilgw/quota/tests/test_holdings.py
+++ b/chervilgw/quota/tests/test_holdings.py
@@ -1,7 +1,7 @@
 """Tests of what an entry gives to peers."""
 
 from chervilgw.quota.bucket import SHARE_UNITS
-from chervilgw.quota.holdings import RateHolding
+from chervilgw.quota.holdings import CountHolding, RateHolding
 
 
 def test_part_below_one_token_is_given_although_demand_is_high():
@@ -38,3 +38,14 @@
     idle = RateHolding(100.0, 1000.0, now_s=0.0)
     idle.put(SHARE_UNITS, 1000.0, now_s=0.0)
     assert idle.surrender(333_333, now_s=30.0, spare_only=True)[0] == 333_333
+
+
+def test_spare_permits_are_given_by_halves():
+    """Guards against a holder without permits once the entry it gave to is lost."""
+    holding = CountHolding(10)
+    holding.put(500_000, 0.0, now_s=0.0)
+    assert holding.surrender(500_000, now_s=0.0, spare_only=True) == (200_000, 0.0)
+    assert holding.allowed == 3
+    single = CountHolding(1)
+    single.put(SHARE_UNITS, 0.0, now_s=0.0)
+    assert single.surrender(SHARE_UNITS, now_s=0.0, spare_only=True)[0] == SHARE_UNITS
