Answer /readyz with 200 only when the entry holds units of each budget

Cause, from a trace: a restarted entry was ready 0.1 s after its start, when its link to the other entry and its join record were still missing; its first request for units came 0.7 s later. Change: /readyz waits until each budget that is spread without demand has units here, for at most 5 s from the start.

--- a/chervilgw/entry/front.py
+++ b/chervilgw/entry/front.py
@@ -41,6 +41,7 @@
         self._state: ConfigurationState = empty_state()
         self._fresh_until_s = float("-inf")
         self._fleet = FleetSnapshot()
+        self._supplied = False
         self._identify = make_pipeline(accept, authenticate)
         self._parked: list[tuple[HttpRequest, float]] = []
         self._leaving = self._closing = self._drained = False
@@ -59,7 +60,10 @@
 
     def _probe(self, http: HttpRequest, now_s):
         connected = self._fleet.reached_vms or len(self._fleet.live_vms) <= 1
-        ready = now_s <= self._fresh_until_s and connected and not self._leaving
+        # Until its shares arrive, the entry would refuse what its peers can serve; and
+        # if a peer were lost now, its units would be missing until they are collected.
+        able = now_s <= self._fresh_until_s and connected and self._supplied
+        ready = able and not self._leaving
         ok = ready or http.path == "/healthz"
         status, body = (200, b'{"status":"ok"}') if ok else (503, b'{"status":"no"}')
         self.fire(http_reply(HttpReply(http.exchange, status, _JSON, body)), "http")
@@ -122,6 +126,10 @@
         for http, _ in parked:
             self._consider(http, now_s)
 
+    @handler("quota_supplied")
+    def _on_supplied(self):
+        self._supplied = True
+
     @handler("fleet_changed", channel="*")
     def _on_fleet(self, fleet: FleetSnapshot):
         self._fleet = fleet
--- a/chervilgw/quota/ledger.py
+++ b/chervilgw/quota/ledger.py
@@ -47,6 +47,9 @@
 # The same for counts: loads that a dead entry permitted may still be running.
 PERMIT_SETTLE_S = 30.0
 MAX_WAIT_S = 0.25
+# Longest time from the start until an entry counts as supplied. It covers a collection
+# and the settling time, which a fleet needs whose entries all restarted.
+SUPPLY_WAIT_S = 5.0
 
 
 class Quota:
@@ -73,6 +76,7 @@
         permit_settle_s: float,
     ) -> None:
         self.me = me
+        self._started_s = now_s
         self._members = Members()
         self._budgets = Budgets()
         self._collections = Collections(me, self._members, now_s)
@@ -114,6 +118,20 @@
         holding = self._budgets.get(budget)
         return holding.units if holding else 0
 
+    def is_supplied(self, now_s: float) -> bool:
+        """Return whether each budget that is spread without demand has units here.
+
+        After :data:`SUPPLY_WAIT_S` the answer is True all the same: peers may need all
+        units, and without the log this entry cannot join.
+        """
+        if now_s >= self._started_s + SUPPLY_WAIT_S:
+            return True
+        members = len(self._members.live)
+        return self._members.is_member(self.me) and all(
+            holding.units or not holding.standing_units(members)
+            for _, holding in self._budgets
+        )
+
     def set_budget(
         self, budget: BudgetName, rate_per_s: float, burst: float, now_s: float
     ) -> None:
--- a/chervilgw/quota/task.py
+++ b/chervilgw/quota/task.py
@@ -39,6 +39,7 @@
     ledger_status,
     quota_denied,
     quota_granted,
+    quota_supplied,
 )
 from chervilgw.runtime.events import peer_send
 from chervilgw.telemetry import Metrics, table
@@ -62,6 +63,8 @@
         self._numbers = count(1)
         self._leaving_since_s: float | None = None
         self._drained = False
+        self._config_until_s = float("-inf")
+        self._supplied = False
 
     # Reservations.
 
@@ -97,6 +100,18 @@
         self._perform(self._quota.tick(now_s), now_s)
         self._perform(self._permits.tick(now_s), now_s)
         self._check_drained(now_s)
+        self._check_supplied(now_s)
+
+    def _check_supplied(self, now_s):
+        # An unconfirmed configuration may still lack budgets.
+        confirmed = now_s <= self._config_until_s
+        if not self._supplied and confirmed and self._quota.is_supplied(now_s):
+            self._supplied = True
+            self.fire(quota_supplied(), "front")
+
+    @handler("config_fresh", channel="*")
+    def _on_fresh(self, until_s):
+        self._config_until_s = until_s
 
     @handler("peer_messages")
     def _on_messages(self, peer, messages):
--- a/chervilgw/quota/tests/test_recovery.py
+++ b/chervilgw/quota/tests/test_recovery.py
@@ -4,6 +4,7 @@
 
 from chervilgw.core.ids import BudgetName
 from chervilgw.quota.bucket import SHARE_UNITS
+from chervilgw.quota.ledger import SUPPLY_WAIT_S
 from chervilgw.quota.records import Denied, Granted
 from chervilgw.quota.tests.simulation import Fleet
 
@@ -51,3 +52,42 @@
     assert token not in fleet.results
     fleet.advance(0.2)
     assert isinstance(fleet.results[token], Denied)
+
+
+def is_supplied(fleet, me):
+    entry = fleet.entries[me]
+    return entry.quota.is_supplied(fleet.now_s + entry.clock_offset_s)
+
+
+def restart(fleet, vm):
+    """Restart an entry's process and let time pass until it is supplied."""
+    me = fleet.start(vm)
+    assert not is_supplied(fleet, me)
+    while not is_supplied(fleet, me):
+        fleet.advance(0.02)
+    return me
+
+
+@pytest.mark.parametrize("lost", [0, 1], ids=["other-lost", "restarted-lost"])
+def test_loss_after_a_restart_leaves_units_without_the_log(lost):
+    """Guards against a restarted entry without units, or one that takes all of them."""
+    fleet, entries = make_fleet(2)
+    for _ in range(3):
+        entries[1] = restart(fleet, "e1")
+    fleet.log_up = False
+    fleet.kill(entries[lost])
+    fleet.advance(0.3)
+    token = fleet.reserve(entries[1 - lost], "acme", 20.0)
+    fleet.advance(0.3)
+    assert isinstance(fleet.results[token], Granted)
+
+
+def test_entry_that_cannot_get_units_counts_as_supplied_later():
+    """Guards against an entry that never becomes ready without the log."""
+    fleet, _ = make_fleet(2)
+    fleet.log_up = False
+    me = fleet.start("e2")
+    fleet.advance(SUPPLY_WAIT_S - 0.1)
+    assert not is_supplied(fleet, me)
+    fleet.advance(0.2)
+    assert is_supplied(fleet, me)
