Load what a lost holder served 2.5 s after its last report

Cause, from a trace: after the loss of an engine's VM an entry sends the first request to another engine at once, but that engine's sidecar counts the lost one as live for 4 s, and the load without a permit begins only then (answers after 4.49 to 5.60 s). Change: a holder whose newest report is older than 2.5 s does not keep a sidecar from loading without a permit, after the same wait of 2 s.

--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -13,7 +13,7 @@
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
 from chervilgw.core.messages import PermitGrant, PermitRelease, PermitRequest
-from chervilgw.core.states import CopyState, RefusalReason, VmState
+from chervilgw.core.states import CopyState, RefusalReason
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
 from chervilgw.placement.demand import DemandThresholds, make_demand_tracker
@@ -40,6 +40,7 @@
     Wants,
     choose_eviction,
     copy_spec,
+    is_served_elsewhere,
     merge_versions,
     model_specs,
     reachable_servers,
@@ -442,12 +443,8 @@
             return False
         if now_s > self._loss_until_s:
             return False
-        return not any(
-            server.vm != self._options.me.vm
-            and server.state is VmState.LIVE
-            and server.holds(permit.spec.name)
-            for server in self._fleet.servers
-        )
+        name, me = permit.spec.name, self._options.me.vm
+        return not is_served_elsewhere(name, self._fleet.servers, me)
 
     def _load(self, permit: _Permit, now_s):
         permit.granted = True
--- a/chervilgw/sidecar/loading.py
+++ b/chervilgw/sidecar/loading.py
@@ -20,6 +20,10 @@
 """A want is repeated by the runner while requests wait; an old one is dropped."""
 ASK_LASTS_S = 1.5
 """Three decisions, so that one with an old view of the fleet changes nothing."""
+HOLDER_REPORT_S = 2.5
+"""A holder whose newest report is older keeps nobody from loading without a permit.
+Reports of live servers arrive at least every 2 s; only after 4 s do they count as
+silent, which leaves too little time for the load."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,6 +230,17 @@
     )
 
 
+def is_served_elsewhere(name: str, servers: Iterable[ServerView], me: VmId) -> bool:
+    """Return whether another live server with a recent report has the model loaded."""
+    return any(
+        server.vm != me
+        and server.state is VmState.LIVE
+        and server.load_age_s <= HOLDER_REPORT_S
+        and server.holds(name)
+        for server in servers
+    )
+
+
 def merge_versions(copies: Iterable[ResidentCopy]) -> dict[str, str]:
     """Return one state per name: loaded wins over loading, and that over unloading.
 
