Count units once that pass between two reads of a collection's record

An entry that had read the collection's record counted units, then gave them to one that had not read it yet, which counted them as well; the claimant then took too few, and the rest stayed lost until the next audit. Ruled out: refusing such transfers, since an entry whose log alone is cut could then receive no units after any collection. What it passed on in the meantime is counted once too often, never missed.

--- a/chervilgw/quota/exchange.py
+++ b/chervilgw/quota/exchange.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from chervilgw.core.ids import BudgetName, Incarnation
+from chervilgw.core.ids import BudgetName, Incarnation, Offset
 from chervilgw.core.messages import ShareReply, ShareRequest, ShareTransfer
 from chervilgw.quota.budgets import Budgets
 from chervilgw.quota.collection import Retry
@@ -81,6 +82,14 @@
         """Whether a planned stop may go on: nothing is held or under way."""
         return self.leaving and self._budgets.is_empty() and not self.outgoing
 
+    def held_at(self, offset: Offset) -> Counter[BudgetName]:
+        """Return the units to report for the collection at an offset, just read."""
+        held = self._budgets.units()
+        held.update(self.outgoing.units())
+        # The difference of counters leaves out what would be negative: units that were
+        # passed on are counted once too often rather than missed.
+        return held - self.incoming.counted_by_givers(offset, self._members.is_dead)
+
     def changed(self, budget: BudgetName, now_s: float) -> list[Output]:
         """Report changed units and serve what waited for them."""
         holding = self._budgets.get(budget)
@@ -132,6 +141,7 @@
         if not accepted:
             return [reply, *self._serve(budget, now_s)]
         self._budgets.put(budget, message.units, message.level, now_s)
+        self.incoming.taken(sender, message, members.offset)
         return [reply, *self.changed(budget, now_s)]
 
     def on_reply(
--- a/chervilgw/quota/ledger.py
+++ b/chervilgw/quota/ledger.py
@@ -244,9 +244,7 @@
         self._exchange.incoming.drop_dead(members.is_dead)
         if not isinstance(record, Collect):
             return []
-        held = self._budgets.units()
-        held.update(self._exchange.outgoing.units())
-        self._collections.folded(record, held, now_s)
+        self._collections.folded(record, self._exchange.held_at(offset), now_s)
         self._reservations.collection_folded()
         self._suspect_loss = False
         return self._collect(now_s)
--- a/chervilgw/quota/tests/test_recovery.py
+++ b/chervilgw/quota/tests/test_recovery.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from chervilgw.core.ids import BudgetName
+from chervilgw.core.ids import BudgetName, Incarnation, Offset, VmId
+from chervilgw.core.messages import ShareRequest, ShareSnapshot, ShareTransfer
 from chervilgw.quota.bucket import SHARE_UNITS
-from chervilgw.quota.ledger import SUPPLY_WAIT_S
-from chervilgw.quota.records import Denied, Granted
+from chervilgw.quota.ledger import SUPPLY_WAIT_S, make_quota
+from chervilgw.quota.records import Collect, Denied, Granted, Join, Send
 from chervilgw.quota.tests.simulation import Fleet
 
 
@@ -91,3 +92,44 @@
     assert not is_supplied(fleet, me)
     fleet.advance(0.2)
     assert is_supplied(fleet, me)
+
+
+def test_units_given_between_two_reads_of_a_collection_count_once():
+    """Guards against lost units that a collection leaves lost until the next audit.
+
+    A giver that had read the collection counted units which a receiver that had not
+    read it yet took, and counted as well.
+    """
+    acme, me, peer = BudgetName("acme"), *(Incarnation(VmId(v), 1) for v in "ab")
+    quotas = {each: make_quota(each) for each in (me, peer)}
+    for quota in quotas.values():
+        quota.set_budget(acme, 100.0, 1000.0, 0.0)
+        quota.set_peers((me, peer))
+
+    def read(reader, offset, record):
+        return quotas[reader].on_record(Offset(offset), record, 0.0)
+
+    def message_of(outputs, kind):
+        sent = [each.message for each in outputs if isinstance(each, Send)]
+        return next(each for each in sent if isinstance(each, kind))
+
+    collect = Collect("a/1", me, (), (me, peer), Offset(1))
+    for reader in (me, peer):
+        for offset, record in enumerate([Join(me), Join(peer), collect]):
+            read(reader, offset, record)
+    snapshot = message_of(quotas[peer].tick(0.0), ShareSnapshot)
+    quotas[me].on_message(peer, snapshot, 0.0)
+    assert quotas[me].units(acme) == SHARE_UNITS
+    # Units are lost, as by a transfer to an entry that dies.
+    quotas[me]._budgets.get(acme).surrender(200_000, 0.0)
+    again = Collect("a/2", me, (), (me, peer), Offset(2))
+    read(me, 3, again)
+    request = ShareRequest(acme, 300_000, Offset(2), False)
+    outputs = quotas[me].on_message(peer, request, 0.0)
+    quotas[peer].on_message(me, message_of(outputs, ShareTransfer), 0.0)
+    assert quotas[peer].units(acme) == 300_000
+    read(peer, 3, again)
+    snapshot = message_of(quotas[peer].tick(1.0), ShareSnapshot)
+    assert snapshot.units.get(acme, 0) == 0
+    quotas[me].on_message(peer, snapshot, 1.0)
+    assert sum(quota.units(acme) for quota in quotas.values()) == SHARE_UNITS
--- a/chervilgw/quota/transfers.py
+++ b/chervilgw/quota/transfers.py
@@ -119,6 +119,28 @@
     def __init__(self) -> None:
         self._answers: dict[Incarnation, OrderedDict[int, bool]] = {}
         self._floor: dict[Incarnation, int] = {}
+        # Transfers of givers that had read more of the log than this entry.
+        self._ahead: list[tuple[Incarnation, ShareTransfer]] = []
+
+    def taken(self, giver: Incarnation, message: ShareTransfer, offset: Offset) -> None:
+        """Record that units were taken, with this entry's ledger offset."""
+        if message.ledger_offset > offset:
+            self._ahead.append((giver, message))
+
+    def counted_by_givers(
+        self, offset: Offset, is_dead: Callable[[Incarnation], bool]
+    ) -> Counter[BudgetName]:
+        """Return the units that the snapshots of their givers count as well.
+
+        They were taken before the record at ``offset`` was read here, but given after
+        the giver had read it. A dead giver sends no snapshot.
+        """
+        total: Counter[BudgetName] = Counter()
+        for giver, message in self._ahead:
+            if message.ledger_offset >= offset and not is_dead(giver):
+                total[message.budget] += message.units
+        self._ahead = [e for e in self._ahead if e[1].ledger_offset > offset]
+        return total
 
     def known(self, giver: Incarnation, transfer_id: str) -> bool | None:
         """Return the earlier answer, if there is one."""
