--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -13,7 +13,7 @@
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
 from chervilgw.core.messages import PermitGrant
-from chervilgw.core.states import CopyState, RefusalReason, Role
+from chervilgw.core.states import CopyState, RefusalReason
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide
 from chervilgw.placement.demand import THRESHOLDS, make_demand_tracker
@@ -117,10 +117,9 @@
     def _on_fleet(self, fleet):
         self._fleet = fleet
 
-    @handler("peer_down", channel="*")
-    def _on_peer_down(self, peer):
-        if peer.role is Role.ENTRY:
-            self._permits.on_entry_lost(time.monotonic())
+    @handler("entry_loss_matters")
+    def _on_entry_loss(self, until_s):
+        self._permits.on_entry_lost(until_s)
 
     @handler("drain", channel="*")
     def _on_drain(self):
@@ -305,7 +304,10 @@
 
     def _ask_permit(self, name, now_s):
         spec = copy_spec(self._state, name)
-        if spec is None or name in self._permits:
+        if spec is None:
+            return
+        self._permits.want(name, now_s)
+        if name in self._permits:
             return
         if spec.size_bytes > self._ledger.free_bytes:
             self._make_room(spec, now_s)
--- a/chervilgw/sidecar/loading.py
+++ b/chervilgw/sidecar/loading.py
@@ -18,6 +18,12 @@
 
 WANT_LASTS_S = 10.0
 """A want is repeated by the runner while requests wait; an old one is dropped."""
+ASK_LASTS_S = 1.5
+"""Three decisions, so that one with an old view of the fleet changes nothing."""
+HOLDER_REPORT_S = 2.5
+"""A holder whose newest report is older keeps nobody from loading without a permit.
+Reports of live servers arrive at least every 2 s; only after 4 s do they count as
+silent, which leaves too little time for the load."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +90,40 @@
         return tuple(found)
 
 
+@dataclass(slots=True)
+class _Ask:
+    since_s: float
+    last_s: float
+
+
+@dataclass(slots=True)
+class LoadAsks:
+    """Loads that the decisions ask for, from the first time on until they stop.
+
+    Each decision repeats what it still needs. A load that none of them named for
+    :data:`ASK_LASTS_S` is no longer needed, for example as the server that holds the
+    model was not known yet when this process started.
+    """
+
+    asks: dict[str, _Ask] = field(default_factory=dict)
+
+    def add(self, name: str, now_s: float) -> None:
+        """Note that a decision asks for a load."""
+        self.asks.setdefault(name, _Ask(now_s, now_s)).last_s = now_s
+
+    def waited_s(self, name: str, now_s: float) -> float:
+        """Return how long a load has been asked for, failed attempts included."""
+        ask = self.asks.get(name)
+        return now_s - ask.since_s if ask is not None else 0.0
+
+    def expire(self, now_s: float) -> tuple[str, ...]:
+        """Forget the loads that are no longer asked for, and return their names."""
+        old = [n for n, ask in self.asks.items() if now_s - ask.last_s > ASK_LASTS_S]
+        for name in old:
+            del self.asks[name]
+        return tuple(old)
+
+
 def copy_spec(state: ConfigurationState, name: str) -> CopySpec | None:
     """Return the configured copy of a model or adapter, or None.
 
@@ -293,6 +333,17 @@
     )
 
 
+def is_served_elsewhere(name: str, servers: Iterable[ServerView], me: VmId) -> bool:
+    """Return whether another live server with a recent report has the model loaded."""
+    return any(
+        server.vm != me
+        and server.state is VmState.LIVE
+        and server.load_age_s <= HOLDER_REPORT_S
+        and server.holds(name)
+        for server in servers
+    )
+
+
 def merge_versions(copies: Iterable[ResidentCopy]) -> dict[str, str]:
     """Return one state per name: loaded wins over loading, and that over unloading.
 
--- a/chervilgw/sidecar/permits.py
+++ b/chervilgw/sidecar/permits.py
@@ -14,17 +14,16 @@
 from chervilgw.core.fleet import ServerView
 from chervilgw.core.ids import Incarnation
 from chervilgw.core.messages import PermitGrant, PermitRelease, PermitRequest
-from chervilgw.core.states import CopyState, VmState
+from chervilgw.core.states import CopyState
 from chervilgw.placement.memory import ResidentCopy
-from chervilgw.sidecar.loading import CopySpec
+from chervilgw.sidecar.loading import CopySpec, LoadAsks, is_served_elsewhere
 
 PERMIT_REPEAT_S = 2.0
 PERMIT_WAIT_S = 2.0
-ENTRY_LOSS_MATTERS_S = 120.0
-"""After the loss of an entry, a model that nobody else serves is loaded without a
-permit once it waited for :data:`PERMIT_WAIT_S`: the lost entry may have held the
-store's budget, and without the log nothing collects its units. The store refuses what
-is over its own limit, and the load is tried again."""
+"""While the loss of an entry matters, a model that nobody else serves is loaded without
+a permit once it was asked for this long: the lost entry may have held the store's
+budget, and without the log nothing collects its units. The store refuses what is over
+its own limit, and the load is tried again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +50,6 @@
     permit_id: str
     spec: CopySpec
     asked_s: float
-    first_asked_s: float
     entry: Incarnation | None = None
     granted: bool = False
 
@@ -64,23 +62,29 @@
         self._rng = rng
         self._numbers = count(1)
         self._permits: dict[str, _Permit] = {}
-        self._entry_lost_s = float("-inf")
+        self._asks = LoadAsks()
+        self._loss_until_s = float("-inf")
 
     def __contains__(self, name: str) -> bool:
         """Return whether a permit for this copy is asked for or in use."""
         return name in self._permits
 
-    def on_entry_lost(self, now_s: float) -> None:
-        """Note that the connection to an entry was lost."""
-        self._entry_lost_s = now_s
+    def on_entry_lost(self, until_s: float) -> None:
+        """Note until when the loss of an entry may have taken permits with it."""
+        self._loss_until_s = until_s
+
+    def want(self, name: str, now_s: float) -> None:
+        """Note that a decision asks for a load, though there may be no room yet."""
+        self._asks.add(name, now_s)
 
     def ask(
         self, spec: CopySpec, entries: Sequence[Incarnation], now_s: float
     ) -> list[PermitOutput]:
         """Ask one of the connected entries for a permit to load a copy."""
+        self.want(spec.name, now_s)
         if spec.name in self._permits:
             return []
-        permit = _Permit(self._next_id(), spec, now_s, now_s)
+        permit = _Permit(self._next_id(), spec, now_s)
         self._permits[spec.name] = permit
         return self._request(permit, entries, now_s)
 
@@ -92,6 +96,8 @@
     ) -> list[PermitOutput]:
         """Ask again for what was not granted, or load without a permit.
 
+        A permit that no decision asks for any more is withdrawn.
+
         Parameters
         ----------
         entries : sequence of Incarnation
@@ -106,6 +112,10 @@
         list of Tell or StartLoad
         """
         outputs: list[PermitOutput] = []
+        for name in self._asks.expire(now_s):
+            permit = self._permits.get(name)
+            if permit is not None and not permit.granted:
+                outputs += self.release(name)
         for permit in self._permits.values():
             if permit.granted:
                 continue
@@ -184,16 +194,11 @@
         self, permit: _Permit, servers: Sequence[ServerView], now_s: float
     ) -> bool:
         """Return whether to load without a permit what no other server has."""
-        if now_s - permit.first_asked_s <= PERMIT_WAIT_S:
+        if self._asks.waited_s(permit.spec.name, now_s) <= PERMIT_WAIT_S:
             return False
-        if now_s - self._entry_lost_s > ENTRY_LOSS_MATTERS_S:
+        if now_s > self._loss_until_s:
             return False
-        return not any(
-            server.vm != self._me.vm
-            and server.state is VmState.LIVE
-            and server.holds(permit.spec.name)
-            for server in servers
-        )
+        return not is_served_elsewhere(permit.spec.name, servers, self._me.vm)
 
 
 def make_load_permits(me: Incarnation, rng: random.Random | None = None) -> LoadPermits:
--- a/chervilgw/sidecar/tests/test_loading.py
+++ b/chervilgw/sidecar/tests/test_loading.py
@@ -6,13 +6,18 @@
 
 from chervilgw.configuration.state import Item, empty_state
 from chervilgw.configuration.values import VALUE_TYPES, Kind
-from chervilgw.core.ids import VmId
-from chervilgw.core.states import CopyState
+from chervilgw.core.fleet import ServerView
+from chervilgw.core.ids import Incarnation, VmId, ZoneId
+from chervilgw.core.messages import Load
+from chervilgw.core.states import BackendKind, CopyState, VmState
 from chervilgw.placement.memory import ResidentCopy
 from chervilgw.sidecar.loading import (
+    ASK_LASTS_S,
     CopySpec,
+    LoadAsks,
     Wants,
     choose_retirement,
+    is_served_elsewhere,
     outdated_copies,
 )
 
@@ -78,3 +83,41 @@
     assert wants.missing(STATE, {"draft": "loaded"}, 0.3) == ("damp",)
     assert wants.missing(STATE, {"draft": "loaded", "damp": "loaded"}, 0.4) == ()
     assert wants.current(0.5) == ()
+
+
+def test_a_refused_load_keeps_its_waiting_time():
+    """Guards against another wait for a permit after the store refused a load."""
+    asks = LoadAsks()
+    for step in range(6):
+        asks.add("draft", 10.0 + step * 0.5)
+        assert asks.expire(10.0 + step * 0.5) == ()
+    assert asks.waited_s("draft", 12.5) == 2.5
+
+
+def test_a_load_that_no_decision_names_any_more_is_dropped():
+    """Guards against permits that a sidecar asked for before it knew the fleet.
+
+    They were repeated for ever and used up the store's rate when a model was lost.
+    """
+    asks = LoadAsks()
+    asks.add("draft", 10.0)
+    asks.add("summary", 10.0)
+    asks.add("draft", 11.0)
+    assert asks.expire(10.0 + ASK_LASTS_S + 0.1) == ("summary",)
+    assert asks.waited_s("summary", 20.0) == 0.0
+    assert asks.waited_s("draft", 11.6) > ASK_LASTS_S
+
+
+def test_a_lost_holder_stops_counting_before_it_is_silent():
+    """Guards against loads that begin only 4 s after the loss of a model's holder."""
+
+    def served(age_s, state=VmState.LIVE, vm="b2"):
+        load = Load(BackendKind.ENGINE, 100, 50, 0, 0, {"draft": "loaded"})
+        me = Incarnation(VmId(vm), 1)
+        holder = ServerView(me, ZoneId("z"), "", state, load, age_s, False)
+        return is_served_elsewhere("draft", [holder], VmId("b1"))
+
+    assert served(2.0)
+    assert not served(3.0)
+    assert not served(0.1, VmState.SILENT)
+    assert not served(0.1, vm="b1")
