Print processor time per chunk and per call in the relay benchmark

The gap and the added time change with the load of the machine; processor time of the entry and of the sidecars changes less, so that versions can be compared on a shared machine.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -158,18 +158,38 @@
     return sum(each.user + each.system for each in times)
 
 
+def _role_times_s(fleet) -> dict[str, float]:
+    """Return the processor time of the entry and of the sidecars so far."""
+    roles = {"entry": [], "sidecar": []}
+    for vm in fleet.vms.values():
+        roles[vm.role].append(psutil.Process(vm.daemon.pid))
+    return {role: _spent_s(processes) for role, processes in roles.items()}
+
+
+def _print_role_times(unit: str, units: int, before_s: dict, after_s: dict) -> None:
+    spent = ", ".join(
+        f"{(after_s[role] - before_s[role]) / units * 1e6:,.0f} us at the {role}"
+        for role in after_s
+    )
+    print(f"processor time a {unit}: {spent}; idle time of the run included")
+
+
 def measure_gaps(streams: int, tokens: int) -> None:
     """Print the gaps between chunks at 37 ms between tokens from the engine."""
     with start_fleet(fleet_plan(37.0, 2, streams)) as fleet:
         wait_copies(fleet, 2)
         key = raise_limits(fleet)
         reader = StreamReader(fleet.entry_addresses()[0], key, streams, tokens)
+        before_s = _role_times_s(fleet)
         reader.run("m", bound_s=120)
+        spent_s = _role_times_s(fleet)
         gaps_ms = reader.gaps_ms()
         engine = fleet.vms["engine-1"].backend.address
         direct = StreamReader(engine, "none", streams // 2, tokens)
         direct.run("m", bound_s=120)
         baseline_ms = direct.gaps_ms()
+    chunks = sum(len(times) for times in reader.chunk_times_s)
+    _print_role_times("chunk", chunks, before_s, spent_s)
     for name, values in (("through chervilgw", gaps_ms), ("direct", baseline_ms)):
         print(
             f"gaps {name}: p50 {statistics.median(values):.1f} ms, "
@@ -185,10 +205,13 @@
         key = raise_limits(fleet)
         entry = fleet.entry_addresses()[0]
         service = fleet.vms["casework-1"].backend.address
+        before_s = _role_times_s(fleet)
         through = _timed_calls(
             entry, "/services/casework/stock/x", key, calls, rate_per_s
         )
+        spent_s = _role_times_s(fleet)
         direct = _timed_calls(service, "/stock/x", None, calls, rate_per_s)
+    _print_role_times("call", calls, before_s, spent_s)
     added_ms = [
         (quantile(through, share) - quantile(direct, share)) * 1000
         for share in (0.5, 0.95)
