--- /dev/null
+++ b/chervilgw/entry/account.py
@@ -0,0 +1,59 @@
+"""Filter at the end of the request path: what a request's end does to its account."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from chervilgw.core.ids import BudgetName
+from chervilgw.entry.inflight import Inflight
+
+
+@dataclass(frozen=True, slots=True)
+class Used:
+    """The debit is settled with the tokens that were used."""
+
+    debit: Any
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unused:
+    """The debit is returned whole, as the request was certainly not run."""
+
+    debit: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The reservation is given up before it was granted."""
+
+    token: str
+    budget: BudgetName
+
+
+Settlement = Used | Unused | Abandoned
+
+
+def settle(request: Inflight, used_tokens: int | None) -> Settlement | None:
+    """Return how to settle the account of a request that ends.
+
+    Parameters
+    ----------
+    request : Inflight
+        The request.
+    used_tokens : int or None
+        None says that it was certainly not run.
+
+    Returns
+    -------
+    Settlement or None
+        None on an open route, which has no account.
+    """
+    if request.debit is not None:
+        if used_tokens is None:
+            return Unused(request.debit)
+        return Used(request.debit, used_tokens)
+    if request.priced.budget is not None:
+        return Abandoned(request.token, request.priced.budget)
+    return None
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -5,31 +5,26 @@
 import random
 import time
 from dataclasses import dataclass
-from itertools import count
 
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
 from chervilgw.configuration.lookups import defaults, lifted_blocks
 from chervilgw.configuration.state import ConfigurationState, empty_state
-from chervilgw.configuration.values import Kind
-from chervilgw.core.ids import CrashId, Incarnation, RequestId, ZoneId
-from chervilgw.core.messages import Cancel, CrashReport, Refused, Started
-from chervilgw.core.pipeline import make_pipeline
+from chervilgw.core.ids import Incarnation, ZoneId
+from chervilgw.core.messages import Cancel, Refused, Started
 from chervilgw.core.refusals import Refusal
 from chervilgw.core.states import RunState
-from chervilgw.crashes import make_crash_tracker
-from chervilgw.entry.filters import choose, dispatch
+from chervilgw.entry.account import Abandoned, Unused, Used, settle
+from chervilgw.entry.attempts import make_attempts
 from chervilgw.entry.inflight import Inflight, Stage, refuse_without_budget
-from chervilgw.entry.lost_servers import make_lost_servers
-from chervilgw.entry.messages import Attempt, Priced
-from chervilgw.entry.outstanding import make_outstanding
+from chervilgw.entry.messages import Priced
+from chervilgw.entry.request_metrics import count_refusal, record_first_token
+from chervilgw.entry.suspects import make_suspects
 from chervilgw.entry.writers import error_reply, make_writer
 from chervilgw.keys.authenticate import check_identity
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.relay.outputs import Ask, Complete, Deliver, Fail, Resume, Stop
-from chervilgw.relay.stream import make_stream
-from chervilgw.routing.prefixes import make_prefix_index
 from chervilgw.routing.retries import make_retry_budget
 from chervilgw.runtime.control_events import (
     crash_seen,
@@ -43,12 +38,8 @@
 from chervilgw.runtime.events import HttpPart, http_push_data, peer_send
 from chervilgw.telemetry import Metrics, log_event, table
 
-NO_SERVER_WAIT_S = 3.0
-"""How long a request waits for a backend server, for example while one restarts."""
-NO_SERVER_PAUSE_S = 0.2
 STOP_WAIT_S = 10.0
 """After this a stopped attempt counts as ended, though its sidecar did not say so."""
-GAP_WAIT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,19 +55,12 @@
 
     def __init__(self, options: GatewayOptions, metrics: Metrics, channel):
         super().__init__(channel=channel)
-        self._options = options
         self._metrics = metrics
         self._state: ConfigurationState = empty_state()
-        self._fleet = FleetSnapshot()
-        self._route = make_pipeline(choose, dispatch)
         self._requests: dict[int, Inflight] = {}
-        self._attempts: dict[RequestId, int] = {}
-        self._numbers = count(1)
-        self._outstanding = make_outstanding()
+        self._attempts = make_attempts(options.me, options.zone)
         self._retries = make_retry_budget(now_s=time.monotonic())
-        self._prefixes = make_prefix_index()
-        self._crashes = make_crash_tracker()
-        self._lost = make_lost_servers()
+        self._suspects = make_suspects()
         self._linked: set[Incarnation] = set()
         self._parts: list[HttpPart] = []
         self._closing = self._drained = False
@@ -86,17 +70,15 @@
     @handler("request_priced")
     def _on_priced(self, priced: Priced, request_id: str):
         now_s = time.monotonic()
-        blocked = self._crashes.check(
-            priced.digest, _wall_ms(), lifted_blocks(self._state)
-        )
+        blocked = self._suspects.check(priced.digest, _wall_ms())
         if not is_successful(blocked):
-            self._count_refusal(blocked.failure())
+            count_refusal(self._metrics, blocked.failure())
             reply = error_reply(priced.exchange, request_id, blocked.failure())
             self.fire(reply, "http")
             return
         writer = make_writer(priced, request_id)
         request = Inflight(priced, request_id, writer, now_s)
-        request.suspect_of = self._crashes.suspect_crashes(priced.digest)
+        request.suspect_of = self._suspects.crashes_of(priced.digest)
         self._requests[priced.exchange] = request
         self._retries.on_request(now_s)
         self._metrics.record(table.REQUESTS, label=priced.budget or "open")
@@ -127,67 +109,17 @@
     # Attempts: choose, dispatch.
 
     def _attempt(self, request: Inflight, now_s):
-        priced = request.priced
-        request_id = RequestId(self._options.me, next(self._numbers))
-        attempt = Attempt(
-            priced,
-            request_id,
-            self._fleet,
-            self._options.zone,
-            self._outstanding.counts,
-            self._prefix_share(priced, now_s),
-            frozenset(request.excluded),
-            request.suspect_of,
-            random.random(),
-            request.resume.position if request.resume else 0,
-            request.resume.text if request.resume else "",
-            request.deadline_left_s(now_s),
-        )
-        result = self._route(attempt, now_s)
+        result = self._attempts.route(request, random.random(), now_s)
         if not is_successful(result):
             self._no_server(request, result.failure(), now_s)
             return
         routed = result.unwrap()
-        self._send(request, request_id, routed.vm, routed.message, now_s)
-
-    def _prefix_share(self, priced: Priced, now_s):
-        if not priced.prefixes:
-            return {}
-        return {
-            server.vm: self._prefixes.share(server.vm, priced.prefixes, now_s)
-            for server in self._fleet.servers
-        }
-
-    def _send(self, request: Inflight, request_id, vm, message, now_s):
-        server = next(s for s in self._fleet.servers if s.vm == vm)
-        if request.stream is None:
-            request.stream = make_stream(
-                request_id,
-                request.priced.kind,
-                deliver=request.priced.stream,
-                idempotent=request.priced.idempotent,
-                gap_wait_s=GAP_WAIT_S,
-            )
-        else:
-            request.stream.next_attempt(request_id)
-        request.attempt, request.server = request_id, server.incarnation
-        request.attempts += 1
-        request.no_server_since_s = None
-        request.stage = Stage.ATTEMPTING
-        self._attempts[request_id] = request.priced.exchange
-        self._outstanding.sent(vm)
-        self._prefixes.on_dispatch(vm, request.priced.prefixes, now_s)
+        server = self._attempts.begin(request, routed, now_s)
         self._metrics.record(table.ATTEMPTS)
-        self.fire(peer_send(server.incarnation, message), "links")
+        self.fire(peer_send(server, routed.message), "links")
 
     def _no_server(self, request: Inflight, refusal: Refusal, now_s):
-        # Every other server may have failed as well, and the excluded ones recovered.
-        request.excluded.clear()
-        if request.no_server_since_s is None:
-            request.no_server_since_s = now_s
-        if now_s < request.no_server_since_s + NO_SERVER_WAIT_S:
-            request.stage = Stage.WAITING_TO_RETRY
-            request.retry_at_s = now_s + NO_SERVER_PAUSE_S
+        if request.wait_for_server(now_s):
             return
         if request.stream is not None and not request.stream.ended:
             self._apply(request, request.stream.give_up(refusal), now_s)
@@ -200,7 +132,7 @@
     def _on_messages(self, peer, messages):
         now_s = time.monotonic()
         for message in messages:
-            exchange = self._attempts.get(message.request_id)
+            exchange = self._attempts.exchange_of(message.request_id)
             request = self._requests.get(exchange) if exchange is not None else None
             if request is not None and message.request_id == request.attempt:
                 self._on_answer(request, message, now_s)
@@ -224,15 +156,8 @@
                 self.fire(quota_started(request.debit), "quota")
 
     def _on_crash(self, request: Inflight, message: Refused, now_s):
-        if message.crash not in request.suspect_of:
-            request.suspect_of = (*request.suspect_of, message.crash)
-        report = CrashReport(
-            message.crash, request.server.vm, (request.priced.digest,), _wall_ms()
-        )
-        self._crashes.on_crash_report(report, _wall_ms())
-        blocked = self._crashes.check(
-            request.priced.digest, _wall_ms(), lifted_blocks(self._state)
-        )
+        self._suspects.on_crash(request, message.crash, _wall_ms())
+        blocked = self._suspects.check(request.priced.digest, _wall_ms())
         if not is_successful(blocked):
             cause = blocked.failure()
             self._apply(request, request.stream.give_up(cause), now_s)
@@ -243,7 +168,7 @@
                 case Deliver(data):
                     if request.first_token_s is None:
                         request.first_token_s = now_s
-                        self._note_first_token(request, now_s)
+                        record_first_token(self._metrics, request, self._state, now_s)
                         self._fire_all(request.writer.begin())
                     part = request.writer.part(data)
                     if part is not None:
@@ -257,23 +182,9 @@
                 case Fail(refusal):
                     self._fail(request, refusal)
 
-    def _note_first_token(self, request: Inflight, now_s):
-        waited_s = now_s - request.arrived_s
-        self._metrics.record(table.FIRST_TOKEN, waited_s * 1000)
-        model = self._state.items[Kind.MODEL].get(request.priced.model)
-        if model is not None and request.priced.budget is not None:
-            met = waited_s * 1000 <= model.value.target_first_token_ms
-            metric = table.TARGET_MET if met else table.TARGET_MISSED
-            self._metrics.record(metric, label=request.priced.budget)
-
-    def _count_refusal(self, refusal: Refusal):
-        self._metrics.record(table.REFUSALS, label=refusal.reason.value)
-        if refusal.run is RunState.UNKNOWN:
-            self._metrics.record(table.UNKNOWN_OUTCOMES)
-
     def _resume(self, request: Inflight, resume: Resume, now_s):
         request.resume = resume
-        self._forget_attempt(request)
+        self._attempts.end(request)
         request.excluded.add(request.server.vm)
         refusal = request.may_repeat()
         if refusal is None:
@@ -290,46 +201,32 @@
         self._apply(request, request.stream.give_up(cause), now_s)
 
     def _complete(self, request: Inflight, answer: Complete, now_s):
-        self._clear_suspect(request)
+        report = self._suspects.on_complete(request, _wall_ms())
+        if report is not None:
+            self.fire(crash_seen(report), "crashes")
         self._fire_all(request.writer.complete(answer))
         self._end(request, request.used_tokens(answer.prompt_tokens))
 
-    def _clear_suspect(self, request: Inflight):
-        """Tell all processes that a suspect ran to its end, so that it is innocent."""
-        digest = request.priced.digest
-        self._lost.forget(digest)
-        if request.suspect_of or self._crashes.suspect_crashes(digest):
-            name = CrashId(f"{request.request_id}/cleared")
-            report = CrashReport(name, request.server.vm, (digest,), _wall_ms(), True)
-            self.fire(crash_seen(report), "crashes")
-
     def _fail(self, request: Inflight, refusal: Refusal):
-        self._count_refusal(refusal)
+        count_refusal(self._metrics, refusal)
         self._fire_all(request.writer.fail(refusal))
         ran = request.started or refusal.run is not RunState.NOT_RUN
         self._end(request, request.used_tokens(0) if ran else None)
 
     def _end(self, request: Inflight, used_tokens: int | None):
         """Settle the account; None says that the request was certainly not run."""
-        if request.debit is not None:
-            if used_tokens is None:
-                self.fire(quota_cancel(request.debit), "quota")
-            else:
-                self.fire(quota_settle(request.debit, used_tokens), "quota")
-                label = request.priced.budget
-                self._metrics.record(table.TOKENS, used_tokens, label)
-        elif request.priced.budget is not None:
-            abandon = quota_abandon(request.token, request.priced.budget)
-            self.fire(abandon, "quota")
-        self._forget_attempt(request)
+        match settle(request, used_tokens):
+            case Used(debit, tokens):
+                self.fire(quota_settle(debit, tokens), "quota")
+                self._metrics.record(table.TOKENS, tokens, request.priced.budget)
+            case Unused(debit):
+                self.fire(quota_cancel(debit), "quota")
+            case Abandoned(token, budget):
+                self.fire(quota_abandon(token, budget), "quota")
+        self._attempts.end(request)
         del self._requests[request.priced.exchange]
         self._check_drained()
 
-    def _forget_attempt(self, request: Inflight):
-        if self._attempts.pop(request.attempt, None) is None:
-            return
-        self._outstanding.ended(request.server.vm)
-
     def _send_parts(self):
         """Send what one read of a peer brought to all its callers in one event."""
         if self._parts:
@@ -373,7 +270,7 @@
     @handler("config_applied", channel="*")
     def _on_config(self, state):
         self._state = state
-        self._crashes.set_block_s(defaults(state).crash_block_s)
+        self._suspects.configure(defaults(state).crash_block_s, lifted_blocks(state))
         for request in list(self._requests.values()):
             identity = request.priced.identity
             if identity is None or request.stage is Stage.STOPPING:
@@ -384,7 +281,7 @@
 
     def _withdraw(self, request: Inflight, refusal: Refusal):
         """End a request whose key no longer works; a sent booking runs to its end."""
-        if request.attempt in self._attempts and request.priced.request is None:
+        if self._attempts.is_open(request) and request.priced.request is None:
             return
         run = RunState.RUN if request.started else RunState.NOT_RUN
         known = Refusal(refusal.reason, run, refusal.detail)
@@ -395,38 +292,28 @@
 
     @handler("fleet_changed", channel="*")
     def _on_fleet(self, fleet: FleetSnapshot):
-        self._fleet = fleet
         now_s = time.monotonic()
-        self._outstanding.on_servers(fleet.servers, now_s)
+        self._attempts.set_fleet(fleet, now_s)
         current = {server.incarnation for server in fleet.servers}
         for request in list(self._requests.values()):
-            if request.attempt not in self._attempts:
+            if not self._attempts.is_open(request):
                 continue
             if request.server not in current and request.server not in self._linked:
                 self._on_server_lost(request, now_s)
-        reports = self._lost.confirmed(fleet.servers, fleet.gone, now_s, _wall_ms())
-        for report in reports:
+        for report in self._suspects.confirmed(fleet, now_s, _wall_ms()):
             self.fire(crash_seen(report), "crashes")
 
     def _on_server_lost(self, request: Inflight, now_s):
         if request.stage is Stage.STOPPING:
             self._end(request, request.used_tokens(0))
             return
-        self._note_lost(request, now_s)
+        self._suspects.on_lost(request, now_s)
         detail = "the backend server was lost"
         self._apply(request, request.stream.on_server_lost(detail), now_s)
 
-    def _note_lost(self, request: Inflight, now_s):
-        """Treat the request as a suspect: it may be what brought the server down."""
-        if not request.started:
-            return
-        crash = self._lost.note(request.server, request.priced.digest, now_s)
-        if crash not in request.suspect_of:
-            request.suspect_of = (*request.suspect_of, crash)
-
     @handler("crash_known", channel="*")
     def _on_crash_known(self, report):
-        self._crashes.on_crash_report(report, _wall_ms())
+        self._suspects.on_report(report, _wall_ms())
 
     @handler("peer_up", channel="*")
     def _on_peer_up(self, peer):
@@ -451,7 +338,7 @@
         return [
             request
             for request in self._requests.values()
-            if request.server == incarnation and request.attempt in self._attempts
+            if request.server == incarnation and self._attempts.is_open(request)
         ]
 
     @handler("clock_tick", channel="*")
@@ -466,7 +353,7 @@
             elif request.stage in (Stage.ATTEMPTING, Stage.RUNNING):
                 outputs = request.stream.tick(now_s)
                 if any(isinstance(output, Resume) for output in outputs):
-                    self._note_lost(request, now_s)
+                    self._suspects.on_lost(request, now_s)
                 self._apply(request, outputs, now_s)
         self._metrics.record(table.STREAMS, len(self._requests))
 
--- a/chervilgw/entry/inflight.py
+++ b/chervilgw/entry/inflight.py
@@ -12,9 +12,13 @@
 from chervilgw.entry.messages import Priced
 from chervilgw.entry.writers import CallerWriter
 from chervilgw.relay.outputs import Resume
-from chervilgw.relay.stream import Stream
+from chervilgw.relay.stream import Stream, make_stream
 
 MAX_ATTEMPTS = 4
+GAP_WAIT_S = 2.0
+NO_SERVER_WAIT_S = 3.0
+"""How long a request waits for a backend server, for example while one restarts."""
+NO_SERVER_PAUSE_S = 0.2
 
 
 class Stage(Enum):
@@ -59,6 +63,40 @@
         """Return the token of the quota reservation."""
         return f"exchange/{self.priced.exchange}"
 
+    def begin_attempt(self, request_id: RequestId, server: Incarnation) -> None:
+        """Note that an attempt is sent to a sidecar process."""
+        if self.stream is None:
+            self.stream = make_stream(
+                request_id,
+                self.priced.kind,
+                deliver=self.priced.stream,
+                idempotent=self.priced.idempotent,
+                gap_wait_s=GAP_WAIT_S,
+            )
+        else:
+            self.stream.next_attempt(request_id)
+        self.attempt, self.server = request_id, server
+        self.attempts += 1
+        self.no_server_since_s = None
+        self.stage = Stage.ATTEMPTING
+
+    def wait_for_server(self, now_s: float) -> bool:
+        """Wait for a backend server; return False if that took too long."""
+        # Every other server may have failed as well, and the excluded ones recovered.
+        self.excluded.clear()
+        if self.no_server_since_s is None:
+            self.no_server_since_s = now_s
+        if now_s >= self.no_server_since_s + NO_SERVER_WAIT_S:
+            return False
+        self.stage = Stage.WAITING_TO_RETRY
+        self.retry_at_s = now_s + NO_SERVER_PAUSE_S
+        return True
+
+    def add_crash(self, crash: CrashId) -> None:
+        """Note a crash at which the request was running."""
+        if crash not in self.suspect_of:
+            self.suspect_of = (*self.suspect_of, crash)
+
     def deadline_left_s(self, now_s: float) -> float | None:
         """Return the time left until the request's deadline."""
         if self.priced.deadline_s is None:
--- a/chervilgw/relay/stream.py
+++ b/chervilgw/relay/stream.py
@@ -19,6 +19,7 @@
     Resume,
     Stop,
 )
+from chervilgw.relay.refusals import higher_run, is_final
 
 # A recorded answer comes within a round trip; a connection counts as silent after 2 s.
 DEFAULT_GAP_WAIT_S = 2.0
@@ -27,24 +28,6 @@
 # A chunk of a few bytes costs the entry about this much on top of its data.
 CHUNK_OVERHEAD_BYTES = 64
 
-# Refusals that no other backend server would answer differently.
-_FINAL = frozenset(
-    {
-        RefusalReason.BAD_REQUEST,
-        RefusalReason.NO_KEY,
-        RefusalReason.WRONG_KEY,
-        RefusalReason.KEY_WITHDRAWN,
-        RefusalReason.NOT_ALLOWED,
-        RefusalReason.RATE_EXCEEDED,
-        RefusalReason.BLOCKED_AFTER_CRASHES,
-        RefusalReason.LOG_UNAVAILABLE,
-        RefusalReason.DUPLICATE_REQUEST,
-        RefusalReason.DEAD_ORIGIN,
-        RefusalReason.CONFLICT,
-        RefusalReason.CANCELLED,
-    }
-)
-
 
 class _State(Enum):
     RECEIVING = "receiving"
@@ -302,7 +285,7 @@
             # The attempt has reported its start; the refusal cannot be true.
             run = RunState.UNKNOWN
         self._raise_run(run)
-        if refused.reason in _FINAL or not self._may_repeat():
+        if is_final(refused.reason) or not self._may_repeat():
             return self._fail(refused.reason, refused.detail, refused.retry_after_s)
         return self._lost(
             Refusal(refused.reason, self._run, refused.detail, refused.retry_after_s)
@@ -330,8 +313,7 @@
 
     def _raise_run(self, run: RunState) -> None:
         """Note what is known at most of all attempts."""
-        order = [RunState.NOT_RUN, RunState.UNKNOWN, RunState.RUN]
-        self._run = max(self._run, run, key=order.index)
+        self._run = higher_run(self._run, run)
 
     def _fail(
         self, reason: RefusalReason, detail: str, retry_after_s: float | None = None
