--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -131,6 +131,9 @@
         sock.setblocking(False)
         if not self.secure:
             self._on_accept_done(sock)
+            if self._on_data is None:
+                # The request usually came with the connection; a read now saves a poll.
+                self._read(sock)
             return
         sock = self._tls.wrap_socket(
             sock, server_side=True, do_handshake_on_connect=False
