Send a peer's messages to their tasks without a router task

The router owned nothing and cost an event and a batch for each read of a link. The link task groups the messages of a read by the channel of their task.

--- a/chervilgw/entry/app.py
+++ b/chervilgw/entry/app.py
@@ -44,7 +44,6 @@
     make_http_server,
 )
 from chervilgw.runtime.role import make_links, make_ready_task, make_shutdown_task
-from chervilgw.runtime.router import make_message_router
 from chervilgw.settings import EntrySettings
 from chervilgw.telemetry import make_metrics
 
@@ -87,7 +86,7 @@
     -------
     App
     """
-    links = make_links(settings, Role.ENTRY)
+    links = make_links(settings, Role.ENTRY, ROUTES)
     me = links.me.incarnation
     metrics = make_metrics(settings.statsd, settings.vm)
     http = make_http_server(
@@ -104,7 +103,6 @@
         http,
         make_http_client(),
         links,
-        make_message_router(ROUTES),
         make_config_task(me, settings.platform.log, jitter_s),
         make_log_task(settings.platform.log, readers),
         make_fleet_task(links.me, settings.platform.list),
--- a/chervilgw/runtime/links.py
+++ b/chervilgw/runtime/links.py
@@ -11,6 +11,8 @@
 import random
 import secrets
 import time
+from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -53,8 +55,8 @@
         Address to listen on for peers.
     secret : bytes
         Fleet secret.
-    owner : str
-        Channel that gets ``peer_up``, ``peer_down`` and ``peer_messages``.
+    routes : mapping of type to str
+        Channel of the task that gets each message type; other types are ignored.
     max_frame_bytes : int
         A peer that announces a larger frame is disconnected.
     write_limit_bytes : int
@@ -65,7 +67,7 @@
     host: str
     port: int
     secret: bytes
-    owner: str
+    routes: Mapping[type, str]
     max_frame_bytes: int = 16_777_216
     write_limit_bytes: int = 67_108_864
 
@@ -193,7 +195,17 @@
         if link.peer is None:
             messages = self._handshake(link, messages)
         if messages and link.peer is not None:
-            self.fire(peer_messages(link.peer, messages), self._options.owner)
+            for owner, batch in self._by_owner(messages).items():
+                self.fire(peer_messages(link.peer, batch), owner)
+
+    def _by_owner(self, messages: list) -> dict[str, list]:
+        """Group the messages of one read, so that each task gets one event."""
+        batches = defaultdict(list)
+        for message in messages:
+            owner = self._options.routes.get(type(message))
+            if owner is not None:
+                batches[owner].append(message)
+        return batches
 
     def _handshake(self, link: _Link, messages: list) -> list:
         """Process messages up to the end of the handshake; return those after it."""
@@ -233,7 +245,7 @@
             self._send_hello(link, hello.nonce)
         elif link.dialed_vm in self._targets:
             self._targets[link.dialed_vm].retry_s = FIRST_RETRY_S
-        self.fire(peer_up(peer), self._options.owner)
+        self.fire(peer_up(peer), self.channel)
         return True
 
     # Sending and closing.
@@ -257,7 +269,7 @@
             return
         if self._by_peer.get(link.peer.incarnation) is link:
             del self._by_peer[link.peer.incarnation]
-            self.fire(peer_down(link.peer), self._options.owner)
+            self.fire(peer_down(link.peer), self.channel)
 
     @handler("disconnect", channel="links.in")
     def _on_disconnect_in(self, sock):
--- a/chervilgw/runtime/role.py
+++ b/chervilgw/runtime/role.py
@@ -120,7 +120,7 @@
     return ReadyTask(addresses, channel)
 
 
-def make_links(settings, role: Role, owner: str = "peers"):
+def make_links(settings, role: Role, routes: Mapping[type, str]):
     """Return the peer link task of a process.
 
     Parameters
@@ -129,8 +129,8 @@
         Settings of the process.
     role : Role
         Role of the process.
-    owner : str
-        Channel that gets the peers' messages.
+    routes : mapping of type to str
+        Channel of the task that gets each type of the peers' messages.
 
     Returns
     -------
@@ -149,7 +149,7 @@
         host,
         int(port),
         settings.fleet_secret.get_secret_value().encode(),
-        owner,
+        routes,
         settings.limits.max_frame_bytes,
     )
     return make_peer_links(options)
--- a/chervilgw/sidecar/app.py
+++ b/chervilgw/sidecar/app.py
@@ -28,7 +28,6 @@
 from chervilgw.runtime.clock import make_clock
 from chervilgw.runtime.http_client import make_http_client
 from chervilgw.runtime.role import make_links, make_ready_task, make_shutdown_task
-from chervilgw.runtime.router import make_message_router
 from chervilgw.settings import SidecarSettings
 from chervilgw.sidecar.answers_task import make_answer_task
 from chervilgw.sidecar.engine_task import EngineOptions, make_engine_task
@@ -63,7 +62,7 @@
     -------
     App
     """
-    links = make_links(settings, Role.SIDECAR)
+    links = make_links(settings, Role.SIDECAR, ROUTES)
     me = links.me.incarnation
     readers = {Stream.SHARES: "dead", Stream.CRASHES: "crashes"}
     queue = QueueOptions(
@@ -83,7 +82,6 @@
         make_clock(),
         make_http_client(),
         links,
-        make_message_router(ROUTES),
         make_config_task(me, settings.platform.log, random.uniform(*SNAPSHOT_JITTER_S)),
         make_log_task(settings.platform.log, readers),
         make_fleet_task(links.me, settings.platform.list),
