--- a/chervilgw/runtime/links.py
+++ b/chervilgw/runtime/links.py
@@ -11,6 +11,8 @@
 import random
 import secrets
 import time
+from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -53,8 +55,8 @@
         Address to listen on for peers.
     secret : bytes
         Fleet secret.
-    owner : str
-        Channel that gets ``peer_up``, ``peer_down`` and ``peer_messages``.
+    routes : mapping of type to str
+        Channel of the task that gets each message type; other types are ignored.
     max_frame_bytes : int
         A peer that announces a larger frame is disconnected.
     write_limit_bytes : int
@@ -65,7 +67,7 @@
     host: str
     port: int
     secret: bytes
-    owner: str
+    routes: Mapping[type, str]
     max_frame_bytes: int = 16_777_216
     write_limit_bytes: int = 67_108_864
 
@@ -121,11 +123,14 @@
         self._targets: dict[VmId, _Target] = {}
         limit = options.write_limit_bytes
         bind = (options.host, options.port)
-        self.server = DirectServer(bind, "links.in", limit).register(self)
+        self.server = DirectServer(bind, "links.in", limit, self._receive)
+        self.server.register(self)
         # With port 0 the kernel chooses, so the address is known only now.
         address = options.me.address or f"{options.host}:{self.server.port}"
         self.me = replace(options.me, address=address)
-        self._dialer = Dialer("links.out", write_limit_bytes=limit).register(self)
+        self._dialer = Dialer(
+            "links.out", write_limit_bytes=limit, on_data=self._receive
+        ).register(self)
 
     # Connections that this process opens.
 
@@ -176,14 +181,6 @@
 
     # Received bytes.
 
-    @handler("read", channel="links.in")
-    def _on_read_in(self, sock, data):
-        self._receive(sock, data)
-
-    @handler("read", channel="links.out")
-    def _on_read_out(self, sock, data):
-        self._receive(sock, data)
-
     def _receive(self, sock, data):
         link = self._links.get(sock)
         if link is None:
@@ -198,7 +195,17 @@
         if link.peer is None:
             messages = self._handshake(link, messages)
         if messages and link.peer is not None:
-            self.fire(peer_messages(link.peer, messages), self._options.owner)
+            for owner, batch in self._by_owner(messages).items():
+                self.fire(peer_messages(link.peer, batch), owner)
+
+    def _by_owner(self, messages: list) -> dict[str, list]:
+        """Group the messages of one read, so that each task gets one event."""
+        batches = defaultdict(list)
+        for message in messages:
+            owner = self._options.routes.get(type(message))
+            if owner is not None:
+                batches[owner].append(message)
+        return batches
 
     def _handshake(self, link: _Link, messages: list) -> list:
         """Process messages up to the end of the handshake; return those after it."""
@@ -238,19 +245,19 @@
             self._send_hello(link, hello.nonce)
         elif link.dialed_vm in self._targets:
             self._targets[link.dialed_vm].retry_s = FIRST_RETRY_S
-        self.fire(peer_up(peer), self._options.owner)
+        self.fire(peer_up(peer), self.channel)
         return True
 
     # Sending and closing.
 
     @handler("peer_send")
-    def _on_send(self, incarnation: Incarnation, message):
+    def _on_send(self, incarnation: Incarnation, *messages):
         link = self._by_peer.get(incarnation)
         if link is not None:
-            self._write(link, message)
+            self._write(link, *messages)
 
-    def _write(self, link: _Link, message):
-        link.server.write(link.sock, encode(message))
+    def _write(self, link: _Link, *messages):
+        link.server.write(link.sock, b"".join(map(encode, messages)))
 
     def _close(self, link: _Link):
         self._forget(link.sock)
@@ -262,7 +269,7 @@
             return
         if self._by_peer.get(link.peer.incarnation) is link:
             del self._by_peer[link.peer.incarnation]
-            self.fire(peer_down(link.peer), self._options.owner)
+            self.fire(peer_down(link.peer), self.channel)
 
     @handler("disconnect", channel="links.in")
     def _on_disconnect_in(self, sock):
