--- a/chervilgw/quota/exchange.py
+++ b/chervilgw/quota/exchange.py
@@ -84,13 +84,14 @@
         # Of two entries that both wait, only the one with the lower id receives units;
         # otherwise each could give the other what it needs itself.
         contested = self._reservations.is_waiting(message.budget) and sender > self._me
-        if allowed:
+        if allowed and not message.spare_only:
             self._overflow.asked(message.budget, sender, now_s)
         if holding is not None and allowed and not contested:
             gift = holding.surrender(
                 message.units, now_s, message.spare_only, message.tokens > 0
             )
         if gift[0]:
+            self._reservations.touch(message.budget)
             return [
                 self.outgoing.send(sender, message.budget, gift, members.offset, now_s),
                 UnitsChanged(message.budget, holding.units),
--- a/chervilgw/quota/reservations.py
+++ b/chervilgw/quota/reservations.py
@@ -48,6 +48,12 @@
     fruitless_collections: int = 0
     had_units: bool = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits and no units are asked for."""
+        queue = self.queue
+        return not (queue.waiters or self.target or queue.round is not None)
+
 
 class Reservations:
     """Waiting reservations of all budgets of one entry.
@@ -67,6 +73,10 @@
         self._budgets = budgets
         self._max_wait_s = max_wait_s
         self._states: dict[BudgetName, _State] = {}
+        # Budgets that a tick visits, in the order in which something happened to them:
+        # demand, moved units, waiting reservations, units asked for.
+        self._active: dict[BudgetName, None] = {}
+        self._lacking: dict[BudgetName, None] = {}
         self._peers: frozenset[Incarnation] = frozenset()
         self._members = 1
         self._offset = NO_OFFSET
@@ -78,6 +88,9 @@
         if peers != self._peers:
             for state in self._states.values():
                 state.queue.keep_peers(peers)
+        if peers != self._peers or members != self._members:
+            # The fair share changes with the members.
+            self._active.update(dict.fromkeys(self._states))
         self._peers = peers
         self._members = members
         self._offset = offset
@@ -87,10 +100,18 @@
         if budget not in self._states:
             queue = WaitingQueue(f"{self._me}/{budget}")
             self._states[budget] = _State(queue, now_s, rebalance_at_s=now_s)
+        self.touch(budget)
+
+    def touch(self, budget: BudgetName) -> None:
+        """Let ticks visit a budget whose demand, units or limits changed."""
+        if budget in self._states:
+            self._active[budget] = None
 
     def close(self, budget: BudgetName) -> list[Output]:
         """Deny what waits for a budget that was removed."""
         state = self._states.pop(budget, None)
+        self._active.pop(budget, None)
+        self._lacking.pop(budget, None)
         waiters = state.queue.waiters if state else ()
         return [Denied(each.token, _unknown_budget(budget)) for each in waiters]
 
@@ -123,10 +144,12 @@
             if not holding.units:
                 state.fruitless_collections += 1
             state.lacking_since_s = None
+        self._lacking.clear()
+        self._active.update(dict.fromkeys(self._states))
 
     def lacks_units(self, now_s: float) -> bool:
         """Return whether some budget has no units here and at no peer for long."""
-        for state in self._states.values():
+        for state in (self._states[budget] for budget in self._lacking):
             wait_s = LACKING_FIRST_S * 4**state.fruitless_collections
             since_s = state.lacking_since_s
             if since_s is not None and now_s >= since_s + min(
@@ -170,18 +193,27 @@
     def tick(self, now_s: float) -> list[Output]:
         """Serve what waits, and ask for units that recent demand calls for."""
         outputs: list[Output] = []
-        for budget, holding in self._budgets:
+        for budget in list(self._active):
+            holding = self._budgets.get(budget)
+            if holding is None:
+                del self._active[budget]
+                continue
             state = self._states[budget]
             state.queue.expire_asked(now_s)
             if holding.units:
                 state.fruitless_collections = 0
                 state.lacking_since_s = None
-            if now_s >= state.rebalance_at_s:
+                self._lacking.pop(budget, None)
+            rebalanced = now_s >= state.rebalance_at_s
+            if rebalanced:
                 self._rebalance(holding, state, now_s)
                 # A short share is asked for sooner: the holder of the rest may be lost.
                 interval_s = SPREAD_INTERVAL_S if state.target else REBALANCE_INTERVAL_S
                 state.rebalance_at_s = now_s + interval_s
             outputs += self.serve(budget, now_s)
+            if rebalanced and state.is_idle:
+                # Without new demand the wanted units only fall.
+                self._active.pop(budget, None)
         return outputs
 
     def serve(self, budget: BudgetName, now_s: float) -> list[Output]:
@@ -189,6 +221,7 @@
         holding = self._budgets.get(budget)
         if holding is None:
             return []
+        self._active[budget] = None
         state = self._states[budget]
         queue = state.queue
         state.had_units |= holding.units > 0
@@ -202,7 +235,7 @@
         if queue.round is None:
             if not self._peers:
                 if not holding.units:
-                    self._note_lacking(state, now_s)
+                    self._note_lacking(budget, state, now_s)
                 return outputs + self._deny_hopeless(budget, holding, queue, now_s)
             if now_s < queue.cooldown_until_s:
                 return outputs
@@ -279,10 +312,11 @@
         state.target = 0
         queue.cooldown_until_s = now_s + COOLDOWN_S
         if not holding.units:
-            self._note_lacking(state, now_s)
+            self._note_lacking(budget, state, now_s)
         return self._deny_hopeless(budget, holding, queue, now_s)
 
-    def _note_lacking(self, state: _State, now_s: float) -> None:
+    def _note_lacking(self, budget: BudgetName, state: _State, now_s: float) -> None:
+        self._lacking[budget] = None
         if state.lacking_since_s is None:
             state.lacking_since_s = now_s
 
