--- a/chervilgw/quota/exchange.py
+++ b/chervilgw/quota/exchange.py
@@ -84,7 +84,9 @@
         # Of two entries that both wait, only the one with the lower id receives units;
         # otherwise each could give the other what it needs itself.
         contested = self._reservations.is_waiting(message.budget) and sender > self._me
-        if allowed and not message.spare_only:
+        wanted = holding.wanted_units(now_s) if holding is not None else 0
+        if allowed and (message.tokens > 0 or (wanted and not message.spare_only)):
+            # Otherwise nobody uses the budget, and full peers would be offered tokens.
             self._overflow.asked(message.budget, sender, now_s)
         if holding is not None and allowed and not contested:
             gift = holding.surrender(
