Run the deployments benchmark, with a choice of token time, and include it in make bench

Cause: the benchmark had never been run, and one copy of each model sufficed in it. Ruled out: more requests/s, as each request takes a thread of the caller. Change: options for token time and deployment; results in benchmarks/results.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,8 @@
 	$(PY) -m benchmarks.policy
 	$(PY) -m benchmarks.quota_spread
 	$(PY) -m benchmarks.relay
+	$(PY) -m benchmarks.deployments > benchmarks/results/deployments.txt
+	cat benchmarks/results/deployments.txt
 
 demo: $(STAMP)
 	$(PY) -m fleet.demo
--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -1,8 +1,9 @@
 """Real processes at the sizes of both deployments, under bursty seeded traffic.
 
-Run with ``python -m benchmarks.deployments``. One customer sends five times its rate,
-the others stay within theirs. All traffic goes to loopback, for a fixed number of
-seconds.
+Run with ``python -m benchmarks.deployments``; docs/decisions/placement.md has the
+figures. One customer sends five times its rate, the others stay within theirs. All
+traffic goes to loopback, for a fixed number of seconds. At the default token time one
+copy of each model suffices; with ``--token-ms 60`` the popular ones need a second.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 FLOOD = "flood"
 RATE_TOKENS_PER_S = 400.0
 TOKENS = 24
+TOKEN_MS = 20
 FIRST_TOKEN_TARGET_S = 2.0
 CUSTOMERS = ("north", "south", "east", "west")
 
@@ -53,7 +55,7 @@
     code: str
 
 
-def make_plan(deployment: Deployment) -> FleetPlan:
+def make_plan(deployment: Deployment, token_ms: int = TOKEN_MS) -> FleetPlan:
     """Return the local fleet that stands for a deployment."""
     models = tuple(
         ModelPlan(f"model-{number}", 10_000_000_000)
@@ -75,7 +77,7 @@
             CustomerPlan(name, RATE_TOKENS_PER_S, int(RATE_TOKENS_PER_S * 10))
             for name in customers
         ),
-        engine_options={"token_ms": 20, "load_ms": 300},
+        engine_options={"token_ms": token_ms, "load_ms": 300},
         store_loads_per_s=deployment.store_loads_per_s,
     )
 
@@ -160,7 +162,7 @@
         f"{deployment.name}: {len(outcomes)} requests, seed {seed}; worst customer "
         f"within its rate {worst:.3f} (goal 0.99); refused within rate "
         f"{len(refused)} of {len(fair)} (goal 1 in 1,000) {sorted(set(refused))}; "
-        f"served per accelerator {attained / deployment.engines:.1f}; "
+        f"requests served per accelerator {attained / deployment.engines:.1f}; "
         f"model moves {moves}; flooding customer served {met.get(FLOOD, 0):.3f}"
     )
 
@@ -170,9 +172,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=20261)
     parser.add_argument("--length-s", type=float, default=20.0)
+    parser.add_argument("--token-ms", type=int, default=TOKEN_MS)
+    parser.add_argument("--only", choices=[ORINRIN.name, AARHUS.name])
     options = parser.parse_args()
+    print(f"seed {options.seed}, {options.length_s:g} s, {options.token_ms} ms a token")
     for deployment in (ORINRIN, AARHUS):
-        with start_fleet(make_plan(deployment)) as fleet:
+        if options.only not in (None, deployment.name):
+            continue
+        with start_fleet(make_plan(deployment, options.token_ms)) as fleet:
             fleet.wait_loaded(bound_s=90)
             before = _loads(fleet)
             outcomes = run_traffic(fleet, options.length_s, options.seed)
