--- a/chervilgw/quota/tests/test_holdings.py
+++ b/chervilgw/quota/tests/test_holdings.py
@@ -1,7 +1,8 @@
 """Tests of what an entry gives to peers."""
 
 from chervilgw.quota.bucket import SHARE_UNITS
-from chervilgw.quota.holdings import CountHolding, RateHolding
+from chervilgw.quota.count_holding import CountHolding
+from chervilgw.quota.holdings import RateHolding
 
 
 def test_part_below_one_token_is_given_although_demand_is_high():
