Say of a sent attempt that its run is unknown, and charge it

Cause: a request whose key was withdrawn, or whose caller left, counted as not run until its sidecar reported the start. An attempt that was sent, or whose sidecar was lost, may be running then: "not run" was untrue, and the refund let a customer run more than its rate. Found by reading. Ruled out: waiting for the sidecar's answer before the key's refusal; the caller has to be refused within 3 s. Change: Inflight.known_run() goes by the stage and by what the stream knows of ended attempts.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 bench: $(STAMP)
 	$(PY) -m benchmarks.policy
+	$(PY) -m benchmarks.prefixes
 	$(PY) -m benchmarks.quota_spread
 	$(PY) -m benchmarks.relay
 	$(PY) -m benchmarks.deployments > benchmarks/results/deployments.txt
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -255,7 +255,8 @@
             cancel = Cancel(request.attempt)
             self.fire(peer_send(request.server, cancel), "links")
         elif request.stage is not Stage.STOPPING:
-            self._end(request, request.used_tokens(0) if request.started else None)
+            not_run = request.known_run() is RunState.NOT_RUN
+            self._end(request, None if not_run else request.used_tokens(0))
 
     def _on_stopped(self, request: Inflight, message, now_s):
         request.stream.on_message(message, now_s)
@@ -283,8 +284,7 @@
         """End a request whose key no longer works; a sent booking runs to its end."""
         if self._attempts.is_open(request) and request.priced.request is None:
             return
-        run = RunState.RUN if request.started else RunState.NOT_RUN
-        known = Refusal(refusal.reason, run, refusal.detail)
+        known = Refusal(refusal.reason, request.known_run(), refusal.detail)
         self._fire_all(request.writer.fail(known))
         self._stop(request)
 
--- a/chervilgw/entry/inflight.py
+++ b/chervilgw/entry/inflight.py
@@ -8,7 +8,7 @@
 
 from chervilgw.core.ids import CrashId, Incarnation, RequestId, VmId
 from chervilgw.core.refusals import Refusal, make_refusal
-from chervilgw.core.states import RefusalReason
+from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.entry.messages import Priced
 from chervilgw.entry.writers import CallerWriter
 from chervilgw.relay.outputs import Resume
@@ -92,6 +92,15 @@
         self.retry_at_s = now_s + NO_SERVER_PAUSE_S
         return True
 
+    def known_run(self) -> RunState:
+        """Return whether the request ran, as far as this entry knows."""
+        if self.started:
+            return RunState.RUN
+        if self.stage is Stage.ATTEMPTING:
+            # The sidecar may have started it, and the message be on its way.
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN if self.stream is None else self.stream.run
+
     def add_crash(self, crash: CrashId) -> None:
         """Note a crash at which the request was running."""
         if crash not in self.suspect_of:
--- a/chervilgw/relay/stream.py
+++ b/chervilgw/relay/stream.py
@@ -75,6 +75,11 @@
         """Return the tokens received so far, each counted once."""
         return self._position if self._model else 0
 
+    @property
+    def run(self) -> RunState:
+        """Return what is known of the attempts that ended."""
+        return self._run
+
     @property
     def ended(self) -> bool:
         """Return whether ``Complete`` or ``Fail`` was returned."""
