Check once whether a collection is complete

Cause: the ledger and Collections.finish() both tested the claim, the ledger only to avoid listing all budgets at each tick. Found in the read-through. Ruled out: dropping the test in the ledger alone; each tick would list all budgets. Change: finish() takes the function that lists them, and calls it when it completes.

--- a/chervilgw/quota/collection.py
+++ b/chervilgw/quota/collection.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from chervilgw.core.ids import BudgetName, Incarnation, Offset
@@ -132,13 +133,18 @@
             claim.waiting.discard(sender)
             claim.held.update(message.units)
 
-    def finish(self, budgets: list[BudgetName]) -> dict[BudgetName, int] | None:
-        """Return the unheld units of each budget once every member has reported."""
+    def finish(
+        self, budgets: Callable[[], list[BudgetName]]
+    ) -> dict[BudgetName, int] | None:
+        """Return the unheld units of each budget once every member has reported.
+
+        ``budgets`` is called only then, since a ledger asks at each tick.
+        """
         if self.claim is None or self.claim.waiting:
             return None
         held = self.claim.held
         self.claim = None
-        return {name: max(0, SHARE_UNITS - held[name]) for name in budgets}
+        return {name: max(0, SHARE_UNITS - held[name]) for name in budgets()}
 
     def snapshot_due(
         self, connected: frozenset[Incarnation], now_s: float
--- a/chervilgw/quota/ledger.py
+++ b/chervilgw/quota/ledger.py
@@ -341,10 +341,7 @@
         return self._reservations.serve(budget, now_s)
 
     def _collect(self, now_s: float) -> list[Output]:
-        claim = self._collections.claim
-        if claim is None or claim.waiting:
-            return []
-        claimed = self._collections.finish(self._budgets.names())
+        claimed = self._collections.finish(self._budgets.names)
         outputs: list[Output] = []
         for budget, units in (claimed or {}).items():
             usable_at_s = self._usable_at_s(self._budgets.get(budget))
