Rename the clients of the product's own contracts to chervilgw/clients

Cause: the users' platform needs a folder chervilgw/platform that only translates; the folder of that name held the clients of the contracts in docs/contracts.md.

--- a/chervilgw/bookings/task.py
+++ b/chervilgw/bookings/task.py
@@ -16,11 +16,8 @@
     from_value,
     to_value,
 )
-from chervilgw.core.ids import Digest, Incarnation, Offset
-from chervilgw.core.messages import Dispatch
-from chervilgw.crashes import request_digest
-from chervilgw.platform.errors import RecordsExpired
-from chervilgw.platform.log import (
+from chervilgw.clients.errors import RecordsExpired
+from chervilgw.clients.log import (
     LogClientSpec,
     Stream,
     make_append_call,
@@ -28,6 +25,9 @@
     parse_append,
     parse_page,
 )
+from chervilgw.core.ids import Digest, Incarnation, Offset
+from chervilgw.core.messages import Dispatch
+from chervilgw.crashes import request_digest
 from chervilgw.runtime.events import http_call
 from chervilgw.sidecar.events import answer_booking, refuse_booking, run_booking
 
--- a/chervilgw/platform/engine.py
+++ b/chervilgw/clients/engine.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from chervilgw.clients.errors import PlatformError
 from chervilgw.core.ids import ModelName
 from chervilgw.core.states import CopyState
 from chervilgw.placement.orders import (
@@ -18,7 +19,6 @@
     OrderAnswer,
     OrderProgress,
 )
-from chervilgw.platform.errors import PlatformError
 from chervilgw.runtime.events import CallDone, HttpCall
 
 CONTROL_TIMEOUT_S = 2.0
--- a/chervilgw/platform/log.py
+++ b/chervilgw/clients/log.py
@@ -13,7 +13,7 @@
 
 from returns.result import Failure, Result, Success
 
-from chervilgw.platform.errors import PlatformError, RecordsExpired
+from chervilgw.clients.errors import PlatformError, RecordsExpired
 from chervilgw.runtime.events import CallDone, CallFailed, HttpCall
 
 READ_LIMIT_RECORDS = 1000
--- a/chervilgw/platform/log_task.py
+++ b/chervilgw/clients/log_task.py
@@ -11,8 +11,8 @@
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
-from chervilgw.platform.errors import RecordsExpired
-from chervilgw.platform.log import (
+from chervilgw.clients.errors import RecordsExpired
+from chervilgw.clients.log import (
     LogClientSpec,
     Stream,
     make_append_call,
@@ -20,7 +20,7 @@
     parse_append,
     parse_page,
 )
-from chervilgw.platform.log_events import (
+from chervilgw.clients.log_events import (
     log_appended,
     log_expired,
     log_failed,
--- a/chervilgw/platform/vm_list.py
+++ b/chervilgw/clients/vm_list.py
@@ -6,10 +6,10 @@
 
 from returns.result import Failure, Result, Success
 
+from chervilgw.clients.errors import PlatformError
 from chervilgw.core.ids import VmId, ZoneId
 from chervilgw.core.states import VmState
 from chervilgw.membership.view import ListedVm
-from chervilgw.platform.errors import PlatformError
 from chervilgw.runtime.events import CallDone, HttpCall
 
 
--- a/chervilgw/configuration/task.py
+++ b/chervilgw/configuration/task.py
@@ -8,6 +8,14 @@
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
+from chervilgw.clients.log import (
+    LogClientSpec,
+    Stream,
+    make_append_call,
+    make_read_call,
+    parse_append,
+    parse_page,
+)
 from chervilgw.configuration.freshness import make_freshness
 from chervilgw.configuration.outputs import (
     Accepted,
@@ -26,14 +34,6 @@
 from chervilgw.configuration.source import make_config_follower
 from chervilgw.core.ids import Incarnation, VmId
 from chervilgw.core.messages import ConfigRecords, ConfigRequest, ConfigSnapshot
-from chervilgw.platform.log import (
-    LogClientSpec,
-    Stream,
-    make_append_call,
-    make_read_call,
-    parse_append,
-    parse_page,
-)
 from chervilgw.runtime.control_events import (
     config_applied,
     config_decided,
--- a/chervilgw/crashes/task.py
+++ b/chervilgw/crashes/task.py
@@ -7,11 +7,11 @@
 
 from circuits import BaseComponent, handler
 
+from chervilgw.clients.log import Stream
+from chervilgw.clients.log_events import log_append
 from chervilgw.core.ids import CrashId, Digest, Incarnation, VmId
 from chervilgw.core.messages import CrashReport
 from chervilgw.core.states import Role
-from chervilgw.platform.log import Stream
-from chervilgw.platform.log_events import log_append
 from chervilgw.runtime.control_events import crash_known
 from chervilgw.runtime.events import peer_send
 
--- a/chervilgw/entry/app.py
+++ b/chervilgw/entry/app.py
@@ -5,6 +5,8 @@
 import random
 
 from chervilgw.admin.task import make_admin_task
+from chervilgw.clients.log import Stream
+from chervilgw.clients.log_task import make_log_task
 from chervilgw.codec.openai_answers import error_answer
 from chervilgw.configuration.task import make_config_task
 from chervilgw.core.messages import (
@@ -31,8 +33,6 @@
 from chervilgw.entry.front import make_front
 from chervilgw.entry.gateway import GatewayOptions, make_gateway
 from chervilgw.membership.task import make_fleet_task
-from chervilgw.platform.log import Stream
-from chervilgw.platform.log_task import make_log_task
 from chervilgw.quota.task import make_quota_task, quota_hand_over
 from chervilgw.runtime.app import App, make_app
 from chervilgw.runtime.clock import make_clock
--- a/chervilgw/membership/task.py
+++ b/chervilgw/membership/task.py
@@ -9,12 +9,12 @@
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
+from chervilgw.clients.vm_list import make_list_call, parse_list
 from chervilgw.core.fleet import ServerView
 from chervilgw.core.ids import NO_OFFSET, Incarnation, VmId
 from chervilgw.core.messages import Heartbeat, Leaving, Load, VmReport
 from chervilgw.core.states import Role, VmState
 from chervilgw.membership.view import EntryView, make_fleet_view
-from chervilgw.platform.vm_list import make_list_call, parse_list
 from chervilgw.runtime.control_events import fleet_changed, peer_heartbeat
 from chervilgw.runtime.events import http_call, peer_dial, peer_send, peer_undial
 from chervilgw.runtime.links import Peer
--- a/chervilgw/quota/task.py
+++ b/chervilgw/quota/task.py
@@ -7,14 +7,14 @@
 
 from circuits import BaseComponent, Event, handler
 
+from chervilgw.clients.log import Stream
+from chervilgw.clients.log_events import log_append
 from chervilgw.configuration.lookups import defaults
 from chervilgw.configuration.state import ConfigurationState
 from chervilgw.configuration.values import Kind
 from chervilgw.core.ids import BudgetName, Incarnation, Offset
 from chervilgw.core.messages import PermitRelease, PermitRequest
 from chervilgw.core.states import Role
-from chervilgw.platform.log import Stream
-from chervilgw.platform.log_events import log_append
 from chervilgw.quota.budget_names import (
     ADAPTER_COUNT,
     STORE_COUNT,
--- a/chervilgw/quota/tests/test_losses.py
+++ b/chervilgw/quota/tests/test_losses.py
@@ -1,7 +1,7 @@
 """A sidecar must know of an entry's loss although it was not connected then."""
 
+from chervilgw.clients.log import LogPage, Stream
 from chervilgw.core.ids import Incarnation, VmId
-from chervilgw.platform.log import LogPage, Stream
 from chervilgw.quota.dead_task import make_dead_task
 from chervilgw.quota.losses import LOSS_MATTERS_S, EntryLosses
 from chervilgw.quota.records import Dead, Join, record_to_mapping
--- a/chervilgw/sidecar/app.py
+++ b/chervilgw/sidecar/app.py
@@ -5,6 +5,8 @@
 import random
 
 from chervilgw.bookings.task import make_booking_task
+from chervilgw.clients.log import Stream
+from chervilgw.clients.log_task import make_log_task
 from chervilgw.configuration.task import make_config_task
 from chervilgw.core.messages import (
     Cancel,
@@ -21,8 +23,6 @@
 from chervilgw.core.states import BackendKind, Role
 from chervilgw.crashes.task import make_crash_task
 from chervilgw.membership.task import make_fleet_task
-from chervilgw.platform.log import Stream
-from chervilgw.platform.log_task import make_log_task
 from chervilgw.quota.dead_task import make_dead_task
 from chervilgw.runtime.app import App, make_app
 from chervilgw.runtime.clock import make_clock
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -10,6 +10,15 @@
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
 
+from chervilgw.clients.engine import (
+    EngineClientSpec,
+    EngineState,
+    make_fence_call,
+    make_order_call,
+    make_state_call,
+    parse_order_status,
+    parse_state,
+)
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
 from chervilgw.core.messages import PermitGrant
@@ -19,15 +28,6 @@
 from chervilgw.placement.demand import THRESHOLDS, make_demand_tracker
 from chervilgw.placement.memory import MemoryLedger, make_memory_ledger
 from chervilgw.placement.orders import Fence, Order, OrderAnswer, ReadState
-from chervilgw.platform.engine import (
-    EngineClientSpec,
-    EngineState,
-    make_fence_call,
-    make_order_call,
-    make_state_call,
-    parse_order_status,
-    parse_state,
-)
 from chervilgw.runtime.events import http_call, peer_send
 from chervilgw.sidecar.accepted import make_accepted_orders
 from chervilgw.sidecar.events import (
