Forward opaque requests on the users' platform: the thin path

Change: entries read the platform's settings, configuration and list of servers, and forward each request straight to a backend server over kept connections, with quota windows shared by datagrams. chervilgw/platform only translates; decisions are in routing, quota, membership and forward.

--- a/chervilgw/clients/__init__.py
+++ b/chervilgw/clients/__init__.py
@@ -1,4 +1,4 @@
-"""Clients of the contracts in docs/contracts.md: log, weight store, list of VMs, engines."""
+"""Clients of the product's own contracts: log, weight store, VM list, engines."""
 
 from chervilgw.clients.errors import PlatformError, RecordsExpired
 from chervilgw.clients.log import LogPage, Stream
--- /dev/null
+++ b/chervilgw/codec/event_stream.py
@@ -0,0 +1,57 @@
+"""Event boundaries and ids of a server-sent event stream that is passed on unread."""
+
+from __future__ import annotations
+
+import re
+
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+MAX_PARTIAL_BYTES = 1_048_576
+"""An event longer than this is passed on in pieces; its stream cannot be resumed."""
+
+
+class EventCutter:
+    """Passes on whole events, so that a stream that breaks off can be resumed."""
+
+    def __init__(self):
+        self._partial = b""
+        self.last_id: str | None = None
+        self.whole = True
+
+    def feed(self, data: bytes) -> bytes:
+        r"""Return the bytes of all events that the data completes.
+
+        Examples
+        --------
+        >>> cutter = EventCutter()
+        >>> cutter.feed(b"id: 7\ndata: a\n\nid: 8\nda")
+        b'id: 7\ndata: a\n\n'
+        >>> cutter.last_id
+        '7'
+        """
+        data = self._partial + data
+        end = 0
+        for match in _EVENT_END.finditer(data):
+            end = match.end()
+        events, self._partial = data[:end], data[end:]
+        ids = _ID.findall(events)
+        if ids:
+            self.last_id = ids[-1].decode("latin-1")
+        if len(self._partial) > MAX_PARTIAL_BYTES:
+            events, self._partial = events + self._partial, b""
+            self.whole = False
+        return events
+
+    def rest(self) -> bytes:
+        """Return what follows the last whole event, at the end of the stream."""
+        rest, self._partial = self._partial, b""
+        return rest
+
+    def drop_partial(self) -> None:
+        """Drop a cut event before another server continues the stream."""
+        self._partial = b""
+
+
+def make_event_cutter() -> EventCutter:
+    """Return a cutter at the start of a stream."""
+    return EventCutter()
--- a/chervilgw/codec/frames.py
+++ b/chervilgw/codec/frames.py
@@ -48,6 +48,11 @@
     messages.PermitRelease: 20,
     messages.CrashReport: 21,
     messages.Leaving: 22,
+    messages.EntryReport: 23,
+    messages.EngineWatch: 24,
+    messages.EngineReport: 25,
+    messages.AdapterWanted: 26,
+    messages.ModelWanted: 27,
 }
 
 _LENGTH = struct.Struct(">I")
--- /dev/null
+++ b/chervilgw/core/deployment.py
@@ -0,0 +1,192 @@
+"""Types of a deployment: routes, services, customers, limits, registered servers.
+
+A front end of the platform decodes its wire format into these once; decisions use only
+these names. Times are in seconds, sizes in MB as the operators state them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NewType
+
+from chervilgw.core.ids import CustomerId, ModelName, ServiceName, ZoneId
+
+RouteName = NewType("RouteName", str)
+ServerId = NewType("ServerId", str)
+AttemptId = NewType("AttemptId", str)
+PromptPartId = NewType("PromptPartId", str)
+
+
+class RouteKind(Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+class ServerState(Enum):
+    """State that a backend server registers for itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """One service of a route and its relative weight."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRule:
+    """One route; ``rank`` is its urgency, 0 first.
+
+    ``max_attempts`` bounds the backend servers that one request is sent to.
+    ``max_pause_s`` is the longest pause between events of a stream that is on time.
+    """
+
+    name: RouteName
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    rank: int
+    destinations: tuple[Destination, ...]
+    max_attempts: int
+    anonymous: bool
+    resumable: bool
+    max_pause_s: float
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class ModelSpec:
+    """Size and load times of a model and of its adapters."""
+
+    name: ModelName
+    weights_mb: float
+    load_s: float
+    memory_load_s: float
+    disk_load_s: float
+    adapters: int
+    adapter_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """Capacity of the engines of one service."""
+
+    slots: int
+    cache_tokens: int
+    capacity_mb: float
+    adapter_slots: int
+    loads_per_s: float
+    models: Mapping[ModelName, ModelSpec]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRule:
+    """One service; ``engine`` is None for a plain service.
+
+    ``max_connections`` bounds the connections of all callers to one of its servers.
+    """
+
+    name: ServiceName
+    max_connections: int
+    engine: EngineSpec | None
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerRule:
+    """One customer; a rate of 0 means no limit.
+
+    ``rate_per_s`` and ``burst`` are in tokens if ``counts_tokens``, else in requests.
+    ``plain_tokens`` is the price of a request that states no tokens.
+    """
+
+    customer: CustomerId
+    rank: int | None
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    plain_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits of what a caller may send, and how long it may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One version of the operators' configuration.
+
+    ``customer_of_key`` is None if callers need no key.
+    """
+
+    version: int
+    routes: tuple[RouteRule, ...]
+    services: Mapping[ServiceName, ServiceRule]
+    customers: Mapping[CustomerId, CustomerRule]
+    customer_of_key: Mapping[str, CustomerId] | None
+    limits: CallerLimits
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredServer:
+    """What a backend server says of itself in the platform's list.
+
+    ``adapters`` maps a loaded model to its loaded adapters. ``started_ms`` tells the
+    incarnations of one id apart; ``orders`` counts the orders that it accepted.
+    """
+
+    server: ServerId
+    service: ServiceName
+    address: str
+    zone: ZoneId
+    slots: int
+    state: ServerState
+    started_ms: int
+    adapters: Mapping[ModelName, frozenset[str]] = field(default_factory=dict)
+    orders: int = 0
+    time_left_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OpaqueRequest:
+    """A caller's request whose content is passed on unread.
+
+    ``headers`` are those that go on to the backend server. ``model`` and ``adapter``
+    are None for a plain service. ``prompt_parts`` lists the parts of the prompt in
+    order with their tokens. ``patience_s`` is how long the caller will wait.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    attempt: AttemptId
+    credential: str
+    patience_s: float | None
+    model: ModelName | None
+    adapter: str | None
+    prompt_tokens: int | None
+    output_tokens: int | None
+    prompt_parts: tuple[tuple[PromptPartId, int], ...]
+    last_event: str | None
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -337,6 +337,80 @@
     incarnation: Incarnation
 
 
+@dataclass(frozen=True, slots=True)
+class EntryReport:
+    """What an entry that forwards tells the others, several times a second.
+
+    ``granted`` maps a customer to the tokens granted within the quota window.
+    ``running`` maps a server to the requests at it, and ``unread_tokens`` to the prompt
+    tokens of those that have not produced anything yet. ``demand`` maps a model or
+    adapter to the requests per second for it. ``address`` is where datagrams reach the
+    sender.
+    """
+
+    sender: Incarnation
+    address: str
+    granted: dict[str, int]
+    running: dict[str, int]
+    unread_tokens: dict[str, int]
+    demand: dict[str, float]
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EngineWatch:
+    """Ask the agent beside an engine for reports; valid for a few seconds.
+
+    ``server`` and ``started_ms`` are what the platform's list says is at the engine's
+    address; the agent puts them into its orders, and another server refuses those.
+    """
+
+    sender: Incarnation
+    address: str
+    server: str
+    started_ms: int
+    offset: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """State of an engine, read by the agent beside it.
+
+    ``adapters`` maps a loaded model to its loaded adapters. ``orders`` counts the
+    orders that the engine accepted; ``busy`` says that one is under way, and
+    ``loading`` which model it loads.
+    """
+
+    server: str
+    started_ms: int
+    orders: int
+    draining: bool
+    busy: bool
+    loading: str
+    adapters: dict[str, tuple[str, ...]]
+    waiting: int
+    running: int
+    used_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterWanted:
+    """Ask an engine's agent to load an adapter of a model that it holds."""
+
+    server: str
+    model: str
+    adapter: str
+
+
+@dataclass(frozen=True, slots=True)
+class ModelWanted:
+    """Ask an engine's agent to load a model, and to unload others before that."""
+
+    server: str
+    model: str
+    unload: tuple[str, ...]
+
+
 Message = (
     Challenge
     | Hello
@@ -360,4 +434,9 @@
     | PermitRelease
     | CrashReport
     | Leaving
+    | EntryReport
+    | EngineWatch
+    | EngineReport
+    | AdapterWanted
+    | ModelWanted
 )
--- a/chervilgw/crashes/tracker.py
+++ b/chervilgw/crashes/tracker.py
@@ -52,9 +52,12 @@
 class CrashTracker:
     """Crashes by digest. See :func:`make_crash_tracker`."""
 
-    def __init__(self, crash_block_s: float, max_digests: int) -> None:
+    def __init__(
+        self, crash_block_s: float, max_digests: int, crashes_to_block: int
+    ) -> None:
         self._block_ms = int(crash_block_s * 1000)
         self._max_digests = max_digests
+        self._crashes_to_block = crashes_to_block
         self._crashes: OrderedDict[Digest, dict[CrashId, int]] = OrderedDict()
 
     def __len__(self) -> int:
@@ -88,7 +91,7 @@
         for digest in report.digests:
             crashes = self._crashes.setdefault(digest, {})
             crashes[report.crash] = min(report.time_ms, now_ms)
-            if len(crashes) > CRASHES_TO_BLOCK:
+            if len(crashes) > self._crashes_to_block:
                 # The newest crashes decide when the block ends.
                 del crashes[min(crashes, key=lambda crash: crashes[crash])]
             self._crashes.move_to_end(digest)
@@ -97,13 +100,13 @@
         return tuple(
             digest
             for digest in report.digests
-            if len(self._crashes.get(digest, ())) >= CRASHES_TO_BLOCK
+            if len(self._crashes.get(digest, ())) >= self._crashes_to_block
         )
 
     def _drop_one(self) -> None:
         """Drop the oldest digest without a block, so that no flood lifts a block."""
         for digest, crashes in self._crashes.items():
-            if len(crashes) < CRASHES_TO_BLOCK:
+            if len(crashes) < self._crashes_to_block:
                 del self._crashes[digest]
                 return
         self._crashes.popitem(last=False)
@@ -145,7 +148,7 @@
         ----------
         digest : Digest
         """
-        if len(self._crashes.get(digest, ())) < CRASHES_TO_BLOCK:
+        if len(self._crashes.get(digest, ())) < self._crashes_to_block:
             self._crashes.pop(digest, None)
 
     def suspect_crashes(self, digest: Digest) -> tuple[CrashId, ...]:
@@ -190,9 +193,9 @@
             return Success(None)
         if digest in lifted:
             crashes = {c: ms for c, ms in crashes.items() if ms > lifted[digest]}
-        if len(crashes) < CRASHES_TO_BLOCK:
+        if len(crashes) < self._crashes_to_block:
             return Success(None)
-        detail = "the request was running at two crashes and is blocked for a time"
+        detail = "the request was running at repeated crashes and is blocked for a time"
         retry_after_s = (end_ms - now_ms) / 1000
         return Failure(
             make_refusal(RefusalReason.BLOCKED_AFTER_CRASHES, detail, retry_after_s)
@@ -200,7 +203,9 @@
 
 
 def make_crash_tracker(
-    crash_block_s: float = 600.0, max_digests: int = MAX_DIGESTS
+    crash_block_s: float = 600.0,
+    max_digests: int = MAX_DIGESTS,
+    crashes_to_block: int = CRASHES_TO_BLOCK,
 ) -> CrashTracker:
     """Return a tracker without crashes.
 
@@ -210,6 +215,8 @@
         How long a crash counts, and so how long a block lasts after the last one.
     max_digests : int
         Bound of the memory.
+    crashes_to_block : int
+        Crashes at which a request must have been running.
 
     Returns
     -------
@@ -225,7 +232,7 @@
     >>> tracker.check(Digest("d"), 2000).failure().retry_after_s
     599.0
     """
-    return CrashTracker(crash_block_s, max_digests)
+    return CrashTracker(crash_block_s, max_digests, crashes_to_block)
 
 
 def blamed(running: dict[Digest, bool]) -> tuple[Digest, ...]:
--- a/chervilgw/daemon.py
+++ b/chervilgw/daemon.py
@@ -7,7 +7,6 @@
 from collections.abc import Sequence
 
 from chervilgw import __version__
-from chervilgw.settings import EntrySettings, SettingsError, load_settings
 
 EXIT_BAD_SETTINGS = 2
 
@@ -25,6 +24,11 @@
     group.add_argument(
         "--check-settings", metavar="FILE", help="check a YAML file and exit"
     )
+    group.add_argument(
+        "--deployed",
+        action="store_true",
+        help="run with the settings file of the platform that started the process",
+    )
     return parser
 
 
@@ -42,6 +46,12 @@
         Exit status: 0 after a planned stop, 2 for wrong settings.
     """
     options = make_parser().parse_args(arguments)
+    if options.deployed:
+        from chervilgw.platform.start import run_on_platform
+
+        return run_on_platform()
+    from chervilgw.settings import EntrySettings, SettingsError, load_settings
+
     try:
         settings = load_settings(options.settings or options.check_settings)
     except SettingsError as error:
@@ -50,15 +60,15 @@
     if options.check_settings:
         print(f"{options.check_settings}: settings are valid")
         return 0
-    return _run(settings)
+    return _run(settings, isinstance(settings, EntrySettings))
 
 
-def _run(settings) -> int:
+def _run(settings, is_entry: bool) -> int:
     from chervilgw.telemetry import configure_logs, log_event
 
     configure_logs(settings.log_level)
     # Each role imports only what it needs, which keeps its memory down.
-    if isinstance(settings, EntrySettings):
+    if is_entry:
         from chervilgw.entry.app import make_entry_app
 
         app = make_entry_app(settings)
--- /dev/null
+++ b/chervilgw/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of opaque requests from callers straight to backend servers."""
--- /dev/null
+++ b/chervilgw/forward/app.py
@@ -0,0 +1,81 @@
+"""Assembly of the processes on the users' platform."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from circuits import BaseComponent
+
+from chervilgw.core.ids import Incarnation, VmId, ZoneId
+from chervilgw.forward.codec import FrontCodec
+from chervilgw.forward.gateway import GatewayOptions, make_gateway
+from chervilgw.forward.gossip import GossipOptions, make_gossip
+from chervilgw.forward.ready import make_ready_task, make_stop_task
+from chervilgw.runtime.app import App, make_app
+from chervilgw.runtime.clock import make_clock
+from chervilgw.runtime.datagrams import make_datagrams
+from chervilgw.runtime.http_client import make_http_client
+from chervilgw.runtime.opaque_server import OpaqueServerOptions, make_opaque_server
+from chervilgw.settings.vm import VmSettings
+
+KEPT_CONNECTIONS = 32
+"""Connections that an entry keeps open to one server; a new one is priced."""
+SERVER_SILENCE_S = 3.0
+"""A server that acknowledges nothing for this long has lost power or is cut off; it
+leaves the platform's list after three heartbeats of 1.2 s."""
+STORE_SILENCE_S = 2.0
+DESCRIPTORS_ASIDE = 400
+"""Descriptors for servers, files and the process itself."""
+
+
+def entry_port(settings: VmSettings) -> int:
+    """Return the port at which entries get datagrams."""
+    return settings.peer_ports[0]
+
+
+def agent_port(settings: VmSettings) -> int:
+    """Return the port at which agents get datagrams; one VM may run both."""
+    return settings.peer_ports[0] + 1
+
+
+def make_forward_entry(
+    settings: VmSettings, codec: FrontCodec, *platform_tasks: BaseComponent
+) -> App:
+    """Return an entry that forwards opaque requests.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        Checked settings with an address for callers.
+    codec : FrontCodec
+        Encoding of the front end.
+    *platform_tasks : circuits.BaseComponent
+        Tasks that bring the deployment, the list of servers and the entries.
+    """
+    me = Incarnation(VmId(settings.vm), int(time.time() * 1000))
+    callers = max(64, settings.max_descriptors - DESCRIPTORS_ASIDE)
+    refuse: Callable = codec.encode_refusal
+    front = _server_options(settings.front_listen, "gateway", refuse, callers)
+    ready = _server_options(settings.ready_listen, "ready", refuse, 64)
+    port = entry_port(settings)
+    address = f"{settings.ip}:{port}"
+    gateway = GatewayOptions(me, ZoneId(settings.zone), settings.bounds)
+    return make_app(
+        make_clock(),
+        *platform_tasks,
+        make_http_client("store-client", silence_s=STORE_SILENCE_S),
+        make_http_client("server-client", KEPT_CONNECTIONS, SERVER_SILENCE_S),
+        make_datagrams(settings.ip, port, "gossip"),
+        make_gossip(GossipOptions(me, address, agent_port(settings))),
+        make_gateway(gateway, codec),
+        make_opaque_server(front),
+        make_opaque_server(ready, "ready-http"),
+        make_ready_task(),
+        make_stop_task(settings.bounds.grace_s, has_callers=True),
+    )
+
+
+def _server_options(listen: str, owner: str, refuse, connections: int):
+    host, _, port = listen.rpartition(":")
+    return OpaqueServerOptions(host, int(port), owner, refuse, connections)
--- /dev/null
+++ b/chervilgw/membership/fleet_view.py
@@ -0,0 +1,172 @@
+"""What an entry knows of the backend servers: list, reports, work, caches."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Sequence
+from dataclasses import dataclass
+
+from chervilgw.core.deployment import (
+    EngineSpec,
+    OpaqueRequest,
+    RegisteredServer,
+    ServerId,
+)
+from chervilgw.core.ids import Digest, ModelName, ServiceName, VmId
+from chervilgw.core.messages import EngineReport
+from chervilgw.membership.directory import ServerDirectory, make_server_directory
+from chervilgw.routing.board import LoadBoard, make_load_board
+from chervilgw.routing.dispatch import Candidate
+from chervilgw.routing.prefixes import make_prefix_index
+
+REPORT_AGE_S = 1.5
+"""A report older than this says nothing any more: agents send several a second."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    report: EngineReport
+    heard_s: float
+
+
+class FleetView:
+    """Servers as one entry sees them; see :func:`make_fleet_view`."""
+
+    def __init__(self):
+        self.directory: ServerDirectory = make_server_directory()
+        self.board: LoadBoard = make_load_board()
+        self._reports: dict[ServerId, _Heard] = {}
+        self._prefixes = make_prefix_index()
+
+    def on_report(self, report: EngineReport, now_s: float) -> bool:
+        """Take the report of an engine's agent; return whether the engine matches."""
+        server = ServerId(report.server)
+        known = self.directory.find(server)
+        if known is None or known.started_ms != report.started_ms:
+            return False
+        last = self._reports.get(server)
+        is_same = last is not None and last.report.started_ms == report.started_ms
+        if is_same and report.orders < last.report.orders:
+            return False
+        self._reports[server] = _Heard(report, now_s)
+        if report.draining:
+            self.directory.on_seen_draining(server, report.started_ms)
+        return True
+
+    def report_of(self, server: RegisteredServer, now_s: float) -> EngineReport | None:
+        """Return the fresh report of this incarnation of a server, or None."""
+        heard = self._reports.get(server.server)
+        if heard is None or now_s - heard.heard_s > REPORT_AGE_S:
+            return None
+        if heard.report.started_ms != server.started_ms:
+            return None
+        return heard.report
+
+    def models_of(
+        self, server: RegisteredServer, now_s: float
+    ) -> dict[ModelName, frozenset[str]]:
+        """Return the loaded models of a server with their loaded adapters."""
+        report = self.report_of(server, now_s)
+        if report is None:
+            return dict(server.adapters)
+        return {
+            ModelName(model): frozenset(adapters)
+            for model, adapters in report.adapters.items()
+        }
+
+    def candidates(
+        self,
+        service: ServiceName,
+        request: OpaqueRequest,
+        excluded: Container[ServerId],
+        own_limit: int,
+        now_s: float,
+    ) -> list[Candidate]:
+        """Return the servers that a request may be sent to.
+
+        Parameters
+        ----------
+        service : ServiceName
+        request : OpaqueRequest
+        excluded : container of ServerId
+            Servers that the request was sent to before.
+        own_limit : int
+            Most requests of this entry at one server.
+        now_s : float
+            Monotonic time.
+        """
+        servers = [
+            server
+            for server in self.directory.usable(service, now_s)
+            if server.server not in excluded
+            and not self.board.is_ejected(server.server, now_s)
+            and self.board.own_running(server.server) < own_limit
+        ]
+        cached = self._cached_tokens(servers, request, now_s)
+        return [self._candidate(each, request, cached, now_s) for each in servers]
+
+    def _candidate(self, server, request, cached, now_s) -> Candidate:
+        name, board = server.server, self.board
+        models = self.models_of(server, now_s) if request.model else {}
+        adapters = models.get(request.model)
+        return Candidate(
+            server,
+            board.running(name, now_s),
+            board.unread_tokens(name, now_s),
+            board.failures(name),
+            adapters is not None,
+            request.adapter is None or request.adapter in (adapters or ()),
+            cached.get(name, 0),
+        )
+
+    def _cached_tokens(
+        self, servers: Sequence[RegisteredServer], request: OpaqueRequest, now_s: float
+    ) -> dict[ServerId, int]:
+        if not request.prompt_parts:
+            return {}
+        counts = self._prefixes.cached(
+            [VmId(server.server) for server in servers], prefix_digests(request), now_s
+        )
+        sizes = [size for _, size in request.prompt_parts]
+        return {name: sum(sizes[:count]) for name, count in counts.items()}
+
+    def on_sent(
+        self, server: ServerId, request: OpaqueRequest, unread: int, now_s: float
+    ) -> None:
+        """Note a request that was sent to a server."""
+        self.board.on_sent(server, unread)
+        if request.prompt_parts:
+            self._prefixes.on_dispatch(VmId(server), prefix_digests(request), now_s)
+
+    def is_loading(self, service: ServiceName, model: ModelName, now_s: float) -> bool:
+        """Return whether some engine of a service loads a model."""
+        return any(
+            report is not None and report.loading == model
+            for report in (
+                self.report_of(server, now_s)
+                for server in self.directory.usable(service, now_s)
+            )
+        )
+
+    def forget(self, server: ServerId) -> None:
+        """Drop what is known of a server that is gone."""
+        self.board.forget(server)
+        self._reports.pop(server, None)
+        self._prefixes.forget(VmId(server))
+
+
+def prefix_digests(request: OpaqueRequest) -> tuple[Digest, ...]:
+    """Return the digests of a prompt's parts; a cache belongs to model and adapter."""
+    wall = f"{request.model}/{request.adapter or ''}:"
+    return tuple(Digest(wall + part) for part, _ in request.prompt_parts)
+
+
+def engine_load_s(spec: EngineSpec | None, model: ModelName | None) -> float:
+    """Return how long the load of a model takes from the weight store."""
+    if spec is None or model not in spec.models:
+        return 0.0
+    return spec.models[model].load_s
+
+
+def make_fleet_view() -> FleetView:
+    """Return a view without servers."""
+    return FleetView()
--- /dev/null
+++ b/chervilgw/platform/boot.py
@@ -0,0 +1,109 @@
+"""Settings file of the platform to :class:`VmSettings`."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+from pydantic import ValidationError
+
+from chervilgw.platform.errors import DecodeError
+from chervilgw.settings.vm import Bounds, StoreSettings, VmSettings
+
+BOOT_VARIABLE = "CHERVILGW_BOOT"
+DEFAULT_PATH = "/etc/chervilgw/boot.conf"
+
+_BOUNDS = {
+    "grace_s": ("grace_s", 1.0),
+    "drain_s": ("drain_ms", 0.001),
+    "quota_window_s": ("quota_window_s", 1.0),
+    "retry_ratio": ("budget_ratio", 1.0),
+    "retry_window_s": ("budget_window_s", 1.0),
+    "retry_slack": ("budget_slack", 1.0),
+    "load_window_s": ("ceiling_window_s", 1.0),
+    "load_excess": ("ceiling_over", 1.0),
+}
+"""Our name of a bound, the platform's, and the factor to our unit."""
+
+
+def boot_path() -> Path:
+    """Return where the platform puts the settings file of this process."""
+    return Path(os.environ.get(BOOT_VARIABLE) or DEFAULT_PATH)
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    r"""Return the ``a.b=value`` lines of a settings file.
+
+    Examples
+    --------
+    >>> parse_lines("zone=a\\nlimits.cores=1\\n")
+    {'zone': 'a', 'limits.cores': '1'}
+    """
+    pairs = (line.partition("=") for line in text.splitlines())
+    return {name.strip(): value.strip() for name, mark, value in pairs if mark}
+
+
+def decode_settings(text: str) -> VmSettings:
+    """Return the settings that a file of the platform holds.
+
+    Parameters
+    ----------
+    text : str
+        Content of the file. Unknown fields are ignored, since new ones may come.
+
+    Returns
+    -------
+    VmSettings
+
+    Raises
+    ------
+    DecodeError
+        If a field is missing or has a wrong value; the text names it.
+    """
+    fields = parse_lines(text)
+    try:
+        first, _, last = fields["internal_ports"].partition(",")
+        return VmSettings(
+            vm=fields["node_name"],
+            ip=fields["ip"],
+            zone=fields.get("zone", ""),
+            front_listen=fields.get("listen.front") or None,
+            ready_listen=fields.get("listen.ready") or None,
+            app=fields.get("app") or None,
+            peer_ports=(int(first), int(last or first)),
+            max_descriptors=int(fields.get("limits.max_fds", "4096")),
+            store=StoreSettings(
+                address=fields["platform.address"],
+                record_bytes=int(fields.get("platform.record_bytes", "262144")),
+            ),
+            bounds=_decode_bounds(fields),
+        )
+    except KeyError as error:
+        raise DecodeError(f"settings: {error.args[0]}: missing") from None
+    except (ValueError, ValidationError) as error:
+        raise DecodeError(f"settings: {error}") from None
+
+
+def _decode_bounds(fields: Mapping[str, str]) -> Bounds:
+    values = {}
+    for name, (theirs, factor) in _BOUNDS.items():
+        text = fields.get(f"bounds.{theirs}")
+        if text:
+            values[name] = float(text) * factor
+    return Bounds(**values)
+
+
+def load_vm_settings(path: Path) -> VmSettings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    DecodeError
+        If the file cannot be read or decoded.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        raise DecodeError(f"{path}: cannot be read: {error}") from error
+    return decode_settings(text)
--- /dev/null
+++ b/chervilgw/platform/log_format.py
@@ -0,0 +1,162 @@
+"""Calls of the platform's log and the bytes of their answers."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+from chervilgw.core.ids import Offset
+from chervilgw.platform.errors import DecodeError
+
+CONFIGURATION_TOPIC = "keyed.op"
+SERVERS_TOPIC = "keyed.servers"
+ENTRIES_TOPIC = "keyed.entries"
+FENCES_TOPIC = "fences"
+CONFIGURATION_KEY = "config"
+
+_ENDS = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+_MAX_KEY_BYTES = 255
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """One record of a keyed topic; ``value`` is None if the key was dropped."""
+
+    offset: Offset
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Answer to a read: records in order, and the offset to go on from."""
+
+    records: tuple[KeyedRecord, ...]
+    following: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One page of the newest record of each key.
+
+    ``more_after`` is the last key if further pages follow. ``end`` is where the
+    partition ended.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    more_after: str | None
+    end: Offset
+
+
+def read_path(topic: str, start: Offset, wait_s: float) -> str:
+    """Return the path of a read that waits for records at most ``wait_s``."""
+    query = {"topic": topic, "part": 0, "from": start}
+    if wait_s > 0:
+        query["wait_ms"] = int(wait_s * 1000)
+    return "/log-read?" + urlencode(query)
+
+
+def newest_path(topic: str, after: str | None) -> str:
+    """Return the path of a listing, or of its page after a key."""
+    query = {"topic": topic, "part": 0}
+    if after is not None:
+        query["after"] = after
+    return "/log-newest?" + urlencode(query)
+
+
+def append_path(topic: str) -> str:
+    """Return the path of an append."""
+    return "/log-append?" + urlencode({"topic": topic, "part": 0})
+
+
+def encode_record(content: bytes) -> bytes:
+    """Return the body of an append of one record."""
+    return _LENGTH.pack(len(content)) + content
+
+
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Return the body of an append of one record with a key."""
+    name = key.encode()
+    if not 0 < len(name) <= _MAX_KEY_BYTES:
+        raise ValueError(f"a key has 1 to {_MAX_KEY_BYTES} bytes")
+    return encode_record(bytes([len(name)]) + name + value)
+
+
+def decode_page(body: bytes, start: Offset) -> Page:
+    """Return the records that a read from ``start`` answered with.
+
+    Raises
+    ------
+    DecodeError
+        If the body ends within a record.
+    """
+    if len(body) < _ENDS.size:
+        raise DecodeError("log read: no end")
+    records = []
+    position, offset = _ENDS.size, start
+    while position < len(body):
+        if position + _LENGTH.size > len(body):
+            raise DecodeError("log read: truncated length")
+        (size,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + size]
+        if len(content) < size:
+            raise DecodeError("log read: truncated record")
+        position += size
+        record = _decode_keyed(content, offset)
+        if record is not None:
+            records.append(record)
+        offset = Offset(offset + 1)
+    return Page(tuple(records), offset)
+
+
+def _decode_keyed(content: bytes, offset: Offset) -> KeyedRecord | None:
+    """Return a record, or None for bytes that are not one: others may write there."""
+    if not content or len(content) < 1 + content[0]:
+        return None
+    end = 1 + content[0]
+    key = content[1:end].decode("utf-8", "replace")
+    value = content[end:]
+    return KeyedRecord(offset, key, value or None)
+
+
+def decode_listing(body: bytes) -> Listing:
+    """Return a page of the newest records.
+
+    Raises
+    ------
+    DecodeError
+        If the body has another form.
+    """
+    try:
+        answer = json.loads(body)
+        records = tuple(
+            KeyedRecord(
+                Offset(int(item["offset"])),
+                item["key"],
+                base64.b64decode(item["value"]),
+            )
+            for item in answer["items"]
+        )
+        more = records[-1].key if answer.get("truncated") and records else None
+        return Listing(records, more, Offset(int(answer["end"])))
+    except (ValueError, KeyError, TypeError) as error:
+        raise DecodeError(f"log listing: {type(error).__name__}: {error}") from error
+
+
+def decode_appended(body: bytes) -> Offset:
+    """Return the offset of an appended record.
+
+    Raises
+    ------
+    DecodeError
+        If the body has another form.
+    """
+    try:
+        return Offset(int(json.loads(body)["offset"]))
+    except (ValueError, KeyError, TypeError) as error:
+        raise DecodeError(f"log append: {type(error).__name__}: {error}") from error
--- /dev/null
+++ b/chervilgw/runtime/datagrams.py
@@ -0,0 +1,107 @@
+"""Datagram task: owns the UDP socket by which the system's own processes talk.
+
+Messages that may be lost go by datagram: each is a frame of :mod:`chervilgw.codec` and
+replaces what an earlier one of its kind said.
+"""
+
+from __future__ import annotations
+
+import socket
+
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+
+from chervilgw.codec.frames import FrameError, encode, make_decoder
+from chervilgw.telemetry import log_event
+
+MAX_DATAGRAM_BYTES = 60_000
+"""Below the 64 KiB that UDP carries."""
+DATAGRAMS_PER_READ = 64
+"""Bound of one read event, so that a flood does not hold up other tasks."""
+
+
+class datagram_send(Event):  # noqa: N801
+    """Send a message: message, list of ``ip:port``."""
+
+
+class datagram_received(Event):  # noqa: N801
+    """A message came from another process: message, ``ip:port`` of the sender."""
+
+
+class Datagrams(BaseComponent):
+    """Datagram task; see :func:`make_datagrams`."""
+
+    def __init__(self, ip: str, port: int, owner: str, channel):
+        super().__init__(channel=channel)
+        self._owner = owner
+        self._poller = None
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind((ip, port))
+        self.address = "{}:{}".format(*self._sock.getsockname())
+
+    @handler("registered", "started", channel="*")
+    def _on_started(self, component, manager=None):
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+            if self._poller is not None:
+                self._poller.addReader(self, self._sock)
+
+    @handler("_read", priority=1)
+    def _on_readable(self, sock):
+        for _ in range(DATAGRAMS_PER_READ):
+            try:
+                data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # Nothing is left, or an earlier datagram reached a closed port, which
+                # says nothing of this socket.
+                return
+            try:
+                messages = make_decoder(MAX_DATAGRAM_BYTES).feed(data)
+            except FrameError as error:
+                log_event("datagram_malformed", level="warning", detail=str(error))
+                continue
+            for message in messages:
+                event = datagram_received(message, "{}:{}".format(*sender))
+                self.fire(event, self._owner)
+
+    @handler("datagram_send")
+    def _on_send(self, message, addresses):
+        data = encode(message)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            name = type(message).__name__
+            log_event("datagram_too_large", level="error", message_type=name)
+            return
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            try:
+                self._sock.sendto(data, (host, int(port)))
+            except OSError as error:
+                # A full buffer or an unreachable host loses this datagram; the next one
+                # replaces it.
+                log_event(
+                    "datagram_not_sent",
+                    level="debug",
+                    address=address,
+                    detail=str(error),
+                )
+
+
+def make_datagrams(ip: str, port: int, owner: str, channel="datagrams") -> Datagrams:
+    """Return a datagram task.
+
+    Parameters
+    ----------
+    ip, port : str, int
+        Address to bind; port 0 lets the kernel choose.
+    owner : str
+        Channel of the task that gets the messages.
+    channel : str
+        Channel of the task.
+
+    Returns
+    -------
+    Datagrams
+    """
+    return Datagrams(ip, port, owner, channel)
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -18,7 +18,8 @@
     """A complete request of a caller.
 
     ``exchange`` identifies the request and its answer at the HTTP server task whose
-    channel is ``server``. Header names are in lower case.
+    channel is ``server``. Header names are in lower case; ``raw_headers`` are the pairs
+    as they came, repeated names included, from servers that pass requests on.
     """
 
     exchange: int
@@ -28,6 +29,7 @@
     headers: dict[str, str]
     body: bytes
     server: str = "http"
+    raw_headers: Headers = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +57,10 @@
 
     ``reply_to`` is the channel for the result events. ``fresh`` asks for a new
     connection: on a kept one, the server's idle close can race with the request, and
-    the outcome would be unknown. ``stream`` delivers the body in parts.
+    the outcome would be unknown. ``stream`` delivers the body in parts. ``forwarded``
+    sends the headers as they are, without a Host of the address and a length of an
+    empty body. An answer without the header pair ``echo`` belongs to another request
+    and is skipped.
     """
 
     call: str
@@ -69,6 +74,9 @@
     idle_timeout_s: float = 30.0
     fresh: bool = False
     stream: bool = False
+    connect_timeout_s: float | None = None
+    forwarded: bool = False
+    echo: tuple[str, str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,11 +119,13 @@
     """No complete answer came.
 
     ``sent`` is False only if no byte of the request can have reached the server.
+    ``broken`` says that the server's end of the connection broke off.
     """
 
     call: str
     sent: bool
     detail: str
+    broken: bool = False
 
 
 class http_request(Event):  # noqa: N801
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -29,6 +30,14 @@
 
 MAX_IDLE_PER_ADDRESS = 8
 IDLE_CONNECTION_S = 10.0
+KEEP_ALIVE_MARGIN_S = 1.0
+"""A kept connection is given up this long before the server closes it, so that no
+request crosses the close."""
+
+
+_KEEP_ALIVE_S = re.compile(r"timeout=(\d+)", re.IGNORECASE)
+_BODYLESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+"""Methods whose requests need no length if they have no body."""
 
 
 @dataclass(slots=True)
@@ -41,6 +50,7 @@
     status: int = 0
     headers: tuple = ()
     body: list[bytes] = field(default_factory=list)
+    skipping: bool = False
 
 
 class parts_due(Event):  # noqa: N801
@@ -50,9 +60,12 @@
 class HttpClient(BaseComponent):
     """HTTP client task; see :func:`make_http_client`."""
 
-    def __init__(self, channel="http-client"):
+    def __init__(self, channel, max_idle: int, silence_s: float | None):
         super().__init__(channel=channel)
-        self._dialer = Dialer(channel, on_data=self._on_read).register(self)
+        self._max_idle = max_idle
+        self._dialer = Dialer(
+            channel, silence_s, on_data=self._on_read, on_reset=self._on_reset
+        ).register(self)
         self._calls: dict[str, _Call] = {}
         self._by_sock: dict[Any, str] = {}
         self._idle: dict[str, list[tuple[Any, Any, float]]] = defaultdict(list)
@@ -64,10 +77,12 @@
         now_s = time.monotonic()
         call = self._calls[spec.call] = _Call(spec, now_s, now_s)
         if not spec.fresh and self._idle[spec.address]:
-            sock, parser, _ = self._idle[spec.address].pop()
+            sock, parser, give_up_s = self._idle[spec.address].pop()
             self._idle_address.pop(sock)
-            self._send(call, sock, parser)
-            return
+            if now_s < give_up_s:
+                self._send(call, sock, parser)
+                return
+            self._dialer.close(sock)
         host, _, port = spec.address.rpartition(":")
         self._dialer.dial(spec.call, host, int(port))
 
@@ -87,8 +102,11 @@
         spec = call.spec
         call.sock, call.parser = sock, parser
         self._by_sock[sock] = spec.call
-        headers = [("Host", spec.address), *spec.headers]
-        headers.append(("Content-Length", str(len(spec.body))))
+        headers = list(spec.headers)
+        if not spec.forwarded:
+            headers.insert(0, ("Host", spec.address))
+        if spec.body or not spec.forwarded or spec.method not in _BODYLESS:
+            headers.append(("Content-Length", str(len(spec.body))))
         try:
             head = h11.Request(method=spec.method, target=spec.path, headers=headers)
         except h11.LocalProtocolError as error:
@@ -120,9 +138,14 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
             if isinstance(event, h11.Response):
-                self._on_head(call, event)
+                call.skipping = not _echoes(call.spec, event)
+                if not call.skipping:
+                    self._on_head(call, event)
             elif isinstance(event, h11.Data):
-                received.append(bytes(event.data))
+                if not call.skipping:
+                    received.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and call.skipping:
+                self._skip_answer(call)
             elif isinstance(event, h11.EndOfMessage):
                 self._deliver(call, received)
                 self._finish(call)
@@ -131,6 +154,21 @@
                 break
         self._deliver(call, received)
 
+    def _skip_answer(self, call: _Call):
+        """Expect the call's answer behind one that belongs to another request.
+
+        The old parser has ended its cycle and expects a request next, so a new one
+        gets the bytes that follow; the request that it returns is not sent again.
+        """
+        following, _ = call.parser.trailing_data
+        call.skipping = False
+        call.parser = h11.Connection(our_role=h11.CLIENT)
+        host = [("Host", call.spec.address)]
+        call.parser.send(h11.Request(method="GET", target="/", headers=host))
+        call.parser.send(h11.EndOfMessage())
+        if following:
+            call.parser.receive_data(following)
+
     def _on_head(self, call: _Call, head):
         call.status = head.status_code
         call.headers = tuple(
@@ -179,20 +217,34 @@
         except h11.LocalProtocolError:
             self._dialer.close(call.sock)
             return
-        if call.spec.fresh or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        # Bytes behind the answer belong to no request. Unsent ones are the rest of a
+        # body that the server answered early and still expects on this connection.
+        trailing, _ = call.parser.trailing_data
+        unsent = self._dialer.has_unsent(call.sock)
+        if call.spec.fresh or trailing or unsent or len(idle) >= self._max_idle:
+            self._dialer.close(call.sock)
+            return
+        kept_s = _kept_s(call.headers)
+        if kept_s <= 0.0:
             self._dialer.close(call.sock)
             return
-        idle.append((call.sock, call.parser, time.monotonic()))
+        idle.append((call.sock, call.parser, time.monotonic() + kept_s))
         self._idle_address[call.sock] = call.spec.address
 
-    def _fail(self, call: _Call, sent: bool, detail: str):
+    def _on_reset(self, sock):
+        # After a reset, a body that ends with its connection is not complete.
+        call = self._calls.get(self._by_sock.get(sock, ""))
+        if call is not None:
+            self._fail(call, sent=True, detail="connection reset", broken=True)
+
+    def _fail(self, call: _Call, sent: bool, detail: str, broken: bool = False):
         self._calls.pop(call.spec.call, None)
         if call.sock is not None:
             self._by_sock.pop(call.sock, None)
             self._dialer.close(call.sock)
         else:
             self._dialer.abandon(call.spec.call)
-        message = CallFailed(call.spec.call, sent, detail)
+        message = CallFailed(call.spec.call, sent, detail, broken)
         self._send_parts(call.spec.reply_to)
         self.fire(call_failed(message), call.spec.reply_to)
 
@@ -214,7 +266,8 @@
         except h11.RemoteProtocolError:
             pass
         if call.spec.call in self._calls:
-            self._fail(call, sent=True, detail="connection closed before the answer")
+            detail = "connection closed before the answer"
+            self._fail(call, sent=True, detail=detail, broken=True)
 
     @handler("http_call_cancel")
     def _on_cancel(self, call_id: str):
@@ -232,27 +285,65 @@
         for call in list(self._calls.values()):
             if paused:
                 call.last_data_s = call.started_s = now_s
+            elif call.sock is None and _connects_too_long(call, now_s):
+                self._fail(call, sent=False, detail="no connection in time")
             elif not call.status and now_s - call.started_s > call.spec.timeout_s:
                 self._fail(call, call.sock is not None, "no answer in time")
             elif call.status and now_s - call.last_data_s > call.spec.idle_timeout_s:
                 self._fail(call, sent=True, detail="the answer stopped")
         for idle in self._idle.values():
-            while idle and now_s - idle[0][2] > IDLE_CONNECTION_S:
-                sock = idle.pop(0)[0]
-                self._idle_address.pop(sock, None)
-                self._dialer.close(sock)
+            for item in [item for item in idle if now_s >= item[2]]:
+                idle.remove(item)
+                self._idle_address.pop(item[0], None)
+                self._dialer.close(item[0])
+
+
+def _echoes(spec: HttpCall, head) -> bool:
+    """Return whether an answer has the header by which it names its request.
+
+    An answer without any such header is taken: a server that is in trouble may leave it
+    out, and it is not known to belong to another request.
+    """
+    if spec.echo is None:
+        return True
+    name, value = spec.echo
+    found = [each for key, each in head.headers if key == name.encode()]
+    return not found or found[0] == value.encode("latin-1")
+
+
+def _connects_too_long(call: _Call, now_s: float) -> bool:
+    limit_s = call.spec.connect_timeout_s
+    return limit_s is not None and now_s - call.started_s > limit_s
+
+
+def _kept_s(headers: tuple) -> float:
+    """Return how long an idle connection may be used after this answer."""
+    for name, value in headers:
+        if name.lower() == "keep-alive":
+            match = _KEEP_ALIVE_S.search(value)
+            if match:
+                return min(IDLE_CONNECTION_S, int(match[1]) - KEEP_ALIVE_MARGIN_S)
+    return IDLE_CONNECTION_S
 
 
-def make_http_client(channel: str = "http-client") -> HttpClient:
+def make_http_client(
+    channel: str = "http-client",
+    max_idle: int = MAX_IDLE_PER_ADDRESS,
+    silence_s: float | None = None,
+) -> HttpClient:
     """Return an HTTP client task.
 
     Parameters
     ----------
     channel : str
         Channel of the task.
+    max_idle : int
+        Connections that are kept open to one address.
+    silence_s : float or None
+        A connection whose peer acknowledges nothing for this long fails its call.
 
     Returns
     -------
     HttpClient
     """
-    return HttpClient(channel)
+    return HttpClient(channel, max_idle, silence_s)
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -37,13 +37,23 @@
     on_data : callable or None
         Function of the owning task that gets each read's socket and bytes at once. With
         None a ``read`` event is fired instead, which `circuits.web` needs.
+    on_reset : callable or None
+        Function of the owning task that gets a socket whose connection was reset,
+        before it is closed. An end of the stream is a ``disconnect`` event alone.
     """
 
     def __init__(
-        self, bind, channel, write_limit_bytes=8_388_608, on_data=None, **kwargs
+        self,
+        bind,
+        channel,
+        write_limit_bytes=8_388_608,
+        on_data=None,
+        on_reset=None,
+        **kwargs,
     ):
         super().__init__(bind, channel=channel, bufsize=READ_SIZE_BYTES, **kwargs)
         self._on_data = on_data
+        self._on_reset = on_reset
         self._write_limit_bytes = write_limit_bytes
         self._pending_bytes: dict[Any, int] = {}
         self._handshaking: set[Any] = set()
@@ -66,11 +76,17 @@
             if _would_block(error):
                 sent = 0
             else:
-                self._close(sock)
+                self._reset(sock)
                 return
         if sent < len(data):
             self._enqueue(sock, data[sent:])
 
+    def _reset(self, sock):
+        if self._on_reset is not None:
+            self._on_reset(sock)
+        if not _is_closed(sock):
+            self._close(sock)
+
     def _enqueue(self, sock, data):
         pending_bytes = self._pending_bytes.get(sock, 0) + len(data)
         if pending_bytes > self._write_limit_bytes:
@@ -90,7 +106,7 @@
                 sent = sock.send(queue[0])
             except OSError as error:
                 if not _would_block(error):
-                    self._close(sock)
+                    self._reset(sock)
                 return
             if sent < len(queue[0]):
                 queue[0] = queue[0][sent:]
@@ -171,7 +187,7 @@
             data = sock.recv(self._bufsize)
         except OSError as error:
             if not _would_block(error):
-                self._close(sock)
+                self._reset(sock)
             return
         if data:
             self._on_data(sock, data)
@@ -189,6 +205,10 @@
             self._sock.close()
             self._sock = None
 
+    def has_unsent(self, sock) -> bool:
+        """Return whether written bytes still wait for the peer to read."""
+        return sock in self._pending_bytes
+
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
@@ -205,11 +225,15 @@
     ----------
     channel : str
         Channel of its events.
+    silence_s : float or None
+        A connection whose peer acknowledges neither data nor keep-alive probes for
+        about this long is reset. None leaves it to the system's defaults.
     """
 
-    def __init__(self, channel, **kwargs):
+    def __init__(self, channel, silence_s=None, **kwargs):
         super().__init__(("127.0.0.1", 0), channel=channel, **kwargs)
         self._connecting: dict[Any, Any] = {}
+        self._silence_s = silence_s
 
     def _create_socket(self):
         return None
@@ -224,6 +248,8 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._silence_s is not None:
+            detect_silence(sock, self._silence_s)
         code = sock.connect_ex((host, port))
         if code not in (0, EINPROGRESS):
             sock.close()
@@ -264,7 +290,26 @@
         if sock in self._connecting:
             self._finish_connect(sock, "connection refused")
         else:
-            self._close(sock)
+            self._reset(sock)
+
+
+def detect_silence(sock, silence_s: float):
+    """Let the kernel reset a connection whose peer has gone silent.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        TCP socket.
+    silence_s : float
+        Time without an acknowledgement, in seconds; probes start after a second of
+        idleness and go out each second, the kernel's smallest steps.
+    """
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, max(1, round(silence_s) - 1))
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, int(silence_s * 1000))
 
 
 def _is_closed(sock) -> bool:
--- a/chervilgw/telemetry/logs.py
+++ b/chervilgw/telemetry/logs.py
@@ -9,7 +9,7 @@
 import traceback
 from datetime import UTC, datetime
 from enum import Enum
-from typing import Any
+from typing import Any, TextIO
 
 from absl import flags, logging
 
@@ -94,13 +94,23 @@
         return json.dumps(_clean(line), ensure_ascii=False)
 
 
-def configure_logs(level: str = "info") -> None:
-    """Make absl's handler write JSON lines to standard error."""
+def configure_logs(level: str = "info", stream: TextIO | None = None) -> None:
+    """Make absl's handler write JSON lines.
+
+    Parameters
+    ----------
+    level : str
+        Lowest level that is written.
+    stream : text file or None
+        Where to; None stands for standard error.
+    """
     if not flags.FLAGS.is_parsed():
         # The daemon has no absl flags; unparsed ones make absl print a warning line.
         flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(JsonFormatter())
+    if stream is not None:
+        logging.get_absl_handler().python_handler.stream = stream
     logging.set_verbosity(_LEVELS[level])
 
 
