--- a/chervilgw/codec/frames.py
+++ b/chervilgw/codec/frames.py
@@ -51,8 +51,11 @@
     messages.EntryReport: 23,
     messages.EngineWatch: 24,
     messages.EngineReport: 25,
-    messages.AdapterWanted: 26,
-    messages.ModelWanted: 27,
+    messages.ModelWanted: 26,
+    messages.TurnWanted: 27,
+    messages.TurnGiven: 28,
+    messages.TurnRefused: 29,
+    messages.TurnEnded: 30,
 }
 
 _LENGTH = struct.Struct(">I")
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -343,9 +343,9 @@
 
     ``granted`` maps a customer to the tokens granted within the quota window.
     ``running`` maps a server to the requests at it, and ``unread_tokens`` to the prompt
-    tokens of those that have not produced anything yet. ``demand`` maps a model or
-    adapter to the requests per second for it. ``address`` is where datagrams reach the
-    sender.
+    tokens of those that have not produced anything yet. ``rates`` maps a model to the
+    requests per second for it, and ``running_by_model`` to those in progress.
+    ``address`` is where datagrams reach the sender.
     """
 
     sender: Incarnation
@@ -353,7 +353,8 @@
     granted: dict[str, int]
     running: dict[str, int]
     unread_tokens: dict[str, int]
-    demand: dict[str, float]
+    rates: dict[str, float]
+    running_by_model: dict[str, int]
     leaving: bool = False
 
 
@@ -378,7 +379,8 @@
 
     ``adapters`` maps a loaded model to its loaded adapters. ``orders`` counts the
     orders that the engine accepted; ``busy`` says that one is under way, and
-    ``loading`` which model it loads.
+    ``loading`` which model it loads. ``near`` lists models whose weights are in the
+    VM's memory or on its disk, where a load is short and not counted.
     """
 
     server: str
@@ -391,15 +393,53 @@
     waiting: int
     running: int
     used_tokens: int
+    near: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class AdapterWanted:
-    """Ask an engine's agent to load an adapter of a model that it holds."""
+class TurnWanted:
+    """Ask an engine's agent for the turn to send a request.
 
+    ``tokens`` is what the engine has to read of the prompt. The agent loads the adapter
+    first if there is one. ``patience_s`` is how long the caller waits for a token.
+    ``address`` is where the agent answers.
+    """
+
+    turn: RequestId
+    address: str
     server: str
     model: str
     adapter: str
+    customer: CustomerId
+    tokens: int
+    urgency: Urgency
+    patience_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TurnGiven:
+    """The request may be sent to the engine now."""
+
+    turn: RequestId
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class TurnRefused:
+    """The engine will not read the request in time, or takes none any more."""
+
+    turn: RequestId
+    server: str
+    retry_after_s: float
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class TurnEnded:
+    """The engine has read the request, or it is not wanted any more."""
+
+    turn: RequestId
+    server: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -437,6 +477,9 @@
     | EntryReport
     | EngineWatch
     | EngineReport
-    | AdapterWanted
+    | TurnWanted
+    | TurnGiven
+    | TurnRefused
+    | TurnEnded
     | ModelWanted
 )
--- /dev/null
+++ b/chervilgw/forward/agent_app.py
@@ -0,0 +1,52 @@
+"""Assembly of the process beside an engine."""
+
+from __future__ import annotations
+
+import time
+
+from circuits import BaseComponent
+
+from chervilgw.core.ids import Incarnation, VmId
+from chervilgw.forward.agent import AgentOptions, EngineCodec, make_agent_task
+from chervilgw.forward.ports import agent_port
+from chervilgw.forward.ready import make_stop_task
+from chervilgw.runtime.alarm import make_alarm
+from chervilgw.runtime.app import App, make_app
+from chervilgw.runtime.clock import make_clock
+from chervilgw.runtime.datagrams import make_datagrams
+from chervilgw.runtime.http_client import make_http_client
+from chervilgw.settings.vm import VmSettings
+
+STORE_SILENCE_S = 2.0
+ENGINE_SILENCE_S = 2.0
+
+
+def make_agent(
+    settings: VmSettings, codec: EngineCodec, *platform_tasks: BaseComponent
+) -> App:
+    """Return the agent of the engine on this VM.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        Checked settings with the engine's address.
+    codec : EngineCodec
+        Encoding of reports and orders.
+    *platform_tasks : circuits.BaseComponent
+        Tasks that bring the deployment and the number for orders.
+    """
+    me = Incarnation(VmId(settings.vm), int(time.time() * 1000))
+    tasks = []
+    if settings.app is not None:
+        options = AgentOptions(me, settings.app, settings.app_service)
+        tasks.append(make_agent_task(options, codec))
+    return make_app(
+        make_clock(),
+        make_alarm(),
+        *platform_tasks,
+        make_http_client("store-client", silence_s=STORE_SILENCE_S),
+        make_http_client("server-client", silence_s=ENGINE_SILENCE_S),
+        make_datagrams(settings.ip, agent_port(settings), "agent"),
+        *tasks,
+        make_stop_task(settings.bounds.grace_s, has_callers=False),
+    )
--- a/chervilgw/forward/app.py
+++ b/chervilgw/forward/app.py
@@ -11,6 +11,8 @@
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.gateway import GatewayOptions, make_gateway
 from chervilgw.forward.gossip import GossipOptions, make_gossip
+from chervilgw.forward.planner_task import make_planner_task
+from chervilgw.forward.ports import agent_port, entry_port
 from chervilgw.forward.ready import make_ready_task, make_stop_task
 from chervilgw.runtime.app import App, make_app
 from chervilgw.runtime.clock import make_clock
@@ -29,16 +31,6 @@
 """Descriptors for servers, files and the process itself."""
 
 
-def entry_port(settings: VmSettings) -> int:
-    """Return the port at which entries get datagrams."""
-    return settings.peer_ports[0]
-
-
-def agent_port(settings: VmSettings) -> int:
-    """Return the port at which agents get datagrams; one VM may run both."""
-    return settings.peer_ports[0] + 1
-
-
 def make_forward_entry(
     settings: VmSettings, codec: FrontCodec, *platform_tasks: BaseComponent
 ) -> App:
@@ -69,6 +61,7 @@
         make_datagrams(settings.ip, port, "gossip"),
         make_gossip(GossipOptions(me, address, agent_port(settings))),
         make_gateway(gateway, codec),
+        make_planner_task(address),
         make_opaque_server(front),
         make_opaque_server(ready, "ready-http"),
         make_ready_task(),
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -57,7 +57,7 @@
     """Another entry saw a crash: ``CrashReport``."""
 
 
-class demand_known(Event):  # noqa: N801
+class servers_known(Event):  # noqa: N801
     """The servers that this entry knows: list of ``RegisteredServer``."""
 
 
@@ -75,3 +75,7 @@
 
 class entry_drained(Event):  # noqa: N801
     """No request is in progress any more on an entry that is leaving."""
+
+
+class turn_answered(Event):  # noqa: N801
+    """An agent answered: ``TurnGiven`` or ``TurnRefused``."""
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -7,8 +7,8 @@
 
 from chervilgw.codec.event_stream import EventCutter, make_event_cutter
 from chervilgw.core.deployment import RouteKind, ServerId
-from chervilgw.core.ids import Digest
-from chervilgw.core.states import RunState
+from chervilgw.core.ids import Digest, RequestId
+from chervilgw.core.states import RunState, Urgency
 from chervilgw.forward.messages import Admitted, ServerAnswer
 
 MAX_SENDS = 4
@@ -23,7 +23,8 @@
 class Stage(Enum):
     """How far an exchange is."""
 
-    WAITING_FOR_ADAPTER = "waiting_for_adapter"
+    WAITING_FOR_TURN = "waiting_for_turn"
+    WAITING_FOR_MODEL = "waiting_for_model"
     SENT = "sent"
     DISCARDING = "discarding"
     BUFFERING = "buffering"
@@ -31,6 +32,9 @@
     ENDED = "ended"
 
 
+WAITING = (Stage.WAITING_FOR_TURN, Stage.WAITING_FOR_MODEL)
+
+
 @dataclass(slots=True)
 class Exchange:
     """One request; see :func:`make_exchange`.
@@ -53,6 +57,8 @@
     call: str = ""
     sent_s: float = 0.0
     first_byte_s: float | None = None
+    last_byte_s: float = 0.0
+    longest_pause_s: float = 0.0
     sends: int = 0
     tried: set[ServerId] = field(default_factory=set)
     may_have_run: set[ServerId] = field(default_factory=set)
@@ -61,7 +67,9 @@
     head_passed: bool = False
     body: list[bytes] = field(default_factory=list)
     cutter: EventCutter | None = None
-    wait_until_s: float = 0.0
+    turn: RequestId | None = None
+    has_turn: bool = False
+    refused_by: set[ServerId] = field(default_factory=set)
 
     @property
     def run_state(self) -> RunState:
@@ -111,6 +119,11 @@
     return min(longest, route.timeout_s)
 
 
+def urgency_of(rank: int) -> Urgency:
+    """Return the class in an engine's queue for the rank of a request, 0 first."""
+    return Urgency(min(max(rank, 0), Urgency.OVERNIGHT))
+
+
 def make_exchange(
     number: int, server_channel: str, admitted: Admitted, digest: Digest, now_s: float
 ) -> Exchange:
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -8,8 +8,9 @@
 
 import random
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass
+from itertools import count
 
 from circuits import BaseComponent, handler
 from returns.pipeline import is_successful
@@ -21,8 +22,14 @@
     ServerId,
 )
 from chervilgw.core.errors import ChervilError
-from chervilgw.core.ids import Incarnation, ServiceName, ZoneId
-from chervilgw.core.messages import AdapterWanted, EntryReport
+from chervilgw.core.ids import (
+    CustomerId,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    ZoneId,
+)
+from chervilgw.core.messages import EntryReport, TurnEnded, TurnGiven, TurnWanted
 from chervilgw.core.pipeline import make_pipeline
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
@@ -32,15 +39,17 @@
 from chervilgw.forward.events import (
     agent_send,
     crash_shared,
-    demand_known,
     entry_drained,
     entry_report_due,
+    servers_known,
 )
 from chervilgw.forward.exchange import (
+    WAITING,
     Exchange,
     Stage,
     first_token_limit_s,
     make_exchange,
+    urgency_of,
 )
 from chervilgw.forward.filters import (
     authenticate,
@@ -48,7 +57,7 @@
     make_route_filter,
 )
 from chervilgw.forward.messages import Incoming, ServerRequest
-from chervilgw.membership.fleet_view import engine_load_s, make_fleet_view
+from chervilgw.membership.fleet_view import make_fleet_view
 from chervilgw.placement.demand_rate import make_demand_rates
 from chervilgw.quota.window import make_window_quota
 from chervilgw.routing.dispatch import DispatchRequest, ServerChoice, choose_server
@@ -73,8 +82,13 @@
 REPORT_EVERY_TICKS = 2
 """Ticks of 0.1 s between reports to the other entries: the quota and the choice of
 servers are as wrong as what happened meanwhile."""
-ADAPTER_WAIT_S = 0.6
-"""An adapter takes 5 to 20 ms, and a few times that while many are fetched."""
+MODEL_WAIT_SHARE = 0.7
+"""Part of a caller's patience that may go to the load of its model; the rest is for the
+queue and the prompt."""
+PLAN_WAIT_S = 1.0
+"""A load that was not begun by then was not planned: other models are needed more."""
+LOADED_MARGIN_S = 0.3
+"""From the end of a load to the report of it, and a part for callers' clocks."""
 CONNECT_TIMEOUT_S = 0.4
 """A connection takes 1 to 6 ms; a lost packet costs a second, so another server is
 quicker."""
@@ -117,8 +131,11 @@
         self._demand = make_demand_rates()
         self._exchanges: dict[int, Exchange] = {}
         self._by_call: dict[str, Exchange] = {}
+        self._by_turn: dict[RequestId, Exchange] = {}
+        self._turn_numbers = count(1)
         self._ticks = 0
         self._draining = False
+        self._report_soon = False
 
     # What the process believes.
 
@@ -167,7 +184,7 @@
     def _on_engine_report(self, report):
         now_s = time.monotonic()
         if self._fleet.on_report(report, now_s):
-            self._check_waiting(ServerId(report.server), now_s)
+            self._check_waiting(now_s)
 
     @handler("entry_reported")
     def _on_entry_report(self, report: EntryReport):
@@ -209,7 +226,7 @@
         self._exchanges[http.exchange] = exchange
         self._budget(admitted.service).on_request(now_s)
         if opaque.model is not None:
-            self._demand.on_request(opaque.model, opaque.adapter, now_s)
+            self._demand.on_request(opaque.model, now_s)
         blocked = self._crashes.check(digest, now_s)
         if not is_successful(blocked):
             self._fail(exchange, blocked.failure(), now_s)
@@ -248,7 +265,11 @@
         admitted = exchange.admitted
         opaque, service = admitted.opaque, admitted.service
         candidates = self._fleet.candidates(
-            service, opaque, exchange.tried, self._own_limit(service, now_s), now_s
+            service,
+            opaque,
+            exchange.tried | exchange.refused_by,
+            self._own_limit(service, now_s),
+            now_s,
         )
         request = DispatchRequest(
             self._options.zone,
@@ -256,25 +277,112 @@
             opaque.prompt_tokens or 0,
             first_token_limit_s(admitted),
         )
-        rule = self._deployment.services.get(service)
-        load_s = engine_load_s(rule.engine if rule else None, opaque.model)
-        chosen = choose_server(request, candidates, load_s)
+        chosen = choose_server(request, candidates)
         if not is_successful(chosen):
             refusal = chosen.failure()
             run = exchange.run_state
+            if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
+                refusal = self._wait_for_model(exchange, refusal, now_s)
+                if refusal is None:
+                    return
             if run is not RunState.NOT_RUN:
                 refusal = Refusal(refusal.reason, run, refusal.detail)
             self._fail(exchange, refusal, now_s)
             return
         choice: ServerChoice = chosen.unwrap()
-        if not choice.needs_adapter:
-            self._send(exchange, choice, now_s)
+        server = self._fleet.directory.find(choice.server)
+        if opaque.model is None or self._fleet.report_of(server, now_s) is None:
+            self._send(exchange, choice.server, choice.unread_tokens, now_s)
+        else:
+            self._ask_turn(exchange, choice, now_s)
+
+    def _ask_turn(self, exchange: Exchange, choice: ServerChoice, now_s: float):
+        """Wait for the engine's agent, which lets prompts be read one at a time."""
+        self._leave_queue(exchange)
+        exchange.stage, exchange.server = Stage.WAITING_FOR_TURN, choice.server
+        exchange.turn = RequestId(self._options.me, next(self._turn_numbers))
+        exchange.unread = choice.unread_tokens
+        self._by_turn[exchange.turn] = exchange
+        self._fleet.board.on_sent(choice.server, exchange.unread)
+        self._repeat_turn(exchange, now_s)
+
+    def _repeat_turn(self, exchange: Exchange, now_s: float):
+        admitted = exchange.admitted
+        limit_s = first_token_limit_s(admitted)
+        customer = admitted.customer
+        wanted = TurnWanted(
+            exchange.turn,
+            "",
+            exchange.server,
+            admitted.opaque.model,
+            admitted.opaque.adapter or "",
+            customer.customer if customer else CustomerId(""),
+            exchange.unread,
+            urgency_of(admitted.rank),
+            exchange.started_s + limit_s - now_s,
+        )
+        self.fire(agent_send(exchange.server, wanted), "gossip")
+
+    @handler("turn_answered")
+    def _on_turn(self, answer):
+        exchange = self._by_turn.get(answer.turn)
+        now_s = time.monotonic()
+        if exchange is None:
+            if isinstance(answer, TurnGiven):
+                # The caller left or the request went elsewhere meanwhile.
+                self._end_turn(answer.turn, ServerId(answer.server))
+            return
+        if exchange.stage is not Stage.WAITING_FOR_TURN:
             return
-        exchange.stage, exchange.server = Stage.WAITING_FOR_ADAPTER, choice.server
-        if not exchange.wait_until_s:
-            exchange.wait_until_s = now_s + ADAPTER_WAIT_S
-        wanted = AdapterWanted(choice.server, opaque.model, opaque.adapter)
-        self.fire(agent_send(choice.server, wanted), "gossip")
+        if isinstance(answer, TurnGiven):
+            self._fleet.board.on_ended(exchange.server, exchange.unread)
+            self._send(exchange, exchange.server, exchange.unread, now_s)
+            return
+        log_event(
+            "turn_refused",
+            request=exchange.admitted.opaque.attempt,
+            server=answer.server,
+            detail=answer.detail,
+        )
+        exchange.refused_by.add(exchange.server)
+        self._leave_queue(exchange)
+        self._attempt(exchange, now_s)
+
+    def _leave_queue(self, exchange: Exchange):
+        """Give up the place in an engine's queue, if the request has one."""
+        if exchange.turn is None:
+            return
+        if exchange.stage is Stage.WAITING_FOR_TURN:
+            self._fleet.board.on_ended(exchange.server, exchange.unread)
+            exchange.unread = 0
+        self._by_turn.pop(exchange.turn, None)
+        self._end_turn(exchange.turn, exchange.server)
+        exchange.turn = None
+
+    def _end_turn(self, turn: RequestId, server: ServerId):
+        self.fire(agent_send(server, TurnEnded(turn, server)), "gossip")
+
+    def _wait_for_model(
+        self, exchange: Exchange, refusal: Refusal, now_s: float
+    ) -> Refusal | None:
+        """Wait for a load that ends while the caller still waits, else refuse."""
+        admitted = exchange.admitted
+        rule = self._deployment.services.get(admitted.service)
+        engine = rule.engine if rule is not None else None
+        spec = engine.models.get(admitted.opaque.model) if engine is not None else None
+        if spec is None or exchange.run_state is not RunState.NOT_RUN:
+            return refusal
+        outlook = self._fleet.load_outlook(admitted.service, spec, now_s)
+        limit_s = MODEL_WAIT_SHARE * first_token_limit_s(admitted)
+        waited_s = now_s - exchange.started_s
+        in_time = waited_s + outlook.ready_in_s <= limit_s
+        if in_time and (outlook.under_way or waited_s < PLAN_WAIT_S):
+            exchange.stage = Stage.WAITING_FOR_MODEL
+            exchange.server = None
+            self._report_soon = True
+            return None
+        retry_s = outlook.ready_in_s + LOADED_MARGIN_S
+        return Refusal(refusal.reason, refusal.run, refusal.detail, retry_s)
 
     def _own_limit(self, service: ServiceName, now_s: float) -> int:
         rule = self._deployment.services.get(service)
@@ -283,39 +391,31 @@
         share = CONNECTION_SHARE * rule.max_connections / self._quota.entries(now_s)
         return max(1, int(share))
 
-    def _check_waiting(self, server: ServerId, now_s: float):
+    def _check_waiting(self, now_s: float):
         for exchange in list(self._exchanges.values()):
-            waiting = exchange.stage is Stage.WAITING_FOR_ADAPTER
-            if waiting and exchange.server == server:
-                self._attempt_if_loaded(exchange, now_s)
-
-    def _attempt_if_loaded(self, exchange: Exchange, now_s: float):
-        opaque = exchange.admitted.opaque
-        server = self._fleet.directory.find(exchange.server)
-        models = self._fleet.models_of(server, now_s) if server else {}
-        if opaque.adapter in models.get(opaque.model, ()):
-            self._attempt(exchange, now_s)
+            if exchange.stage is Stage.WAITING_FOR_MODEL:
+                self._attempt(exchange, now_s)
 
-    def _send(self, exchange: Exchange, choice: ServerChoice, now_s: float):
+    def _send(self, exchange: Exchange, name: ServerId, unread: int, now_s: float):
         opaque, admitted = exchange.admitted.opaque, exchange.admitted
-        server = self._fleet.directory.find(choice.server)
-        exchange.stage, exchange.server = Stage.SENT, choice.server
+        server = self._fleet.directory.find(name)
+        exchange.stage, exchange.server = Stage.SENT, name
         exchange.server_started_ms = server.started_ms
         exchange.sends += 1
-        exchange.tried.add(choice.server)
-        exchange.may_have_run.add(choice.server)
-        exchange.unread = choice.unread_tokens
+        exchange.tried.add(name)
+        exchange.may_have_run.add(name)
+        exchange.unread = unread
         exchange.answer, exchange.body, exchange.sent_s = None, [], now_s
         exchange.call = f"{exchange.server_channel}-{exchange.number}-{exchange.sends}"
         self._by_call[exchange.call] = exchange
-        self._fleet.on_sent(choice.server, opaque, choice.unread_tokens, now_s)
+        self._fleet.on_sent(name, opaque, unread, now_s)
         last_event = opaque.last_event
         if exchange.cutter is not None and exchange.cutter.last_id is not None:
             last_event = exchange.cutter.last_id
         customer: CustomerRule | None = admitted.customer
         request = ServerRequest(
             opaque,
-            choice.server,
+            name,
             exchange.give_up_s - now_s,
             customer.customer if customer else None,
             admitted.rank,
@@ -402,9 +502,14 @@
     def _on_started(self, exchange: Exchange, now_s: float):
         if exchange.first_byte_s is None:
             exchange.first_byte_s = now_s
+        else:
+            pause_s = now_s - exchange.last_byte_s
+            exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
+        exchange.last_byte_s = now_s
         if exchange.unread:
             self._fleet.board.on_started(exchange.server, exchange.unread)
             exchange.unread = 0
+        self._leave_queue(exchange)
 
     @handler("call_done")
     def _on_done(self, done):
@@ -497,6 +602,7 @@
         )
 
     def _release(self, exchange: Exchange):
+        self._leave_queue(exchange)
         self._fleet.board.on_ended(exchange.server, exchange.unread)
         exchange.unread = 0
 
@@ -517,6 +623,7 @@
         self._end(exchange, refusal.reason.value, now_s, refusal)
 
     def _end(self, exchange: Exchange, outcome: str, now_s: float, refusal=None):
+        self._leave_queue(exchange)
         exchange.stage = Stage.ENDED
         self._exchanges.pop(exchange.number, None)
         fields = {}
@@ -537,6 +644,7 @@
             outcome=outcome,
             sends=exchange.sends,
             first_byte_s=first_s and round(first_s - exchange.started_s, 4),
+            longest_pause_s=round(exchange.longest_pause_s, 4),
             took_s=round(now_s - exchange.started_s, 4),
             **fields,
         )
@@ -559,20 +667,25 @@
         for exchange in list(self._exchanges.values()):
             if now_s >= exchange.give_up_s:
                 self._time_out(exchange, now_s)
-            elif self._waits_too_long(exchange, now_s):
-                text = "the adapter was not loaded in time"
-                reason = RefusalReason.MODEL_NOT_LOADED
-                refusal = Refusal(reason, exchange.run_state, text, ADAPTER_WAIT_S)
-                self._fail(exchange, refusal, now_s)
+            elif exchange.stage is Stage.WAITING_FOR_TURN:
+                self._wait_for_turn(exchange, now_s)
+            elif exchange.stage is Stage.WAITING_FOR_MODEL:
+                self._attempt(exchange, now_s)
         self._ticks += 1
-        if self._ticks % REPORT_EVERY_TICKS == 0:
+        if self._ticks % REPORT_EVERY_TICKS == 0 or self._report_soon:
+            self._report_soon = False
             self._report(now_s)
         if self._ticks % 10 == 0:
             self._fleet.directory.forget_gone(now_s)
 
-    def _waits_too_long(self, exchange: Exchange, now_s: float) -> bool:
-        waiting = exchange.stage is Stage.WAITING_FOR_ADAPTER
-        return waiting and now_s >= exchange.wait_until_s
+    def _wait_for_turn(self, exchange: Exchange, now_s: float):
+        """Ask again, as a datagram may be lost, or choose another engine."""
+        server = self._fleet.directory.find(exchange.server)
+        if self._fleet.report_of(server, now_s) is None:
+            self._leave_queue(exchange)
+            self._attempt(exchange, now_s)
+        else:
+            self._repeat_turn(exchange, now_s)
 
     def _time_out(self, exchange: Exchange, now_s: float):
         if self._by_call.pop(exchange.call, None) is not None:
@@ -592,11 +705,21 @@
             running,
             unread,
             rates,
+            self._running_by_model(),
             self._draining,
         )
         self.fire(entry_report_due(report), "gossip")
         servers = self._fleet.directory.present(now_s)
-        self.fire(demand_known(servers), "gossip")
+        self.fire(servers_known(servers), "gossip", "planner")
+
+    def _running_by_model(self) -> dict[str, int]:
+        """Return the requests in progress, those that wait for their model left out."""
+        models = [
+            exchange.admitted.opaque.model
+            for exchange in self._exchanges.values()
+            if exchange.stage not in WAITING
+        ]
+        return dict(Counter(model for model in models if model is not None))
 
     # The end of the process.
 
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -18,12 +18,16 @@
     EngineReport,
     EngineWatch,
     EntryReport,
+    TurnGiven,
+    TurnRefused,
+    TurnWanted,
 )
 from chervilgw.forward.events import (
     announce_entry,
     crash_reported,
     engine_reported,
     entry_reported,
+    turn_answered,
 )
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.telemetry import log_event
@@ -84,9 +88,11 @@
                 if message.address not in self._peers:
                     log_event("entry_found", entry=str(message.sender))
                 self._peers[message.address] = time.monotonic()
-                self.fire(entry_reported(message), "gateway")
+                self.fire(entry_reported(message), "gateway", "planner")
             case EngineReport():
-                self.fire(engine_reported(message), "gateway")
+                self.fire(engine_reported(message), "gateway", "planner")
+            case TurnGiven() | TurnRefused():
+                self.fire(turn_answered(message), "gateway")
             case CrashReport():
                 self.fire(crash_reported(message), "gateway")
 
@@ -98,13 +104,14 @@
                 del self._peers[address]
                 log_event("entry_silent", address=address, silent_s=SILENT_PEER_S)
         report = replace(report, address=self._options.address)
+        self.fire(entry_reported(report), "planner")
         self._send(report, list(self._peers))
 
     @handler("crash_shared")
     def _on_crash_shared(self, report: CrashReport):
         self._send(report, list(self._peers))
 
-    @handler("demand_known")
+    @handler("servers_known")
     def _on_servers(self, servers: list[RegisteredServer]):
         self._engines = {
             server.server: server
@@ -128,6 +135,8 @@
     @handler("agent_send")
     def _on_agent_send(self, server: ServerId, message):
         engine = self._engines.get(server)
+        if isinstance(message, TurnWanted):
+            message = replace(message, address=self._options.address)
         if engine is not None:
             self._send(message, [self._agent_of(engine)])
 
--- /dev/null
+++ b/chervilgw/forward/planner_task.py
@@ -0,0 +1,142 @@
+"""Planner task of an entry: asks the engines' agents for models that are in demand.
+
+Every entry keeps the reports it needs; the one with the lowest address among those that
+were heard of lately plans.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+from circuits import BaseComponent, handler
+
+from chervilgw.core.deployment import Deployment, RegisteredServer, ServerId
+from chervilgw.core.ids import ModelName
+from chervilgw.core.messages import EngineReport, EntryReport, ModelWanted
+from chervilgw.forward.events import agent_send
+from chervilgw.placement.demand_rate import make_fleet_demand
+from chervilgw.placement.planner import EngineView, make_planner
+from chervilgw.telemetry import log_event
+
+ENTRY_AGE_S = 1.0
+"""An entry that has been silent for five reports does not plan and has no demand."""
+REPORT_AGE_S = 3.0
+"""An engine is planned with while its agent has reported in this time."""
+
+
+@dataclass(slots=True)
+class _Engine:
+    report: EngineReport
+    heard_s: float
+
+
+class PlannerTask(BaseComponent):
+    """Planner task; see :func:`make_planner_task`."""
+
+    def __init__(self, address: str, channel):
+        super().__init__(channel=channel)
+        self._address = address
+        self._planner = make_planner()
+        self._demand = make_fleet_demand()
+        self._deployment: Deployment | None = None
+        self._entries: dict[str, tuple[EntryReport, float]] = {}
+        self._engines: dict[str, _Engine] = {}
+        self._servers: list[RegisteredServer] = []
+        self._is_planning = False
+
+    @handler("deployment_changed", channel="*")
+    def _on_deployment(self, deployment):
+        self._deployment = deployment
+
+    @handler("entry_reported")
+    def _on_entry(self, report: EntryReport):
+        self._entries[report.address] = (report, time.monotonic())
+
+    @handler("engine_reported")
+    def _on_engine(self, report: EngineReport):
+        self._engines[report.server] = _Engine(report, time.monotonic())
+
+    @handler("servers_known")
+    def _on_servers(self, servers):
+        self._servers = servers
+
+    @handler("clock_tick", channel="*")
+    def _on_tick(self, now_s, paused):
+        if self._deployment is None or paused:
+            return
+        self._forget(now_s)
+        live = [
+            report.address for report, _ in self._entries.values() if not report.leaving
+        ]
+        is_first = bool(live) and min(live) == self._address
+        if is_first != self._is_planning:
+            self._is_planning = is_first
+            log_event("planning_changed", plans=is_first, entries=len(live))
+        if is_first:
+            self._plan(now_s)
+
+    def _forget(self, now_s: float):
+        for address, (_, heard_s) in list(self._entries.items()):
+            if now_s - heard_s > ENTRY_AGE_S:
+                del self._entries[address]
+        for server, engine in list(self._engines.items()):
+            if now_s - engine.heard_s > REPORT_AGE_S:
+                del self._engines[server]
+
+    def _plan(self, now_s: float):
+        reports = [report for report, _ in self._entries.values()]
+        demand = self._demand.update(
+            [report.rates for report in reports],
+            [report.running_by_model for report in reports],
+            now_s,
+        )
+        for service, rule in self._deployment.services.items():
+            if rule.engine is None:
+                continue
+            engines = self._views(service)
+            for move in self._planner.plan(rule.engine, engines, demand, now_s):
+                log_event(
+                    "model_move",
+                    server=move.server,
+                    model=move.model,
+                    unload=move.unload,
+                    rate_per_s=round(demand[move.model].per_s, 2),
+                    running=round(demand[move.model].running, 1),
+                    from_store=move.from_store,
+                )
+                wanted = ModelWanted(move.server, move.model, move.unload)
+                self.fire(agent_send(move.server, wanted), "gossip")
+
+    def _views(self, service) -> list[EngineView]:
+        views = []
+        for server in self._servers:
+            engine = self._engines.get(server.server)
+            if engine is None or server.service != service or engine.report.draining:
+                continue
+            report = engine.report
+            views.append(
+                EngineView(
+                    ServerId(report.server),
+                    server.zone,
+                    frozenset(map(ModelName, report.adapters)),
+                    report.loading,
+                    report.busy,
+                    frozenset(report.near),
+                    report.running,
+                )
+            )
+        return views
+
+
+def make_planner_task(address: str, channel="planner") -> PlannerTask:
+    """Return the planner task of an entry.
+
+    Parameters
+    ----------
+    address : str
+        Datagram address of this entry.
+    channel : str
+        Channel of the task.
+    """
+    return PlannerTask(address, channel)
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -62,7 +62,7 @@
         Returns
         -------
         bool
-            Whether what is known of the server changed other than its orders.
+            Whether the server is new, or its state, address or models changed.
         """
         known = self._known.get(entry.server)
         newest_ms = self._newest_at.get(entry.address, entry.started_ms)
@@ -76,8 +76,7 @@
         if same and known.entry.state is ServerState.DRAINING:
             # A server that is leaving does not come back in the same incarnation.
             entry = replace(entry, state=ServerState.DRAINING)
-        changed = replace(entry, orders=0) != replace(known.entry, orders=0)
-        changed = changed or known.missing_since_s is not None
+        changed = known.missing_since_s is not None or _differ(entry, known.entry)
         self._known[entry.server] = _Known(entry, offset)
         return changed
 
@@ -175,6 +174,15 @@
                 del self._known[server]
 
 
+def _differ(entry: RegisteredServer, former: RegisteredServer) -> bool:
+    return (
+        entry.started_ms != former.started_ms
+        or entry.state is not former.state
+        or entry.address != former.address
+        or entry.adapters.keys() != former.adapters.keys()
+    )
+
+
 def make_server_directory() -> ServerDirectory:
     """Return an empty directory."""
     return ServerDirectory()
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from chervilgw.core.deployment import (
-    EngineSpec,
+    ModelSpec,
     OpaqueRequest,
     RegisteredServer,
     ServerId,
@@ -18,8 +18,20 @@
 from chervilgw.routing.dispatch import Candidate
 from chervilgw.routing.prefixes import make_prefix_index
 
-REPORT_AGE_S = 1.5
-"""A report older than this says nothing any more: agents send several a second."""
+REPORT_AGE_S = 3.0
+"""A report older than this says nothing any more: agents send one a second at least."""
+
+
+PLAN_S = 0.5
+"""From a request for a missing model to the order: two reports, a plan, a datagram."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadOutlook:
+    """When a model may be loaded, and whether its load is under way."""
+
+    ready_in_s: float
+    under_way: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +48,7 @@
         self.board: LoadBoard = make_load_board()
         self._reports: dict[ServerId, _Heard] = {}
         self._prefixes = make_prefix_index()
+        self._loading_since: dict[tuple[ServerId, ModelName], float] = {}
 
     def on_report(self, report: EngineReport, now_s: float) -> bool:
         """Take the report of an engine's agent; return whether the engine matches."""
@@ -48,10 +61,19 @@
         if is_same and report.orders < last.report.orders:
             return False
         self._reports[server] = _Heard(report, now_s)
+        self._note_loading(server, ModelName(report.loading), now_s)
         if report.draining:
             self.directory.on_seen_draining(server, report.started_ms)
         return True
 
+    def _note_loading(self, server: ServerId, model: ModelName, now_s: float) -> None:
+        key = (server, model)
+        if key not in self._loading_since:
+            for former in [each for each in self._loading_since if each[0] == server]:
+                del self._loading_since[former]
+            if model:
+                self._loading_since[key] = now_s
+
     def report_of(self, server: RegisteredServer, now_s: float) -> EngineReport | None:
         """Return the fresh report of this incarnation of a server, or None."""
         heard = self._reports.get(server.server)
@@ -137,15 +159,34 @@
         if request.prompt_parts:
             self._prefixes.on_dispatch(VmId(server), prefix_digests(request), now_s)
 
-    def is_loading(self, service: ServiceName, model: ModelName, now_s: float) -> bool:
-        """Return whether some engine of a service loads a model."""
-        return any(
-            report is not None and report.loading == model
-            for report in (
-                self.report_of(server, now_s)
-                for server in self.directory.usable(service, now_s)
-            )
-        )
+    def load_outlook(
+        self, service: ServiceName, spec: ModelSpec, now_s: float
+    ) -> LoadOutlook:
+        """Return when some engine of a service may hold a model that none holds.
+
+        Parameters
+        ----------
+        service : ServiceName
+        spec : ModelSpec
+            The model.
+        now_s : float
+            Monotonic time.
+        """
+        shortest_s, under_way = spec.load_s + PLAN_S, False
+        for server in self.directory.usable(service, now_s):
+            report = self.report_of(server, now_s)
+            if report is None:
+                continue
+            near = spec.name in report.near
+            takes_s = spec.disk_load_s if near else spec.load_s
+            if report.loading == spec.name:
+                since_s = self._loading_since.get((server.server, spec.name), now_s)
+                left_s = max(0.0, since_s + takes_s - now_s)
+                if not under_way or left_s < shortest_s:
+                    shortest_s, under_way = left_s, True
+            elif not under_way:
+                shortest_s = min(shortest_s, takes_s + PLAN_S)
+        return LoadOutlook(shortest_s, under_way)
 
     def forget(self, server: ServerId) -> None:
         """Drop what is known of a server that is gone."""
@@ -160,13 +201,6 @@
     return tuple(Digest(wall + part) for part, _ in request.prompt_parts)
 
 
-def engine_load_s(spec: EngineSpec | None, model: ModelName | None) -> float:
-    """Return how long the load of a model takes from the weight store."""
-    if spec is None or model not in spec.models:
-        return 0.0
-    return spec.models[model].load_s
-
-
 def make_fleet_view() -> FleetView:
     """Return a view without servers."""
     return FleetView()
--- a/chervilgw/placement/demand_rate.py
+++ b/chervilgw/placement/demand_rate.py
@@ -1,16 +1,21 @@
-"""Requests per second for each model and adapter, as exponential averages."""
+"""Demand for each model: requests per second, and requests in progress."""
 
 from __future__ import annotations
 
 import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from chervilgw.core.ids import ModelName
 
-AVERAGE_S = 4.0
-"""Time constant: demand moves to other models within some seconds."""
-FORGET_PER_S = 0.01
-"""Below this rate a name is dropped from reports."""
+AVERAGE_S = 10.0
+"""Time constant of the request rate. Rare models are asked for every ten seconds or so,
+and busy ones show within a second all the same."""
+FORGET_PER_S = 0.005
+"""Below this rate a model is dropped: its last request was half a minute ago."""
+WORK_AVERAGE_S = 2.0
+"""Time constant of the requests in progress, which last one or two seconds each."""
 
 
 @dataclass(slots=True)
@@ -24,42 +29,98 @@
 
     def __init__(self, average_s: float):
         self._average_s = average_s
-        self._rates: dict[str, _Rate] = {}
+        self._rates: dict[ModelName, _Rate] = {}
 
-    def on_request(self, model: ModelName, adapter: str | None, now_s: float) -> None:
+    def on_request(self, model: ModelName, now_s: float) -> None:
         """Count a request, also one that is refused later."""
-        self._count(model, now_s)
-        if adapter is not None:
-            self._count(f"{model}/{adapter}", now_s)
-
-    def _count(self, name: str, now_s: float) -> None:
-        rate = self._rates.setdefault(name, _Rate(0.0, now_s))
+        rate = self._rates.setdefault(model, _Rate(0.0, now_s))
         rate.per_s = self._decayed(rate, now_s) + 1.0 / self._average_s
         rate.at_s = now_s
 
     def _decayed(self, rate: _Rate, now_s: float) -> float:
         return rate.per_s * math.exp((rate.at_s - now_s) / self._average_s)
 
-    def rates(self, now_s: float) -> dict[str, float]:
-        """Return the current rates by model, and by ``model/adapter``."""
+    def rates(self, now_s: float) -> dict[ModelName, float]:
+        """Return the current rates in requests per second."""
         found = {}
-        for name, rate in list(self._rates.items()):
+        for model, rate in list(self._rates.items()):
             per_s = self._decayed(rate, now_s)
             if per_s < FORGET_PER_S:
-                del self._rates[name]
+                del self._rates[model]
             else:
-                found[name] = round(per_s, 3)
+                found[model] = round(per_s, 3)
         return found
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Demand of all entries for one model.
+
+    ``running`` is the average number of requests in progress: a slow model has more of
+    them at the same rate, and needs more copies.
+    """
+
+    per_s: float
+    running: float
+
+
+class FleetDemand:
+    """Demand of all entries; see :func:`make_fleet_demand`."""
+
+    def __init__(self):
+        self._running: defaultdict[ModelName, float] = defaultdict(float)
+        self._updated_s: float | None = None
+
+    def update(
+        self,
+        rates: Iterable[Mapping[ModelName, float]],
+        running: Iterable[Mapping[ModelName, int]],
+        now_s: float,
+    ) -> dict[ModelName, Demand]:
+        """Return the demand from what each entry last reported.
+
+        Parameters
+        ----------
+        rates : iterable of mapping
+            Requests per second by model, one mapping for each entry.
+        running : iterable of mapping
+            Requests in progress by model, one mapping for each entry.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        elapsed_s = now_s - self._updated_s if self._updated_s is not None else 0.0
+        keep = math.exp(-elapsed_s / WORK_AVERAGE_S)
+        self._updated_s = now_s
+        sums: defaultdict[ModelName, float] = defaultdict(float)
+        for each in running:
+            for model, count in each.items():
+                sums[model] += count
+        for model in set(self._running) | set(sums):
+            average = keep * self._running[model] + (1 - keep) * sums[model]
+            self._running[model] = average
+        per_s: defaultdict[ModelName, float] = defaultdict(float)
+        for each in rates:
+            for model, rate in each.items():
+                per_s[model] += rate
+        return {
+            model: Demand(per_s[model], self._running[model])
+            for model in set(per_s) | set(self._running)
+        }
+
+
 def make_demand_rates(average_s: float = AVERAGE_S) -> DemandRates:
     """Return rates without requests.
 
     Examples
     --------
     >>> rates = make_demand_rates(average_s=4.0)
-    >>> rates.on_request(ModelName("m"), None, now_s=0.0)
+    >>> rates.on_request(ModelName("m"), now_s=0.0)
     >>> rates.rates(now_s=0.0)
     {'m': 0.25}
     """
     return DemandRates(average_s)
+
+
+def make_fleet_demand() -> FleetDemand:
+    """Return the demand of a fleet that has had no requests."""
+    return FleetDemand()
--- /dev/null
+++ b/chervilgw/placement/planner.py
@@ -0,0 +1,239 @@
+"""Which engine should hold which models, from the demand of all entries.
+
+One entry plans at a time: the first by address of those that hear each other. Two that
+plan at once, after a partition, only make moves that were not needed; the agents beside
+the engines keep every memory limit.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from chervilgw.core.deployment import EngineSpec, ServerId
+from chervilgw.core.ids import ModelName, ZoneId
+from chervilgw.placement.demand_rate import Demand
+
+RUNNING_PER_COPY = 8.0
+"""Requests in progress that one engine serves within the target: at about 6 requests a
+second that last 1.7 s each, it reads prompts for less than half of the time."""
+REQUEST_S = 1.2
+"""How long a request of a model that nobody serves would last."""
+MIN_RATE_PER_S = 0.04
+"""A model is loaded for one request, while that is no older than about ten seconds."""
+MOVE_GAIN = 1.5
+"""A load takes seconds in which its engine serves one model less, so what it serves
+must be well above what the unloaded model served."""
+MIN_STAY_S = 4.0
+"""A model that has just been loaded is not unloaded again before those who asked for it
+have come back; models would otherwise drive each other out in turn."""
+REPEAT_S = 1.0
+"""A wish is not repeated sooner: the engine first reports what it does."""
+LOAD_SHARE = 0.8
+"""Part of the weight store's rate that is planned for; the rest covers a second planner
+after a partition."""
+LOAD_EXTRA = 1
+"""Loads at once beyond the rate, which the operators allow on top."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What the planner needs to know of an engine.
+
+    ``near`` holds models whose weights are on the engine's VM; ``loading`` is the model
+    that it loads, or an empty string.
+    """
+
+    server: ServerId
+    zone: ZoneId
+    models: frozenset[ModelName]
+    loading: str
+    busy: bool
+    near: frozenset[str]
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A model to load on an engine, and what to unload there before."""
+
+    server: ServerId
+    model: ModelName
+    unload: tuple[ModelName, ...]
+    from_store: bool
+
+
+@dataclass(slots=True)
+class Planner:
+    """Plans moves; see :func:`make_planner`."""
+
+    _loaded_s: dict[tuple[ServerId, ModelName], float] = field(default_factory=dict)
+    _asked_s: dict[ServerId, float] = field(default_factory=dict)
+    _loads_s: deque = field(default_factory=deque)
+    _was_loading: dict[ServerId, str] = field(default_factory=dict)
+
+    def plan(
+        self,
+        spec: EngineSpec,
+        engines: Sequence[EngineView],
+        demand: Mapping[ModelName, Demand],
+        now_s: float,
+    ) -> list[Move]:
+        """Return the moves to ask for now.
+
+        Parameters
+        ----------
+        spec : EngineSpec
+            Capacity and models of the service.
+        engines : sequence of EngineView
+            Engines that report and are not leaving.
+        demand : mapping of ModelName to Demand
+            Demand of all entries together.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        self._observe(engines, now_s)
+        copies = _copies(engines)
+        free = [each for each in engines if self._is_free(each, now_s)]
+        moves = []
+        for model in _by_need(spec, demand, copies, len(engines)):
+            move = self._best_move(spec, model, free, demand, copies, now_s)
+            if move is None:
+                continue
+            if move.from_store and not self._may_load(spec, now_s):
+                continue
+            moves.append(move)
+            free = [each for each in free if each.server != move.server]
+            copies[model] += 1
+            for victim in move.unload:
+                copies[victim] -= 1
+            self._asked_s[move.server] = now_s
+            if move.from_store:
+                self._loads_s.append(now_s)
+        return moves
+
+    def _observe(self, engines: Iterable[EngineView], now_s: float) -> None:
+        for engine in engines:
+            before = self._was_loading.get(engine.server, "")
+            if before and before in engine.models:
+                self._loaded_s[engine.server, ModelName(before)] = now_s
+            self._was_loading[engine.server] = engine.loading
+
+    def _is_free(self, engine: EngineView, now_s: float) -> bool:
+        asked_s = self._asked_s.get(engine.server, float("-inf"))
+        return not engine.busy and now_s - asked_s >= REPEAT_S
+
+    def _may_load(self, spec: EngineSpec, now_s: float) -> bool:
+        """Return whether the weight store's rate allows one more load."""
+        if spec.loads_per_s <= 0:
+            return True
+        window_s = 5.0
+        while self._loads_s and now_s - self._loads_s[0] > window_s:
+            self._loads_s.popleft()
+        limit = LOAD_SHARE * spec.loads_per_s * window_s + LOAD_EXTRA
+        return len(self._loads_s) + 1 <= limit
+
+    def _best_move(self, spec, model, free, demand, copies, now_s) -> Move | None:
+        gain = _unserved(model, demand, copies[model])
+        best: tuple[tuple[bool, float, int], Move] | None = None
+        for engine in free:
+            if model in engine.models or engine.loading == model:
+                continue
+            victims = self._victims(spec, model, engine, demand, copies, now_s)
+            if victims is None:
+                continue
+            loss = sum(_loss(each, demand, copies) for each in victims)
+            if victims and gain < MOVE_GAIN * loss:
+                continue
+            far = model not in engine.near
+            move = Move(engine.server, model, victims, far)
+            order = (far, loss, engine.running)
+            if best is None or order < best[0]:
+                best = order, move
+        return best[1] if best is not None else None
+
+    def _victims(
+        self, spec, model, engine, demand, copies, now_s
+    ) -> tuple[ModelName, ...] | None:
+        """Return what to unload so that the model fits, or None if it cannot."""
+        sizes = spec.models
+        if any(held not in sizes for held in engine.models):
+            return None
+        free_mb = spec.capacity_mb - sum(
+            sizes[held].weights_mb for held in engine.models
+        )
+        # Adapters of all places are left room for, as they come and go meanwhile.
+        free_mb -= spec.adapter_slots * max(
+            (each.adapter_mb for each in sizes.values()), default=0.0
+        )
+        needed_mb = sizes[model].weights_mb
+        held = sorted(
+            engine.models, key=lambda name: (_loss(name, demand, copies), name)
+        )
+        victims = []
+        for name in held:
+            if free_mb >= needed_mb:
+                break
+            loaded_s = self._loaded_s.get((engine.server, name), float("-inf"))
+            if now_s - loaded_s < MIN_STAY_S:
+                continue
+            victims.append(name)
+            free_mb += sizes[name].weights_mb
+        return tuple(victims) if free_mb >= needed_mb else None
+
+
+def _copies(engines: Iterable[EngineView]) -> defaultdict[ModelName, int]:
+    copies: defaultdict[ModelName, int] = defaultdict(int)
+    for engine in engines:
+        for model in engine.models:
+            copies[model] += 1
+        if engine.loading and engine.loading not in engine.models:
+            copies[ModelName(engine.loading)] += 1
+    return copies
+
+
+def _work(model: ModelName, demand: Mapping[ModelName, Demand]) -> float:
+    """Return the requests in progress that a model would have if it were served."""
+    known = demand.get(model)
+    if known is None:
+        return 0.0
+    return max(known.running, known.per_s * REQUEST_S)
+
+
+def _unserved(model: ModelName, demand, copies: int) -> float:
+    """Return the work that is beyond what a number of copies serves."""
+    return max(0.0, _work(model, demand) - RUNNING_PER_COPY * copies)
+
+
+def _loss(model: ModelName, demand, copies) -> float:
+    """Return the work that loses its place if one copy goes."""
+    return _unserved(model, demand, copies[model] - 1)
+
+
+def _by_need(spec, demand, copies, engine_count: int) -> list[ModelName]:
+    """Return models that need another copy, those without any first."""
+    needed = []
+    for model, known in demand.items():
+        if model not in spec.models or known.per_s < MIN_RATE_PER_S:
+            continue
+        unserved = _unserved(model, demand, copies[model])
+        if unserved > 0 and copies[model] < engine_count:
+            needed.append((copies[model] > 0, -unserved, model))
+    return [model for _, _, model in sorted(needed)]
+
+
+def make_planner() -> Planner:
+    """Return a planner that has not asked for anything.
+
+    Examples
+    --------
+    >>> from chervilgw.core.deployment import ModelSpec
+    >>> size = ModelSpec(ModelName("m"), 60.0, 4.0, 0.6, 0.8, 0, 0.0)
+    >>> spec = EngineSpec(64, 1000, 100.0, 0, 2.8, {ModelName("m"): size})
+    >>> empty = EngineView("e", "z", frozenset(), "", False, frozenset(), 0)
+    >>> demand = {ModelName("m"): Demand(1.0, 0.0)}
+    >>> make_planner().plan(spec, [empty], demand, now_s=0.0)
+    [Move(server='e', model='m', unload=(), from_store=True)]
+    """
+    return Planner()
--- a/chervilgw/platform/boot.py
+++ b/chervilgw/platform/boot.py
@@ -71,6 +71,7 @@
             front_listen=fields.get("listen.front") or None,
             ready_listen=fields.get("listen.ready") or None,
             app=fields.get("app") or None,
+            app_service=fields.get("service", ""),
             peer_ports=(int(first), int(last or first)),
             max_descriptors=int(fields.get("limits.max_fds", "4096")),
             store=StoreSettings(
--- /dev/null
+++ b/chervilgw/platform/engines.py
@@ -0,0 +1,105 @@
+"""Reports of engines and orders to them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from chervilgw.core.deployment import ServerId
+from chervilgw.placement.engine_orders import (
+    EngineState,
+    Order,
+    OrderKind,
+    OrderReply,
+)
+from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.servers import decode_models
+from chervilgw.runtime.events import Headers
+
+REPORT_PATH = "/report"
+ORDER_PATH = "/order"
+
+_OPERATIONS = {OrderKind.LOAD: "model_load", OrderKind.UNLOAD: "model_unload"}
+_REPLIES = {
+    200: OrderReply.ALREADY_DONE,
+    202: OrderReply.ACCEPTED,
+    409: OrderReply.CONFLICT,
+    412: OrderReply.FENCED,
+    421: OrderReply.OTHER_SERVER,
+}
+
+
+def decode_report(body: bytes) -> EngineState:
+    """Return what an engine reports of itself.
+
+    Raises
+    ------
+    DecodeError
+        If the body is not a report.
+    """
+    try:
+        report = json.loads(body)
+        near: Mapping[str, Any] = report.get("at_hand") or {}
+        return EngineState(
+            started_ms=int(report.get("born") or 0),
+            orders=int(report["sequence"]),
+            busy=bool(report["busy"]),
+            # "state" is left out while the engine takes requests.
+            draining=report.get("state") not in (None, "ready"),
+            time_left_s=_seconds(report.get("time_left_ms")),
+            adapters=decode_models(report["models"]),
+            coming=tuple(_coming(each) for each in report.get("coming") or ()),
+            near=frozenset(near.get("in_memory") or ())
+            | frozenset(near.get("on_disk") or ()),
+            waiting=int(report.get("waiting") or 0),
+            running=int(report.get("running") or 0),
+            used_tokens=int(report.get("kv_used") or 0),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise DecodeError(f"report: {type(error).__name__}: {error}") from error
+
+
+def _seconds(left_ms: Any) -> float | None:
+    return None if left_ms is None else float(left_ms) / 1000
+
+
+def _coming(text: str) -> tuple[str, str]:
+    """Return model and adapter of ``MODEL/NAME@VERSION``."""
+    model, _, rest = text.partition("/")
+    return model, rest.partition("@")[0]
+
+
+def encode_order(order: Order, holder: str, fence: int) -> bytes:
+    """Return the body of an order."""
+    fields: dict[str, Any] = {
+        "op": _OPERATIONS[order.kind],
+        "model": order.model,
+        "expected": order.expected_orders,
+        "holder": holder,
+        "fence": fence,
+    }
+    if order.adapter is not None:
+        fields["adapter"] = order.adapter
+    return json.dumps(fields).encode()
+
+
+def order_headers(server: ServerId) -> Headers:
+    """Return the headers of an order; another server refuses it."""
+    return (("Content-Type", "application/json"), ("X-Expect-Instance", server))
+
+
+def decode_reply(status: int) -> OrderReply:
+    """Return what an engine answered to an order."""
+    return _REPLIES.get(status, OrderReply.REFUSED)
+
+
+class PlatformEngineCodec:
+    """The encoding of this platform's engines for their agents."""
+
+    report_path = REPORT_PATH
+    order_path = ORDER_PATH
+    decode_report = staticmethod(decode_report)
+    encode_order = staticmethod(encode_order)
+    order_headers = staticmethod(order_headers)
+    decode_reply = staticmethod(decode_reply)
--- a/chervilgw/platform/start.py
+++ b/chervilgw/platform/start.py
@@ -37,10 +37,11 @@
         store = make_store_task(settings.store.address, follow_servers=True)
         app = make_forward_entry(settings, PlatformCodec(), store)
     else:
-        from chervilgw.forward.app import make_agent
+        from chervilgw.forward.agent_app import make_agent
+        from chervilgw.platform.engines import PlatformEngineCodec
 
         store = make_store_task(settings.store.address, follow_servers=False)
-        app = make_agent(settings, store)
+        app = make_agent(settings, PlatformEngineCodec(), store)
     log_event("process_started", vm=settings.vm, zone=settings.zone)
     app.run()
     log_event("process_stopped", vm=settings.vm)
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -68,12 +68,11 @@
     """The selected server, and what it has to read of the prompt."""
 
     server: ServerId
-    needs_adapter: bool
     unread_tokens: int
 
 
 def choose_server(
-    request: DispatchRequest, candidates: Sequence[Candidate], load_s: float
+    request: DispatchRequest, candidates: Sequence[Candidate]
 ) -> Result[ServerChoice, Refusal]:
     """Return the server with the shortest expected wait, or a refusal.
 
@@ -82,8 +81,6 @@
     request : DispatchRequest
     candidates : sequence of Candidate
         Servers of the service that are ready and not excluded.
-    load_s : float
-        When a model that no server holds may be loaded, in seconds from now.
 
     Returns
     -------
@@ -98,7 +95,7 @@
     holders = [each for each in candidates if each.has_model]
     if not holders:
         text = f"no ready engine holds {request.model}"
-        return _refuse(RefusalReason.MODEL_NOT_LOADED, text, load_s)
+        return _refuse(RefusalReason.MODEL_NOT_LOADED, text, None)
     best = min(holders, key=lambda each: _engine_cost_s(request, each))
     wait_s = best.unread_tokens / READ_TOKENS_PER_S + RUNNING_COST_S * best.running
     if wait_s > request.first_token_limit_s:
@@ -106,7 +103,7 @@
         retry_s = max(MIN_RETRY_S, wait_s - request.first_token_limit_s / 2)
         return _refuse(RefusalReason.QUEUE_FULL, text, retry_s)
     unread = max(0, request.prompt_tokens - best.cached_tokens)
-    choice = ServerChoice(best.server.server, not best.has_adapter, unread)
+    choice = ServerChoice(best.server.server, unread)
     return Success(choice)
 
 
@@ -118,7 +115,7 @@
     if wait_s > request.first_token_limit_s:
         text = f"the shortest queue takes {wait_s:.2f} s"
         return _refuse(RefusalReason.QUEUE_FULL, text, max(MIN_RETRY_S, wait_s / 2))
-    return Success(ServerChoice(best.server.server, False, 0))
+    return Success(ServerChoice(best.server.server, 0))
 
 
 def _plain_cost_s(request: DispatchRequest, candidate: Candidate) -> float:
@@ -140,5 +137,5 @@
     return 0.0 if candidate.server.zone == request.zone else OTHER_ZONE_COST_S
 
 
-def _refuse(reason: RefusalReason, text: str, retry_s: float):
+def _refuse(reason: RefusalReason, text: str, retry_s: float | None):
     return Failure(make_refusal(reason, text, retry_s))
--- a/chervilgw/settings/vm.py
+++ b/chervilgw/settings/vm.py
@@ -35,7 +35,8 @@
     """Settings of one process.
 
     ``front_listen`` and ``ready_listen`` are set where callers connect; ``app`` is the
-    address of the engine on the same VM, if there is one. ``peer_ports`` is the range
+    address of the engine on the same VM, if there is one, and ``app_service`` the
+    service that it started with. ``peer_ports`` is the range
     of ports for messages between the system's own processes.
     """
 
@@ -47,6 +48,7 @@
     front_listen: Address | None = None
     ready_listen: Address | None = None
     app: Address | None = None
+    app_service: str = ""
     peer_ports: tuple[int, int]
     max_descriptors: int = Field(4096, ge=256)
     store: StoreSettings
