--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -320,6 +320,7 @@
                 busy=state.busy,
                 draining=state.draining,
                 models={name: sorted(each) for name, each in state.adapters.items()},
+                near=sorted(state.near),
             )
             self._pass_on(list(self._watchers), now_s)
             if state.draining:
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -15,7 +15,7 @@
 from chervilgw.core.ids import ModelName, ZoneId
 from chervilgw.placement.demand_rate import Demand
 
-RUNNING_PER_COPY = 8.0
+RUNNING_PER_COPY = 14.0
 """Requests in progress that one engine serves within the target: at about 6 requests a
 second that last 1.7 s each, it reads prompts for less than half of the time."""
 REQUEST_S = 1.2
@@ -69,7 +69,7 @@
     """Plans moves; see :func:`make_planner`."""
 
     _loaded_s: dict[tuple[ServerId, ModelName], float] = field(default_factory=dict)
-    _asked_s: dict[ServerId, float] = field(default_factory=dict)
+    _asked: dict[ServerId, tuple[Move, float]] = field(default_factory=dict)
     _loads_s: deque = field(default_factory=deque)
     _was_loading: dict[ServerId, str] = field(default_factory=dict)
 
@@ -94,11 +94,16 @@
             Monotonic time in seconds.
         """
         self._observe(engines, now_s)
-        copies = _copies(engines)
+        copies = self._copies(engines)
         free = [each for each in engines if self._is_free(each, now_s)]
         moves = []
         for model in _by_need(spec, demand, copies, len(engines)):
-            move = self._best_move(spec, model, free, demand, copies, now_s)
+            # Where an engine has the weights on its VM, a load takes a fifth of the
+            # time, and the next such load soon ends if the engine is busy. A load from
+            # the store would also drive other weights off its engine's disk.
+            near = [each for each in engines if model in each.near]
+            usable = [each for each in free if not near or model in each.near]
+            move = self._best_move(spec, model, usable, demand, copies, now_s)
             if move is None:
                 continue
             if move.from_store and not self._may_load(spec, now_s):
@@ -108,7 +113,7 @@
             copies[model] += 1
             for victim in move.unload:
                 copies[victim] -= 1
-            self._asked_s[move.server] = now_s
+            self._asked[move.server] = (move, now_s)
             if move.from_store:
                 self._loads_s.append(now_s)
         return moves
@@ -119,10 +124,31 @@
             if before and before in engine.models:
                 self._loaded_s[engine.server, ModelName(before)] = now_s
             self._was_loading[engine.server] = engine.loading
+            asked = self._asked.get(engine.server)
+            if asked is None:
+                continue
+            move, asked_s = asked
+            is_seen = engine.loading == move.model or move.model in engine.models
+            if is_seen or now_s - asked_s >= REPEAT_S:
+                del self._asked[engine.server]
+
+    def _copies(self, engines: Iterable[EngineView]) -> defaultdict[ModelName, int]:
+        """Count the copies of each model as they will be after the moves asked for."""
+        copies: defaultdict[ModelName, int] = defaultdict(int)
+        for engine in engines:
+            held = set(engine.models)
+            if engine.loading:
+                held.add(ModelName(engine.loading))
+            asked = self._asked.get(engine.server)
+            if asked is not None:
+                held.add(asked[0].model)
+                held.difference_update(asked[0].unload)
+            for model in held:
+                copies[model] += 1
+        return copies
 
     def _is_free(self, engine: EngineView, now_s: float) -> bool:
-        asked_s = self._asked_s.get(engine.server, float("-inf"))
-        return not engine.busy and now_s - asked_s >= REPEAT_S
+        return not engine.busy and engine.server not in self._asked
 
     def _may_load(self, spec: EngineSpec, now_s: float) -> bool:
         """Return whether the weight store's rate allows one more load."""
@@ -183,16 +209,6 @@
         return tuple(victims) if free_mb >= needed_mb else None
 
 
-def _copies(engines: Iterable[EngineView]) -> defaultdict[ModelName, int]:
-    copies: defaultdict[ModelName, int] = defaultdict(int)
-    for engine in engines:
-        for model in engine.models:
-            copies[model] += 1
-        if engine.loading and engine.loading not in engine.models:
-            copies[ModelName(engine.loading)] += 1
-    return copies
-
-
 def _work(model: ModelName, demand: Mapping[ModelName, Demand]) -> float:
     """Return the requests in progress that a model would have if it were served."""
     known = demand.get(model)
