Stop entries gracefully and let the oldest entry plan

A restarted entry with the lowest address planned with no memory of demand and unloaded busy models. Change: an entry that leaves closes idle connections after 2.1 s and refuses requests after 2.9 s, the process that has run longest plans, nothing is unloaded in a planner's first 6 s, and the weight store is used only for sustained demand.

--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -32,9 +32,6 @@
     ENDED = "ended"
 
 
-WAITING = (Stage.WAITING_FOR_TURN, Stage.WAITING_FOR_MODEL)
-
-
 @dataclass(slots=True)
 class Exchange:
     """One request; see :func:`make_exchange`.
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -44,7 +44,6 @@
     servers_known,
 )
 from chervilgw.forward.exchange import (
-    WAITING,
     Exchange,
     Stage,
     first_token_limit_s,
@@ -82,6 +81,11 @@
 REPORT_EVERY_TICKS = 2
 """Ticks of 0.1 s between reports to the other entries: the quota and the choice of
 servers are as wrong as what happened meanwhile."""
+LEAVING_ACCEPT_S = 2.9
+"""An entry that is leaving takes requests for this long: by then the balancer has asked
+twice, and what has been taken can end within the grace time."""
+LEAVING_RETRY_S = 0.05
+"""A retry reaches another entry."""
 MODEL_WAIT_SHARE = 0.7
 """Part of a caller's patience that may go to the load of its model; the rest is for the
 queue and the prompt."""
@@ -135,6 +139,7 @@
         self._turn_numbers = count(1)
         self._ticks = 0
         self._draining = False
+        self._accept_until_s = float("inf")
         self._report_soon = False
 
     # What the process believes.
@@ -209,6 +214,11 @@
             )
             self._refuse_early(http, "", refusal)
             return
+        if now_s >= self._accept_until_s:
+            text = "this entry is leaving"
+            refusal = make_refusal(RefusalReason.LEAVING, text, LEAVING_RETRY_S)
+            self._refuse_early(http, "", refusal)
+            return
         try:
             opaque = self._codec.decode_request(http)
         except ChervilError as error:
@@ -713,11 +723,9 @@
         self.fire(servers_known(servers), "gossip", "planner")
 
     def _running_by_model(self) -> dict[str, int]:
-        """Return the requests in progress, those that wait for their model left out."""
+        """Return the requests in progress, those that wait for an engine included."""
         models = [
-            exchange.admitted.opaque.model
-            for exchange in self._exchanges.values()
-            if exchange.stage not in WAITING
+            exchange.admitted.opaque.model for exchange in self._exchanges.values()
         ]
         return dict(Counter(model for model in models if model is not None))
 
@@ -726,6 +734,7 @@
     @handler("drain", channel="*")
     def _on_drain(self):
         self._draining = True
+        self._accept_until_s = time.monotonic() + LEAVING_ACCEPT_S
         self._check_drained()
 
     def _check_drained(self):
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -1,6 +1,6 @@
 """Planner task of an entry: asks the engines' agents for models that are in demand.
 
-Every entry keeps the reports it needs; the one with the lowest address among those that
+Every entry keeps the reports it needs; the one that has run longest among those that
 were heard of lately plans.
 """
 
@@ -67,9 +67,12 @@
             return
         self._forget(now_s)
         live = [
-            report.address for report, _ in self._entries.values() if not report.leaving
+            (report.sender.start_ms, report.address)
+            for report, _ in self._entries.values()
+            if not report.leaving
         ]
-        is_first = bool(live) and min(live) == self._address
+        # The process that has run longest knows most of the demand.
+        is_first = bool(live) and min(live)[1] == self._address
         if is_first != self._is_planning:
             self._is_planning = is_first
             log_event("planning_changed", plans=is_first, entries=len(live))
--- a/chervilgw/forward/ready.py
+++ b/chervilgw/forward/ready.py
@@ -11,6 +11,7 @@
 from chervilgw.runtime.events import (
     HttpReply,
     HttpRequest,
+    http_close_idle,
     http_drain,
     http_reply,
     http_stop_listening,
@@ -21,6 +22,9 @@
 NOTICE_S = 3.0
 """The balancer asks once a second and takes a process out after two misses; one more
 second is for connections that are being opened."""
+CLOSE_IDLE_S = 2.1
+"""By then the balancer has taken the process out, and callers that are idle on a kept
+connection are better off with one to another entry."""
 GRACE_MARGIN_S = 0.6
 """The process ends by itself this long before the platform would kill it."""
 
@@ -62,6 +66,7 @@
         self._since_s: float | None = None
         self._drained = not has_callers
         self._exiting = False
+        self._closed_idle = False
 
     @handler("shut_down", channel="*")
     def _on_shut_down(self):
@@ -85,6 +90,9 @@
         if self._since_s is None or self._exiting:
             return
         waited_s = now_s - self._since_s
+        if self._has_callers and not self._closed_idle and waited_s >= CLOSE_IDLE_S:
+            self._closed_idle = True
+            self.fire(http_close_idle(), "http")
         noticed = waited_s >= NOTICE_S or not self._has_callers
         if (noticed and self._drained) or waited_s >= self._grace_s - GRACE_MARGIN_S:
             self._exiting = True
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -1,6 +1,6 @@
 """Which engine should hold which models, from the demand of all entries.
 
-One entry plans at a time: the first by address of those that hear each other. Two that
+One entry plans at a time: the oldest process of those that hear each other. Two that
 plan at once, after a partition, only make moves that were not needed; the agents beside
 the engines keep every memory limit.
 """
@@ -15,11 +15,18 @@
 from chervilgw.core.ids import ModelName, ZoneId
 from chervilgw.placement.demand_rate import Demand
 
-RUNNING_PER_COPY = 14.0
+RUNNING_PER_COPY = 10.0
 """Requests in progress that one engine serves within the target: at about 6 requests a
 second that last 1.7 s each, it reads prompts for less than half of the time."""
-REQUEST_S = 1.2
-"""How long a request of a model that nobody serves would last."""
+REQUEST_S = 1.6
+"""How long a request lasts on an engine that is not overloaded; what is refused or not
+served yet counts by this."""
+FAR_RATE_PER_S = 0.25
+"""A load from the weight store takes 4 to 8 s, blocks its engine's adapters meanwhile
+and drives other weights off the VM, so it needs three requests in ten seconds."""
+WARM_UP_S = 6.0
+"""A planner that has just begun to hear of demand unloads nothing: most models look
+idle to it."""
 MIN_RATE_PER_S = 0.04
 """A model is loaded for one request, while that is no older than about ten seconds."""
 MOVE_GAIN = 1.5
@@ -72,6 +79,7 @@
     _asked: dict[ServerId, tuple[Move, float]] = field(default_factory=dict)
     _loads_s: deque = field(default_factory=deque)
     _was_loading: dict[ServerId, str] = field(default_factory=dict)
+    _began_s: float | None = None
 
     def plan(
         self,
@@ -93,6 +101,8 @@
         now_s : float
             Monotonic time in seconds.
         """
+        if self._began_s is None:
+            self._began_s = now_s
         self._observe(engines, now_s)
         copies = self._copies(engines)
         free = [each for each in engines if self._is_free(each, now_s)]
@@ -108,6 +118,8 @@
                 continue
             if move.from_store and not self._may_load(spec, now_s):
                 continue
+            if move.from_store and demand[model].per_s < FAR_RATE_PER_S:
+                continue
             moves.append(move)
             free = [each for each in free if each.server != move.server]
             copies[model] += 1
@@ -167,7 +179,7 @@
             if model in engine.models or engine.loading == model:
                 continue
             victims = self._victims(spec, model, engine, demand, copies, now_s)
-            if victims is None:
+            if victims is None or (victims and self._is_cold(now_s)):
                 continue
             loss = sum(_loss(each, demand, copies) for each in victims)
             if victims and gain < MOVE_GAIN * loss:
@@ -179,6 +191,9 @@
                 best = order, move
         return best[1] if best is not None else None
 
+    def _is_cold(self, now_s: float) -> bool:
+        return now_s - self._began_s < WARM_UP_S
+
     def _victims(
         self, spec, model, engine, demand, copies, now_s
     ) -> tuple[ModelName, ...] | None:
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -212,5 +212,9 @@
     """Close each caller connection after its current answer."""
 
 
+class http_close_idle(Event):  # noqa: N801
+    """Close the callers' connections on which no request has begun."""
+
+
 class http_stop_listening(Event):  # noqa: N801
     """Accept no further caller connections."""
--- a/chervilgw/runtime/opaque_server.py
+++ b/chervilgw/runtime/opaque_server.py
@@ -335,6 +335,10 @@
     @handler("http_stop_listening")
     def _on_stop_listening(self):
         self.server.stop_listening()
+        self._on_close_idle()
+
+    @handler("http_close_idle")
+    def _on_close_idle(self):
         for connection in list(self._connections.values()):
             if connection.phase is Phase.IDLE:
                 self._drop(connection)
