--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -380,11 +380,12 @@
         rule = self._deployment.services.get(admitted.service)
         engine = rule.engine if rule is not None else None
         spec = engine.models.get(admitted.opaque.model) if engine is not None else None
-        if spec is None or exchange.run_state is not RunState.NOT_RUN:
+        if spec is None or not exchange.may_send_again():
             return refusal
         outlook = self._fleet.load_outlook(admitted.service, spec, now_s)
         limit_s = MODEL_WAIT_SHARE * first_token_limit_s(admitted)
-        waited_s = now_s - exchange.started_s
+        since_s = exchange.last_byte_s if exchange.head_passed else exchange.started_s
+        waited_s = now_s - since_s
         in_time = waited_s + outlook.ready_in_s <= limit_s
         if in_time and (outlook.under_way or waited_s < PLAN_WAIT_S):
             exchange.stage = Stage.WAITING_FOR_MODEL
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -24,6 +24,9 @@
 FAR_RATE_PER_S = 0.25
 """A load from the weight store takes 4 to 8 s, blocks its engine's adapters meanwhile
 and drives other weights off the VM, so it needs three requests in ten seconds."""
+NEAR_WAIT_S = 1.0
+"""How long a model in demand waits for an engine that has its weights at hand and is
+busy: such loads take 0.8 s."""
 WARM_UP_S = 6.0
 """A planner that has just begun to hear of demand unloads nothing: most models look
 idle to it."""
@@ -79,6 +82,7 @@
     _asked: dict[ServerId, tuple[Move, float]] = field(default_factory=dict)
     _loads_s: deque = field(default_factory=deque)
     _was_loading: dict[ServerId, str] = field(default_factory=dict)
+    _missing_s: dict[ModelName, float] = field(default_factory=dict)
     _began_s: float | None = None
 
     def plan(
@@ -106,13 +110,16 @@
         self._observe(engines, now_s)
         copies = self._copies(engines)
         free = [each for each in engines if self._is_free(each, now_s)]
+        for model in [each for each in self._missing_s if copies[each]]:
+            del self._missing_s[model]
         moves = []
         for model in _by_need(spec, demand, copies, len(engines)):
             # Where an engine has the weights on its VM, a load takes a fifth of the
             # time, and the next such load soon ends if the engine is busy. A load from
             # the store would also drive other weights off its engine's disk.
-            near = [each for each in engines if model in each.near]
-            usable = [each for each in free if not near or model in each.near]
+            usable = [each for each in free if model in each.near]
+            if self._may_be_far(model, engines, demand, copies, now_s):
+                usable = free
             move = self._best_move(spec, model, usable, demand, copies, now_s)
             if move is None:
                 continue
@@ -191,6 +198,16 @@
                 best = order, move
         return best[1] if best is not None else None
 
+    def _may_be_far(self, model, engines, demand, copies, now_s) -> bool:
+        """Return whether a model may be loaded where its weights are not at hand."""
+        if not any(model in engine.near for engine in engines):
+            return True
+        if copies[model]:
+            return False
+        since_s = self._missing_s.setdefault(model, now_s)
+        is_urgent = demand[model].per_s >= FAR_RATE_PER_S
+        return is_urgent and now_s - since_s >= NEAR_WAIT_S
+
     def _is_cold(self, now_s: float) -> bool:
         return now_s - self._began_s < WARM_UP_S
 
--- a/chervilgw/platform/boot.py
+++ b/chervilgw/platform/boot.py
@@ -37,7 +37,7 @@
 
     Examples
     --------
-    >>> parse_lines("zone=a\\nlimits.cores=1\\n")
+    >>> parse_lines("zone=a\nlimits.cores=1\n")
     {'zone': 'a', 'limits.cores': '1'}
     """
     pairs = (line.partition("=") for line in text.splitlines())
--- /dev/null
+++ b/chervilgw/quota/tests/test_window.py
@@ -0,0 +1,163 @@
+"""No customer gets more than its limit over all entries, whatever reports are lost."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from returns.pipeline import is_successful
+
+from chervilgw.core.deployment import CustomerRule
+from chervilgw.core.ids import CustomerId, Incarnation, VmId
+from chervilgw.quota.window import LOST_S, SILENT_S, make_window_quota
+
+ACME = CustomerId("acme")
+WINDOW_S = 8.0
+RULE = CustomerRule(ACME, None, 100.0, 200.0, True, 1)
+LIMIT = 100.0 * WINDOW_S + 200.0
+STEP_S = 0.2
+
+
+def entry(number, start_ms=1):
+    return Incarnation(VmId(f"e{number}"), start_ms)
+
+
+class WindowMachine(RuleBasedStateMachine):
+    """Three entries grant against one limit, with reports lost, late and cut.
+
+    The oracle is the sum of all grants in any window. Excused are only grants of an
+    entry that cannot yet know that a peer of its has fallen silent.
+    """
+
+    @initialize()
+    def start(self):
+        self.now_s = 0.0
+        self.starts = [1, 1, 1]
+        self.quotas = [make_window_quota(WINDOW_S) for _ in range(3)]
+        self.granted = []
+        self.cut_since_s = {}
+        self.late = []
+        self.deliver()
+
+    @rule(number=st.integers(0, 2), amount=st.integers(1, 300))
+    def ask(self, number, amount):
+        if is_successful(self.quotas[number].reserve(RULE, amount, self.now_s)):
+            excused = any(
+                self.now_s - since_s <= SILENT_S + STEP_S
+                for since_s in self.cut_since_s.values()
+            )
+            self.granted.append((self.now_s, 0 if excused else amount))
+        self.deliver()
+
+    @rule(number=st.integers(0, 2))
+    def cut_off(self, number):
+        self.cut_since_s.setdefault(number, self.now_s)
+
+    @rule()
+    def heal(self):
+        self.cut_since_s.clear()
+        self.deliver()
+
+    @rule(number=st.integers(0, 2))
+    def keep_report_for_later(self, number):
+        sender = entry(number, self.starts[number])
+        self.late.append((number, sender, self.quotas[number].granted(self.now_s)))
+
+    @rule()
+    def deliver_reports_of_former_processes(self):
+        for number, sender, granted in self.late:
+            if sender.start_ms < self.starts[number]:
+                for other, quota in enumerate(self.quotas):
+                    if other != number:
+                        quota.on_report(sender, granted, self.now_s)
+        self.late.clear()
+
+    @rule(number=st.integers(0, 2))
+    def restart(self, number):
+        self.heal()
+        self.starts[number] += 1
+        self.quotas[number] = make_window_quota(WINDOW_S)
+        self.deliver()
+
+    @rule(steps=st.integers(1, 12))
+    def pass_time(self, steps):
+        for _ in range(steps):
+            self.now_s += STEP_S
+            self.deliver()
+
+    def deliver(self):
+        for number, quota in enumerate(self.quotas):
+            granted = quota.granted(self.now_s)
+            for other, receiver in enumerate(self.quotas):
+                if other != number and not {number, other} & self.cut_since_s.keys():
+                    sender = entry(number, self.starts[number])
+                    receiver.on_report(sender, granted, self.now_s)
+
+    @invariant()
+    def sum_stays_within_the_limit(self):
+        total = sum(
+            amount for at_s, amount in self.granted if at_s > self.now_s - WINDOW_S
+        )
+        assert total <= LIMIT
+
+
+TestWindowMachine = WindowMachine.TestCase
+
+
+def test_an_uneven_share_is_granted_in_full():
+    """Guards against equal shares: one entry may get all of a customer's requests."""
+    quota = make_window_quota(WINDOW_S)
+    for number in (1, 2, 3):
+        quota.on_report(entry(number), {}, 0.0)
+    assert is_successful(quota.reserve(RULE, int(LIMIT), 0.1))
+
+
+def test_what_peers_granted_counts():
+    quota = make_window_quota(WINDOW_S)
+    quota.on_report(entry(1), {ACME: 900}, 0.0)
+    assert is_successful(quota.reserve(RULE, 100, 0.1))
+    assert not is_successful(quota.reserve(RULE, 1, 0.1))
+
+
+def test_entries_that_cannot_hear_each_other_keep_to_equal_parts():
+    """Guards against two sides of a partition granting the whole limit each."""
+    quotas = [make_window_quota(WINDOW_S) for _ in range(2)]
+    for number, quota in enumerate(quotas):
+        quota.on_report(entry(1 - number), {}, 0.0)
+    now_s, total = SILENT_S + 0.1, 0
+    for quota in quotas:
+        while is_successful(quota.reserve(RULE, 10, now_s)):
+            total += 10
+    assert total <= LIMIT
+
+
+def test_a_restarted_entry_does_not_renew_the_limit():
+    quota = make_window_quota(WINDOW_S)
+    quota.on_report(entry(1), {ACME: 900}, 0.0)
+    quota.on_report(entry(1, start_ms=2), {}, 0.2)
+    assert not is_successful(quota.reserve(RULE, 200, 0.3))
+    assert is_successful(quota.reserve(RULE, 200, 0.3 + WINDOW_S))
+
+
+def test_a_lost_entry_frees_its_part():
+    quota = make_window_quota(WINDOW_S)
+    quota.on_report(entry(1), {ACME: 900}, 0.0)
+    assert not is_successful(quota.reserve(RULE, int(LIMIT), LOST_S - 1))
+    assert is_successful(quota.reserve(RULE, int(LIMIT), LOST_S + 1))
+
+
+@pytest.mark.parametrize("amount", [1, 500])
+def test_retry_after_is_when_the_window_has_room(amount):
+    """Guards against callers that come back too early and are refused again."""
+    quota = make_window_quota(WINDOW_S)
+    quota.reserve(RULE, 500, 0.0)
+    quota.reserve(RULE, 500, 2.0)
+    refusal = quota.reserve(RULE, amount, 3.0).failure()
+    back_s = 3.0 + refusal.retry_after_s
+    assert back_s == pytest.approx(8.0)
+    assert is_successful(quota.reserve(RULE, amount, back_s + 0.01))
+
+
+def test_a_cancelled_grant_is_free_again():
+    quota = make_window_quota(WINDOW_S)
+    quota.reserve(RULE, int(LIMIT), 0.0)
+    quota.cancel(ACME, int(LIMIT))
+    assert is_successful(quota.reserve(RULE, int(LIMIT), 0.0))
--- /dev/null
+++ b/standins/opaque_platform.py
@@ -0,0 +1,268 @@
+"""Stand-ins of the platform for opaque requests: its store and its backend servers.
+
+They speak what the platform's pages describe, as far as the tests need it, and run as
+threads of the test's process. Faults are attributes that a test sets.
+"""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import json
+import struct
+import threading
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+WAIT_STEP_S = 0.01
+_BORN = itertools.count(1_700_000_000_000)
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args: Any) -> None:
+        """Write nothing; the tests read what the stand-in recorded."""
+
+    def _serve(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        self.server.owner.on_request(self, self.command, self.path, body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = _serve  # noqa: N815
+
+    def reply(self, status: int, body: bytes, headers: dict | None = None) -> None:
+        """Send a whole answer."""
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self.close_connection = True
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Pass over callers that left."""
+
+
+@dataclass
+class StandIn:
+    """HTTP server in a thread; ``address`` is where it listens."""
+
+    ip: str = "127.0.0.1"
+    port: int = 0
+
+    def start(self) -> None:
+        """Listen, and serve until :meth:`stop`."""
+        self.server = _Server((self.ip, self.port), _Handler)
+        self.server.owner = self
+        self.address = "{}:{}".format(*self.server.server_address[:2])
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """Refuse further connections."""
+        self.server.shutdown()
+        self.server.server_close()
+
+    def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
+        """Answer a request."""
+        raise RuntimeError("a stand-in answers its own requests")
+
+
+@dataclass
+class StoreStandIn(StandIn):
+    """The store: topics with one partition, records with keys.
+
+    ``down`` refuses all calls with 503.
+    """
+
+    down: bool = False
+    topics: dict[str, list[tuple[str, bytes]]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Append a record as an operator or a backend server does."""
+        data = b"" if value is None else json.dumps(value).encode()
+        self.topics[topic].append((key, data))
+
+    def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
+        """Serve appends, reads and listings."""
+        if self.down:
+            handler.reply(503, b"")
+            return
+        parts = urlsplit(path)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        records = self.topics[query["topic"]]
+        if parts.path == "/log-append":
+            self._append(handler, query["topic"], body)
+        elif parts.path == "/log-newest":
+            self._newest(handler, records)
+        else:
+            self._read(handler, records, query)
+
+    def _append(self, handler: _Handler, topic: str, body: bytes):
+        content = body[4:]
+        offset = len(self.topics[topic])
+        if topic.startswith("keyed."):
+            end = 1 + content[0]
+            self.topics[topic].append((content[1:end].decode(), content[end:]))
+        else:
+            self.topics[topic].append(("", content))
+        answer = {"offset": offset, "end": offset + 1}
+        handler.reply(200, json.dumps(answer).encode())
+
+    def _newest(self, handler: _Handler, records: list):
+        newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        answer = {"items": items, "truncated": False, "end": len(records)}
+        handler.reply(200, json.dumps(answer).encode())
+
+    def _read(self, handler: _Handler, records: list, query: dict[str, str]):
+        start = int(query["from"])
+        until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        while len(records) <= start and time.monotonic() < until_s and not self.down:
+            threading.Event().wait(WAIT_STEP_S)
+        body = struct.pack(">QQ", len(records), 0)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(content)) + content
+        handler.reply(200, body)
+
+
+@dataclass
+class ServerStandIn(StandIn):
+    """A backend server; it records what it runs.
+
+    ``break_after`` closes the connection after that many events of a stream, 0 before
+    any answer. ``hold`` delays each answer until it is set. ``refuse`` answers that
+    nothing has run.
+    """
+
+    name: str = "i-1"
+    service: str = "desk"
+    models: dict[str, list[str]] = field(default_factory=dict)
+    break_after: int | None = None
+    refuse: bool = False
+    events: int = 5
+    hold: threading.Event = field(default_factory=threading.Event)
+    runs: list[dict[str, Any]] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.born = next(_BORN)
+        self.hold.set()
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Return what the server says of itself in the platform's list."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 64,
+            "state": state,
+            "cold_left_ms": 0,
+            "born": self.born,
+            "models": self._models(),
+            "sequence": len(self.orders),
+        }
+
+    def _models(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": adapters}
+            for name, adapters in self.models.items()
+        ]
+
+    def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
+        """Serve reports, orders and requests."""
+        if path == "/report":
+            self._report(handler)
+        elif path == "/order":
+            self._order(handler, json.loads(body))
+        else:
+            self._run(handler, method, path, body)
+
+    def _report(self, handler: _Handler):
+        report = {
+            "models": self._models(),
+            "busy": False,
+            "sequence": len(self.orders),
+            "waiting": 0,
+            "running": 0,
+            "kv_used": 0,
+            "kv_total": 1000,
+            "born": self.born,
+        }
+        handler.reply(200, json.dumps(report).encode())
+
+    def _order(self, handler: _Handler, order: dict[str, Any]):
+        if handler.headers.get("X-Expect-Instance") != self.name:
+            handler.reply(421, b"")
+        elif order["expected"] != len(self.orders):
+            handler.reply(409, b"")
+        else:
+            self.orders.append(order)
+            if "adapter" in order:
+                self.models[order["model"]].append(order["adapter"])
+            elif order["op"] == "model_load":
+                self.models[order["model"]] = []
+            else:
+                self.models.pop(order["model"], None)
+            handler.reply(202, b"")
+
+    def _run(self, handler: _Handler, method: str, path: str, body: bytes):
+        headers = {name.lower(): value for name, value in handler.headers.items()}
+        wrong = headers.get("x-expect-instance", self.name) != self.name
+        if wrong or self.refuse:
+            handler.reply(421 if wrong else 503, b"", {"X-Not-Executed": "1"})
+            return
+        run = {"method": method, "path": path, "headers": headers, "body": body}
+        self.runs.append(run)
+        self.hold.wait(30)
+        if self.break_after == 0:
+            handler.drop()
+            return
+        seal = {
+            "X-Server-Seal": f"{self.name}.{len(self.runs)}",
+            "X-Attempt-Id": headers.get("x-attempt-id", ""),
+        }
+        if "x-model" in headers:
+            self._stream(handler, headers, seal)
+        else:
+            handler.reply(200, b"answer of " + self.name.encode(), seal)
+
+    def _stream(self, handler: _Handler, headers: dict, seal: dict):
+        handler.send_response(200)
+        for name, value in seal.items():
+            handler.send_header(name, value)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            if self.break_after is not None and number > self.break_after:
+                self._chunk(handler, b"id: %d\ndata: cu" % number)
+                handler.wfile.flush()
+                handler.drop()
+                return
+            self._chunk(handler, b"id: %d\ndata: token\n\n" % number)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def _chunk(self, handler: _Handler, data: bytes):
+        handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
