Serve metrics, bound the logs, and remember quotas over restarts

Ruled out: lost reports, the partition rule. Change: a process that is not the system's first takes what nobody remembers as spent, falling evenly over one window.

--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -345,7 +345,8 @@
     ``running`` maps a server to the requests at it, and ``unread_tokens`` to the prompt
     tokens of those that have not produced anything yet. ``rates`` maps a model to the
     requests per second for it, and ``running_by_model`` to those in progress.
-    ``address`` is where datagrams reach the sender.
+    ``address`` is where datagrams reach the sender. ``remembers`` is False while the
+    sender may have forgotten grants of its former process.
     """
 
     sender: Incarnation
@@ -356,6 +357,7 @@
     rates: dict[str, float]
     running_by_model: dict[str, int]
     leaving: bool = False
+    remembers: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/daemon.py
+++ b/chervilgw/daemon.py
@@ -29,6 +29,12 @@
         action="store_true",
         help="run with the settings file of the platform that started the process",
     )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        metavar="PORT",
+        help="with --deployed: serve counters and histograms on this port",
+    )
     return parser
 
 
@@ -49,7 +55,7 @@
     if options.deployed:
         from chervilgw.platform.start import run_on_platform
 
-        return run_on_platform()
+        return run_on_platform(options.metrics_port)
     from chervilgw.settings import EntrySettings, SettingsError, load_settings
 
     try:
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -26,7 +26,9 @@
     TurnRefused,
     TurnWanted,
 )
+from chervilgw.core.refusals import Refusal
 from chervilgw.forward.events import fence_wanted
+from chervilgw.forward.metrics_task import order_counted, turn_counted
 from chervilgw.placement.engine_orders import (
     EngineState,
     Order,
@@ -74,6 +76,10 @@
         """Return what the engine answered to an order."""
         ...
 
+    def encode_refusal(self, refusal: Refusal) -> tuple[int, Headers, bytes]:
+        """Return status, headers and body for a refused caller."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class AgentOptions:
@@ -217,6 +223,8 @@
             self._answer(turn.address, refused)
 
     def _answer(self, address: str, message):
+        result = "given" if isinstance(message, TurnGiven) else "refused"
+        self.fire(turn_counted(result), "metrics")
         self.fire(datagram_send(message, [address]), "datagrams")
 
     # The engine.
@@ -281,6 +289,8 @@
                 reply=reply,
             )
             self._orders.on_reply(reply)
+            counted = order_counted(self._order.kind.value, reply.value)
+            self.fire(counted, "metrics")
             self._ask_report()
 
     @handler("call_failed")
--- a/chervilgw/forward/agent_app.py
+++ b/chervilgw/forward/agent_app.py
@@ -8,6 +8,7 @@
 
 from chervilgw.core.ids import Incarnation, VmId
 from chervilgw.forward.agent import AgentOptions, EngineCodec, make_agent_task
+from chervilgw.forward.metrics_server import make_metrics_tasks
 from chervilgw.forward.ports import agent_port
 from chervilgw.forward.ready import make_stop_task
 from chervilgw.runtime.alarm import make_alarm
@@ -22,7 +23,10 @@
 
 
 def make_agent(
-    settings: VmSettings, codec: EngineCodec, *platform_tasks: BaseComponent
+    settings: VmSettings,
+    codec: EngineCodec,
+    metrics_port: int | None,
+    *platform_tasks: BaseComponent,
 ) -> App:
     """Return the agent of the engine on this VM.
 
@@ -32,6 +36,8 @@
         Checked settings with the engine's address.
     codec : EngineCodec
         Encoding of reports and orders.
+    metrics_port : int or None
+        Port of the metrics, or None to serve none.
     *platform_tasks : circuits.BaseComponent
         Tasks that bring the deployment and the number for orders.
     """
@@ -48,5 +54,6 @@
         make_http_client("server-client", silence_s=ENGINE_SILENCE_S),
         make_datagrams(settings.ip, agent_port(settings), "agent"),
         *tasks,
+        *make_metrics_tasks(settings.ip, metrics_port, codec.encode_refusal),
         make_stop_task(settings.bounds.grace_s, has_callers=False),
     )
--- a/chervilgw/forward/app.py
+++ b/chervilgw/forward/app.py
@@ -11,6 +11,7 @@
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.gateway import GatewayOptions, make_gateway
 from chervilgw.forward.gossip import GossipOptions, make_gossip
+from chervilgw.forward.metrics_server import make_metrics_tasks, server_options
 from chervilgw.forward.planner_task import make_planner_task
 from chervilgw.forward.ports import agent_port, entry_port
 from chervilgw.forward.ready import make_ready_task, make_stop_task
@@ -18,7 +19,7 @@
 from chervilgw.runtime.clock import make_clock
 from chervilgw.runtime.datagrams import make_datagrams
 from chervilgw.runtime.http_client import make_http_client
-from chervilgw.runtime.opaque_server import OpaqueServerOptions, make_opaque_server
+from chervilgw.runtime.opaque_server import make_opaque_server
 from chervilgw.settings.vm import VmSettings
 
 KEPT_CONNECTIONS = 32
@@ -27,12 +28,17 @@
 """A server that acknowledges nothing for this long has lost power or is cut off; it
 leaves the platform's list after three heartbeats of 1.2 s."""
 STORE_SILENCE_S = 2.0
+READY_CALLERS = 64
+"""Connections of the balancer, which asks once a second."""
 DESCRIPTORS_ASIDE = 400
 """Descriptors for servers, files and the process itself."""
 
 
 def make_forward_entry(
-    settings: VmSettings, codec: FrontCodec, *platform_tasks: BaseComponent
+    settings: VmSettings,
+    codec: FrontCodec,
+    metrics_port: int | None,
+    *platform_tasks: BaseComponent,
 ) -> App:
     """Return an entry that forwards opaque requests.
 
@@ -42,17 +48,21 @@
         Checked settings with an address for callers.
     codec : FrontCodec
         Encoding of the front end.
+    metrics_port : int or None
+        Port of the metrics, or None to serve none.
     *platform_tasks : circuits.BaseComponent
         Tasks that bring the deployment, the list of servers and the entries.
     """
     me = Incarnation(VmId(settings.vm), int(time.time() * 1000))
     callers = max(64, settings.max_descriptors - DESCRIPTORS_ASIDE)
     refuse: Callable = codec.encode_refusal
-    front = _server_options(settings.front_listen, "gateway", refuse, callers)
-    ready = _server_options(settings.ready_listen, "ready", refuse, 64)
+    front = server_options(settings.front_listen, "gateway", refuse, callers)
+    ready = server_options(settings.ready_listen, "ready", refuse, READY_CALLERS)
     port = entry_port(settings)
     address = f"{settings.ip}:{port}"
-    gateway = GatewayOptions(me, ZoneId(settings.zone), settings.bounds)
+    gateway = GatewayOptions(
+        me, ZoneId(settings.zone), settings.bounds, settings.first_start
+    )
     return make_app(
         make_clock(),
         *platform_tasks,
@@ -65,10 +75,6 @@
         make_opaque_server(front),
         make_opaque_server(ready, "ready-http"),
         make_ready_task(),
+        *make_metrics_tasks(settings.ip, metrics_port, refuse),
         make_stop_task(settings.bounds.grace_s, has_callers=True),
     )
-
-
-def _server_options(listen: str, owner: str, refuse, connections: int):
-    host, _, port = listen.rpartition(":")
-    return OpaqueServerOptions(host, int(port), owner, refuse, connections)
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -56,6 +56,12 @@
     make_route_filter,
 )
 from chervilgw.forward.messages import Incoming, ServerRequest
+from chervilgw.forward.metrics_task import (
+    attempt_counted,
+    in_progress_counted,
+    refusal_counted,
+    request_counted,
+)
 from chervilgw.membership.fleet_view import make_fleet_view
 from chervilgw.placement.demand_rate import make_demand_rates
 from chervilgw.quota.window import make_window_quota
@@ -112,11 +118,15 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayOptions:
-    """Identity of this entry, and the bounds of the deployment."""
+    """Identity of this entry, and the bounds of the deployment.
+
+    ``first_start`` says that no process of the system has run before.
+    """
 
     me: Incarnation
     zone: ZoneId
     bounds: Bounds
+    first_start: bool
 
 
 class Gateway(BaseComponent):
@@ -129,7 +139,10 @@
         self._deployment: Deployment | None = None
         self._pipeline = None
         self._fleet = make_fleet_view()
-        self._quota = make_window_quota(options.bounds.quota_window_s, QUOTA_MARGIN)
+        began_s = None if options.first_start else time.monotonic()
+        self._quota = make_window_quota(
+            options.bounds.quota_window_s, QUOTA_MARGIN, began_s
+        )
         self._retries: dict[ServiceName, RetryBudget] = {}
         self._crashes = make_crash_watch(options.me)
         self._demand = make_demand_rates()
@@ -194,7 +207,7 @@
     @handler("entry_reported")
     def _on_entry_report(self, report: EntryReport):
         now_s = time.monotonic()
-        self._quota.on_report(report.sender, report.granted, now_s)
+        self._quota.on_report(report.sender, report.granted, now_s, report.remembers)
         vm = report.sender.vm
         self._fleet.board.on_peer(vm, report.running, report.unread_tokens, now_s)
 
@@ -254,6 +267,7 @@
             version=self._deployment.version if self._deployment else None,
         )
         self.fire(http_reply(HttpReply(http.exchange, *reply)), http.server)
+        self.fire(refusal_counted(refusal.reason.value), "metrics")
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         budget = self._retries.get(service)
@@ -530,6 +544,9 @@
         now_s = time.monotonic()
         self._release(exchange)
         self._crashes.on_completed(exchange.digest)
+        served = exchange.stage is not Stage.DISCARDING
+        result = "served" if served else "not_served"
+        self.fire(attempt_counted(result), "metrics")
         match exchange.stage:
             case Stage.DISCARDING:
                 self._on_not_served(exchange, now_s)
@@ -584,6 +601,7 @@
             )
             if report is not None:
                 self.fire(crash_shared(report), "gossip")
+        self.fire(attempt_counted("failed" if failed.sent else "unreached"), "metrics")
         log_event(
             "attempt_failed",
             request=exchange.admitted.opaque.attempt,
@@ -644,7 +662,15 @@
                 "detail": refusal.detail,
                 "retry_after_s": refusal.retry_after_s,
             }
+            self.fire(refusal_counted(refusal.reason.value), "metrics")
         first_s = exchange.first_byte_s
+        counted = request_counted(
+            exchange.admitted.route.kind.value,
+            outcome,
+            None if first_s is None else first_s - exchange.started_s,
+            exchange.longest_pause_s,
+        )
+        self.fire(counted, "metrics")
         log_event(
             "request_ended",
             request=exchange.admitted.opaque.attempt,
@@ -687,6 +713,7 @@
             self._report_soon = False
             self._report(now_s)
         if self._ticks % 10 == 0:
+            self.fire(in_progress_counted(len(self._exchanges)), "metrics")
             self._fleet.directory.forget_gone(now_s)
 
     def _wait_for_turn(self, exchange: Exchange, now_s: float):
@@ -718,6 +745,7 @@
             rates,
             self._running_by_model(),
             self._draining,
+            self._quota.remembers(now_s),
         )
         self.fire(entry_report_due(report), "gossip")
         servers = self._fleet.directory.present(now_s)
--- /dev/null
+++ b/chervilgw/forward/metrics_task.py
@@ -0,0 +1,88 @@
+"""Metrics task: counts what other tasks report, and serves the counts as text."""
+
+from __future__ import annotations
+
+from circuits import BaseComponent, Event, handler
+
+from chervilgw.runtime.events import HttpReply, HttpRequest, http_reply
+from chervilgw.telemetry.scrape import make_scrape_metrics
+
+CONTENT_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+
+
+class request_counted(Event):  # noqa: N801
+    """A request ended: kind, outcome, first byte in s or None, longest pause in s."""
+
+
+class refusal_counted(Event):  # noqa: N801
+    """A request was refused: reason."""
+
+
+class attempt_counted(Event):  # noqa: N801
+    """An attempt at a server ended: result."""
+
+
+class in_progress_counted(Event):  # noqa: N801
+    """Requests in progress: number."""
+
+
+class order_counted(Event):  # noqa: N801
+    """An engine answered an order: kind, reply."""
+
+
+class turn_counted(Event):  # noqa: N801
+    """A turn was given or refused: result."""
+
+
+class store_call_counted(Event):  # noqa: N801
+    """A call of the store ended: result."""
+
+
+class MetricsTask(BaseComponent):
+    """Metrics task; see :func:`make_metrics_task`."""
+
+    def __init__(self, channel):
+        super().__init__(channel=channel)
+        self._metrics = make_scrape_metrics()
+
+    @handler("request_counted")
+    def _on_request(self, kind, outcome, first_byte_s, pause_s):
+        self._metrics.requests.labels(kind, outcome).inc()
+        if first_byte_s is not None:
+            self._metrics.first_byte_s.labels(kind).observe(first_byte_s)
+            self._metrics.pause_s.observe(pause_s)
+
+    @handler("refusal_counted")
+    def _on_refusal(self, reason):
+        self._metrics.refusals.labels(reason).inc()
+
+    @handler("attempt_counted")
+    def _on_attempt(self, result):
+        self._metrics.attempts.labels(result).inc()
+
+    @handler("in_progress_counted")
+    def _on_in_progress(self, number):
+        self._metrics.in_progress.set(number)
+
+    @handler("order_counted")
+    def _on_order(self, kind, reply):
+        self._metrics.orders.labels(kind, reply).inc()
+
+    @handler("turn_counted")
+    def _on_turn(self, result):
+        self._metrics.turns.labels(result).inc()
+
+    @handler("store_call_counted")
+    def _on_store_call(self, result):
+        self._metrics.store_calls.labels(result).inc()
+
+    @handler("http_request")
+    def _on_http(self, http: HttpRequest):
+        body = self._metrics.text()
+        reply = HttpReply(http.exchange, 200, (CONTENT_TYPE,), body)
+        self.fire(http_reply(reply), http.server)
+
+
+def make_metrics_task(channel="metrics") -> MetricsTask:
+    """Return the metrics task of a process."""
+    return MetricsTask(channel)
--- a/chervilgw/platform/boot.py
+++ b/chervilgw/platform/boot.py
@@ -73,6 +73,7 @@
             app=fields.get("app") or None,
             app_service=fields.get("service", ""),
             peer_ports=(int(first), int(last or first)),
+            first_start=fields.get("bootstrap") == "true",
             max_descriptors=int(fields.get("limits.max_fds", "4096")),
             store=StoreSettings(
                 address=fields["platform.address"],
--- a/chervilgw/platform/engines.py
+++ b/chervilgw/platform/engines.py
@@ -14,6 +14,7 @@
     OrderReply,
 )
 from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.requests import encode_refusal
 from chervilgw.platform.servers import decode_models
 from chervilgw.runtime.events import Headers
 
@@ -103,3 +104,4 @@
     encode_order = staticmethod(encode_order)
     order_headers = staticmethod(order_headers)
     decode_reply = staticmethod(decode_reply)
+    encode_refusal = staticmethod(encode_refusal)
--- a/chervilgw/platform/start.py
+++ b/chervilgw/platform/start.py
@@ -10,15 +10,21 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def run_on_platform() -> int:
+def run_on_platform(metrics_port: int | None = None) -> int:
     """Run the role that the platform's settings give this process.
 
+    Parameters
+    ----------
+    metrics_port : int or None
+        Port for counters and histograms on the VM's address; None serves none.
+
     Returns
     -------
     int
         Exit status: 0 after a planned stop, 2 for wrong settings.
     """
     from chervilgw.telemetry import configure_logs, log_event
+    from chervilgw.telemetry.bounded import make_bounded_stream
 
     path = boot_path()
     try:
@@ -26,7 +32,7 @@
     except DecodeError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    configure_logs(stream=sys.stdout)
+    configure_logs(stream=make_bounded_stream(sys.stdout.fileno()))
     # Each role imports only what it needs, which keeps its memory down.
     from chervilgw.platform.store import make_store_task
 
@@ -35,13 +41,13 @@
         from chervilgw.platform.requests import PlatformCodec
 
         store = make_store_task(settings.store.address, follow_servers=True)
-        app = make_forward_entry(settings, PlatformCodec(), store)
+        app = make_forward_entry(settings, PlatformCodec(), metrics_port, store)
     else:
         from chervilgw.forward.agent_app import make_agent
         from chervilgw.platform.engines import PlatformEngineCodec
 
         store = make_store_task(settings.store.address, follow_servers=False)
-        app = make_agent(settings, PlatformEngineCodec(), store)
+        app = make_agent(settings, PlatformEngineCodec(), metrics_port, store)
     log_event("process_started", vm=settings.vm, zone=settings.zone)
     app.run()
     log_event("process_stopped", vm=settings.vm)
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -26,6 +26,7 @@
     store_back,
     store_lost,
 )
+from chervilgw.forward.metrics_task import store_call_counted
 from chervilgw.platform import log_format
 from chervilgw.platform.configuration import decode_configuration
 from chervilgw.platform.errors import DecodeError
@@ -151,6 +152,7 @@
         if done.status >= 500 or done.status == 429:
             self._on_trouble(done.call, f"status {done.status}", now_s)
             return
+        self.fire(store_call_counted("answered"), "metrics")
         self._on_answered()
         for write in self._writes:
             if write.call == done.call:
@@ -168,6 +170,7 @@
         self._on_trouble(failed.call, failed.detail, time.monotonic())
 
     def _on_trouble(self, call: str, detail: str, now_s: float):
+        self.fire(store_call_counted("failed"), "metrics")
         for follower in self._followers:
             if follower.call == call:
                 follower.call = None
--- a/chervilgw/quota/tests/test_window.py
+++ b/chervilgw/quota/tests/test_window.py
@@ -137,6 +137,30 @@
     assert is_successful(quota.reserve(RULE, 200, 0.3 + WINDOW_S))
 
 
+def test_entries_that_all_restarted_do_not_renew_the_limit():
+    """Guards against a second window's worth after all entries were killed at once."""
+    before = make_window_quota(WINDOW_S)
+    spent = [(at_s / 10, 12) for at_s in range(80)]
+    for at_s, amount in spent:
+        before.reserve(RULE, amount, at_s)
+    quota = make_window_quota(WINDOW_S, began_s=9.0)
+    quota.on_report(entry(1), {}, 9.0, remembers=False)
+    for step in range(160):
+        now_s = 9.0 + step / 10
+        if is_successful(quota.reserve(RULE, 25, now_s)):
+            spent.append((now_s, 25))
+        total = sum(amount for at_s, amount in spent if at_s > now_s - WINDOW_S)
+        assert total <= LIMIT
+
+
+def test_an_entry_that_restarts_alone_leaves_out_its_own_part():
+    quota = make_window_quota(WINDOW_S, began_s=0.0)
+    for number in (1, 2, 3):
+        quota.on_report(entry(number), {ACME: 150}, 0.0)
+    assert not is_successful(quota.reserve(RULE, 400, 0.1))
+    assert is_successful(quota.reserve(RULE, 300, 0.1))
+
+
 def test_a_lost_entry_frees_its_part():
     quota = make_window_quota(WINDOW_S)
     quota.on_report(entry(1), {ACME: 900}, 0.0)
--- a/chervilgw/quota/window.py
+++ b/chervilgw/quota/window.py
@@ -22,6 +22,9 @@
 LOST_S = 20.0
 """A peer that is silent for this long is gone for good: platforms restart a process
 within a few seconds."""
+RESTART_S = 1.0
+"""A process that ended is started again after a second or more; what it granted is at
+least that old."""
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 8.0
 
@@ -37,6 +40,7 @@
     incarnation: Incarnation
     granted: dict[CustomerId, int]
     heard_s: float
+    remembers: bool = True
     former: dict[CustomerId, int] = field(default_factory=dict)
     former_until_s: float = 0.0
 
@@ -44,23 +48,37 @@
 class WindowQuota:
     """Sliding windows of all customers; see :func:`make_window_quota`."""
 
-    def __init__(self, window_s: float, margin: float):
+    def __init__(self, window_s: float, margin: float, began_s: float | None):
         self._window_s = window_s
         self._margin = margin
+        self._began_s = began_s
         self._own: dict[CustomerId, _Own] = {}
         self._peers: dict[VmId, _Peer] = {}
 
     def on_report(
-        self, sender: Incarnation, granted: dict[CustomerId, int], now_s: float
+        self,
+        sender: Incarnation,
+        granted: dict[CustomerId, int],
+        now_s: float,
+        remembers: bool = True,
     ) -> None:
         """Take what another entry granted within the window.
 
         A restarted entry has forgotten what it granted before; that still counts until
         it has left the window.
+
+        Parameters
+        ----------
+        sender : Incarnation
+        granted : dict of CustomerId to int
+        now_s : float
+            Monotonic time.
+        remembers : bool
+            Whether the sender has run for a whole window.
         """
         peer = self._peers.get(sender.vm)
         if peer is None:
-            self._peers[sender.vm] = _Peer(sender, granted, now_s)
+            self._peers[sender.vm] = _Peer(sender, granted, now_s, remembers)
             return
         if sender.start_ms < peer.incarnation.start_ms:
             return
@@ -70,7 +88,25 @@
                 peer.heard_s + self._window_s,
             )
             peer.incarnation = sender
-        peer.granted, peer.heard_s = granted, now_s
+        peer.granted, peer.heard_s, peer.remembers = granted, now_s, remembers
+
+    def remembers(self, now_s: float) -> bool:
+        """Return whether this entry knows all that it granted within the window."""
+        return self._began_s is None or now_s - self._began_s >= self._window_s
+
+    def _forgotten(self, limit: float, now_s: float) -> float:
+        """Return what former processes may have granted that nobody remembers.
+
+        A customer at its limit spends it evenly, as its window frees evenly, so what
+        may be left of it falls evenly with the time since the start.
+        """
+        if self.remembers(now_s):
+            return 0.0
+        live = self._live(now_s)
+        known = any(peer.remembers for peer in live)
+        part = limit / (1 + len(live)) if known else limit
+        elapsed_s = now_s - self._began_s + RESTART_S
+        return part * max(0.0, 1.0 - elapsed_s / self._window_s)
 
     def granted(self, now_s: float) -> dict[CustomerId, int]:
         """Return what this entry granted each customer within the window."""
@@ -109,6 +145,7 @@
         if rule.rate_per_s > 0:
             limit = (rule.rate_per_s * self._window_s + rule.burst) * self._margin
             free = limit - own.total - self._of_peers(rule.customer, limit, now_s)
+            free -= self._forgotten(limit, now_s)
             if amount > free:
                 return Failure(self._refusal(own, amount - free, limit, now_s))
         own.grants.append((now_s, amount))
@@ -162,7 +199,9 @@
         return make_refusal(RefusalReason.RATE_EXCEEDED, detail, retry_s)
 
 
-def make_window_quota(window_s: float, margin: float = 1.0) -> WindowQuota:
+def make_window_quota(
+    window_s: float, margin: float = 1.0, began_s: float | None = None
+) -> WindowQuota:
     """Return windows without grants.
 
     Parameters
@@ -171,6 +210,9 @@
         Length of the sliding window, in seconds.
     margin : float
         Part of each limit that is granted.
+    began_s : float or None
+        Monotonic time at which this process began after a former one of the system;
+        None if there was none before.
 
     Examples
     --------
@@ -181,4 +223,4 @@
     >>> quota.reserve(rule, 1, now_s=1.0).failure().retry_after_s
     7.0
     """
-    return WindowQuota(window_s, margin)
+    return WindowQuota(window_s, margin, began_s)
--- a/chervilgw/settings/vm.py
+++ b/chervilgw/settings/vm.py
@@ -37,7 +37,8 @@
     ``front_listen`` and ``ready_listen`` are set where callers connect; ``app`` is the
     address of the engine on the same VM, if there is one, and ``app_service`` the
     service that it started with. ``peer_ports`` is the range
-    of ports for messages between the system's own processes.
+    of ports for messages between the system's own processes. ``first_start`` is set
+    only when the whole system starts for the first time.
     """
 
     model_config = ConfigDict(frozen=True)
@@ -50,6 +51,7 @@
     app: Address | None = None
     app_service: str = ""
     peer_ports: tuple[int, int]
+    first_start: bool = False
     max_descriptors: int = Field(4096, ge=256)
     store: StoreSettings
     bounds: Bounds
