--- a/fleet/deployed.py
+++ b/fleet/deployed.py
@@ -208,6 +208,7 @@
             "internal_ports": f"{self.peer_port},{self.peer_port + 1}",
             "platform.address": self.store.address,
             "bounds.grace_s": "8",
+            "bootstrap": "true",
         }
         program = Program(common | fields, self.folder)
         program.start()
