--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -9,7 +9,7 @@
 from chervilgw.core.deployment import RouteKind, ServerId
 from chervilgw.core.ids import Digest, RequestId
 from chervilgw.core.states import RunState, Urgency
-from chervilgw.forward.messages import Admitted, ServerAnswer
+from chervilgw.forward.messages import Admitted, Headers, ServerAnswer
 
 MAX_SENDS = 4
 """Servers that one request is sent to at most, those that did not run it included."""
@@ -52,7 +52,6 @@
     server: ServerId | None = None
     server_started_ms: int = 0
     call: str = ""
-    sent_s: float = 0.0
     first_byte_s: float | None = None
     last_byte_s: float = 0.0
     longest_pause_s: float = 0.0
@@ -65,8 +64,8 @@
     body: list[bytes] = field(default_factory=list)
     cutter: EventCutter | None = None
     turn: RequestId | None = None
-    has_turn: bool = False
     refused_by: set[ServerId] = field(default_factory=set)
+    retry_after_s: float | None = None
 
     @property
     def run_state(self) -> RunState:
@@ -78,6 +77,76 @@
         """Return whether the answer is passed on as it arrives."""
         return self.admitted.route.kind is RouteKind.STREAMING
 
+    @property
+    def first_byte_after_s(self) -> float | None:
+        """Return how long the first byte of the answer took, or None without one."""
+        if self.first_byte_s is None:
+            return None
+        return self.first_byte_s - self.started_s
+
+    def begin_attempt(self, server: ServerId, started_ms: int, unread: int) -> None:
+        """Note that the request goes to a server."""
+        self.stage, self.server, self.server_started_ms = Stage.SENT, server, started_ms
+        self.sends += 1
+        self.tried.add(server)
+        self.may_have_run.add(server)
+        self.unread = unread
+        self.answer, self.body = None, []
+        self.call = f"{self.server_channel}-{self.number}-{self.sends}"
+
+    def on_turn_refused(self, retry_after_s: float) -> None:
+        """Note that an engine's agent does not take the request."""
+        self.refused_by.add(self.server)
+        if retry_after_s > 0:
+            known_s = self.retry_after_s
+            soonest_s = (
+                retry_after_s if known_s is None else min(known_s, retry_after_s)
+            )
+            self.retry_after_s = soonest_s
+
+    def on_head(self, answer: ServerAnswer, long_body_bytes: int) -> None:
+        """Decide what to do with an answer whose head has come."""
+        self.answer = answer
+        if not answer.is_own:
+            # Either nothing has run, or it is not known what is behind the answer.
+            self.stage = Stage.DISCARDING
+        elif answer.status >= 500 and not self.head_passed and self.may_send_again():
+            self.stage = Stage.DISCARDING
+        elif self.is_stream or (answer.length_bytes or 0) > long_body_bytes:
+            self.stage = Stage.RELAYING
+        else:
+            self.stage = Stage.BUFFERING
+
+    def on_data(self, data: bytes) -> bytes:
+        """Take a part of the answer; return what goes to the caller now."""
+        if self.stage is Stage.BUFFERING:
+            self.body.append(data)
+            return b""
+        if self.stage is not Stage.RELAYING:
+            return b""
+        return data if self.cutter is None else self.cutter.feed(data)
+
+    def on_not_served(self) -> None:
+        """Note an answer that is not passed on."""
+        if self.answer.not_run:
+            self.may_have_run.discard(self.server)
+
+    def whole_answer(self) -> tuple[int, Headers, bytes]:
+        """Return status, headers and body of an answer that was collected."""
+        headers = tuple(
+            pair for pair in self.answer.headers if pair[0] != "Content-Length"
+        )
+        return self.answer.status, headers, b"".join(self.body)
+
+    def note_bytes(self, now_s: float) -> None:
+        """Note when bytes of the answer came."""
+        if self.first_byte_s is None:
+            self.first_byte_s = now_s
+        else:
+            pause_s = now_s - self.last_byte_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_byte_s = now_s
+
     def may_send_again(self) -> bool:
         """Return whether the rules of the route allow another server.
 
--- /dev/null
+++ b/chervilgw/forward/fleet_keeper.py
@@ -0,0 +1,59 @@
+"""Base of the gateway task: keeps the view of the fleet up to date."""
+
+from __future__ import annotations
+
+import time
+
+from circuits import BaseComponent, handler
+
+from chervilgw.core.deployment import RegisteredServer, ServerId
+from chervilgw.forward.events import servers_known
+from chervilgw.membership.fleet_view import make_fleet_view
+from chervilgw.telemetry import log_event
+
+
+class FleetKeeper(BaseComponent):
+    """Task that owns a :class:`FleetView` and takes what the platform lists."""
+
+    def __init__(self, channel):
+        super().__init__(channel=channel)
+        self.fleet = make_fleet_view()
+
+    @handler("server_listed", channel="*")
+    def _on_listed(self, entry: RegisteredServer, offset):
+        if self.fleet.directory.on_entry(entry, offset):
+            log_event(
+                "server_changed",
+                server=entry.server,
+                service=entry.service,
+                state=entry.state,
+                address=entry.address,
+                models=sorted(entry.adapters),
+                started_ms=entry.started_ms,
+                offset=offset,
+            )
+
+    @handler("server_unlisted", channel="*")
+    def _on_unlisted(self, server: ServerId, offset):
+        if self.fleet.directory.on_removed(server, offset, time.monotonic()):
+            log_event("server_removed", server=server, offset=offset)
+            self.fleet.forget(server)
+
+    @handler("servers_listing", channel="*")
+    def _on_listing(self, listed, end):
+        now_s = time.monotonic()
+        for server in self.fleet.directory.on_listing(listed, end, now_s):
+            log_event("server_removed", server=server, offset=end)
+
+    @handler("store_lost", channel="*")
+    def _on_store_lost(self):
+        self.fleet.directory.on_store_lost()
+
+    @handler("store_back", channel="*")
+    def _on_store_back(self):
+        self.fleet.directory.on_store_back(time.monotonic())
+
+    def share_servers(self, now_s: float):
+        """Tell the tasks that talk to engines which servers there are."""
+        servers = self.fleet.directory.present(now_s)
+        self.fire(servers_known(servers), "gossip", "planner")
--- /dev/null
+++ b/chervilgw/forward/journal.py
@@ -0,0 +1,90 @@
+"""Log lines of the forwarding path, one for each decision on a request."""
+
+from __future__ import annotations
+
+from chervilgw.core.messages import TurnRefused
+from chervilgw.core.refusals import Refusal
+from chervilgw.forward.exchange import Exchange
+from chervilgw.runtime.events import CallFailed
+from chervilgw.telemetry import log_event
+
+
+def log_early_refusal(
+    attempt: str, refusal: Refusal, status: int, version: int | None
+) -> None:
+    """Log a request that was refused before a server was chosen."""
+    log_event(
+        "request_refused",
+        request=attempt,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        status=status,
+        retry_after_s=refusal.retry_after_s,
+        version=version,
+    )
+
+
+def log_turn_refused(exchange: Exchange, answer: TurnRefused) -> None:
+    """Log that an engine's agent refused a request."""
+    log_event(
+        "turn_refused",
+        request=exchange.admitted.opaque.attempt,
+        server=answer.server,
+        retry_after_s=answer.retry_after_s,
+        detail=answer.detail,
+    )
+
+
+def log_attempt_not_served(exchange: Exchange) -> None:
+    """Log an answer that is not passed to the caller."""
+    log_event(
+        "attempt_not_served",
+        request=exchange.admitted.opaque.attempt,
+        server=exchange.server,
+        status=exchange.answer.status,
+        not_run=exchange.answer.not_run,
+    )
+
+
+def log_attempt_failed(
+    exchange: Exchange, failed: CallFailed, ejected_s: float | None
+) -> None:
+    """Log an attempt without a whole answer."""
+    log_event(
+        "attempt_failed",
+        request=exchange.admitted.opaque.attempt,
+        server=exchange.server,
+        sent=failed.sent,
+        head_passed=exchange.head_passed,
+        ejected_s=ejected_s,
+        detail=failed.detail,
+    )
+
+
+def log_ended(
+    exchange: Exchange, outcome: str, now_s: float, refusal: Refusal | None
+) -> None:
+    """Log the end of a request, with what decided it."""
+    fields = {}
+    if refusal is not None:
+        fields = {
+            "run": refusal.run,
+            "detail": refusal.detail,
+            "retry_after_s": refusal.retry_after_s,
+        }
+    opaque = exchange.admitted.opaque
+    first_s = exchange.first_byte_after_s
+    log_event(
+        "request_ended",
+        request=opaque.attempt,
+        route=exchange.admitted.route.name,
+        model=opaque.model,
+        adapter=opaque.adapter,
+        server=exchange.server,
+        outcome=outcome,
+        sends=exchange.sends,
+        first_byte_s=None if first_s is None else round(first_s, 4),
+        longest_pause_s=round(exchange.longest_pause_s, 4),
+        took_s=round(now_s - exchange.started_s, 4),
+        **fields,
+    )
--- a/chervilgw/forward/messages.py
+++ b/chervilgw/forward/messages.py
@@ -79,3 +79,8 @@
     sealed: bool
     encoded: bool
     length_bytes: int | None
+
+    @property
+    def is_own(self) -> bool:
+        """Return whether it is an answer of the server's own to the request."""
+        return self.sealed and not self.encoded and not self.not_run
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -130,6 +130,7 @@
         name, board = server.server, self.board
         models = self.models_of(server, now_s) if request.model else {}
         adapters = models.get(request.model)
+        report = self.report_of(server, now_s)
         return Candidate(
             server,
             board.running(name, now_s),
@@ -138,6 +139,7 @@
             adapters is not None,
             request.adapter is None or request.adapter in (adapters or ()),
             cached.get(name, 0),
+            report is not None and report.busy,
         )
 
     def _cached_tokens(
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -23,6 +23,9 @@
 much slower."""
 ADAPTER_COST_S = 0.020
 """Time of loading an adapter, the longest on the deployments' sheets."""
+BUSY_ADAPTER_COST_S = 1.0
+"""An engine that loads a model loads no adapter until it has ended, after 0.8 s if the
+weights are at hand."""
 FAILURE_COST_S = 2.0
 """A server that fails each request counts as this much slower."""
 PLAIN_SLOT_COST_S = 0.05
@@ -36,7 +39,8 @@
 class Candidate:
     """A server that may take the request, with what is known of its work.
 
-    ``cached_tokens`` is how much of the prompt the server probably keeps.
+    ``cached_tokens`` is how much of the prompt the server probably keeps. ``is_busy``
+    says that it carries out an order, and loads no adapter meanwhile.
     """
 
     server: RegisteredServer
@@ -46,6 +50,7 @@
     has_model: bool = True
     has_adapter: bool = True
     cached_tokens: int = 0
+    is_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +133,7 @@
     unread = candidate.unread_tokens + request.prompt_tokens - candidate.cached_tokens
     cost_s = unread / READ_TOKENS_PER_S + RUNNING_COST_S * candidate.running
     if not candidate.has_adapter:
-        cost_s += ADAPTER_COST_S
+        cost_s += BUSY_ADAPTER_COST_S if candidate.is_busy else ADAPTER_COST_S
     cost_s += FAILURE_COST_S * candidate.failures
     return cost_s + _zone_cost_s(request, candidate)
 
