--- /dev/null
+++ b/chervilgw/scheduling/tests/test_turns.py
@@ -0,0 +1,134 @@
+"""Prompts are read one at a time, urgent ones first, and no turn is lost for good."""
+
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from chervilgw.core.ids import CustomerId, Incarnation, RequestId, VmId
+from chervilgw.core.states import Urgency
+from chervilgw.scheduling.fair_queue import QueuedItem
+from chervilgw.scheduling.turns import READING_TOKENS, TURN_S, Turn, make_turn_queue
+
+ENTRY = Incarnation(VmId("e"), 1)
+
+
+def turn(number, tokens=1400, urgency=Urgency.STANDARD, deadline_s=100.0, target="m"):
+    item = QueuedItem(
+        RequestId(ENTRY, number), CustomerId("a"), target, tokens, urgency, deadline_s
+    )
+    return Turn(item, "10.0.0.1:7600")
+
+
+def given(queue, now_s=0.0, can_run=bool):
+    return [each.item.request_id.counter for each in queue.next_turns(now_s, can_run)]
+
+
+def test_two_long_prompts_are_not_read_at_once():
+    """Guards against running streams that pause while several prompts are read."""
+    queue = make_turn_queue()
+    for number in (1, 2):
+        queue.ask(turn(number), 0.0)
+    assert given(queue) == [1]
+    assert given(queue) == []
+    queue.end(RequestId(ENTRY, 1), 0.1)
+    assert given(queue, 0.1) == [2]
+
+
+def test_short_prompts_are_read_together():
+    queue = make_turn_queue()
+    for number in (1, 2, 3):
+        queue.ask(turn(number, tokens=600), 0.0)
+    assert given(queue) == [1, 2, 3]
+
+
+def test_an_urgent_request_goes_ahead_of_those_that_wait():
+    queue = make_turn_queue()
+    queue.ask(turn(1), 0.0)
+    assert given(queue) == [1]
+    queue.ask(turn(2, urgency=Urgency.OVERNIGHT), 0.0)
+    queue.ask(turn(3, urgency=Urgency.INTERACTIVE), 0.0)
+    queue.end(RequestId(ENTRY, 1), 0.1)
+    assert given(queue, 0.1) == [3]
+
+
+def test_a_request_without_its_adapter_does_not_hold_up_the_others():
+    queue = make_turn_queue()
+    queue.ask(turn(1, target="m/a1"), 0.0)
+    queue.ask(turn(2), 0.0)
+    assert given(queue, can_run=lambda item: item.target == "m") == [2]
+
+
+def test_a_lost_word_of_the_end_frees_the_turn_after_a_while():
+    queue = make_turn_queue()
+    queue.ask(turn(1), 0.0)
+    queue.ask(turn(2), 0.0)
+    assert given(queue) == [1]
+    assert given(queue, TURN_S + 0.01) == [2]
+
+
+def test_a_repeated_question_changes_nothing():
+    queue = make_turn_queue()
+    assert queue.ask(turn(1), 0.0) is None
+    assert queue.ask(turn(1), 0.1) is None
+    assert given(queue) == [1]
+    assert queue.is_given(RequestId(ENTRY, 1))
+
+
+def test_a_request_that_is_too_late_is_taken_out():
+    queue = make_turn_queue()
+    queue.ask(turn(1), 0.0)
+    given(queue)
+    queue.ask(turn(2, deadline_s=1.0), 0.0)
+    assert [each.item.request_id.counter for each in queue.expire(1.1)] == [2]
+
+
+class TurnMachine(RuleBasedStateMachine):
+    """Questions, ends and lost ends in any order."""
+
+    @initialize()
+    def start(self):
+        self.queue = make_turn_queue()
+        self.now_s = 0.0
+        self.reading = {}
+        self.numbers = 0
+
+    @rule(tokens=st.integers(1, 3000), urgency=st.sampled_from(Urgency))
+    def ask(self, tokens, urgency):
+        self.numbers += 1
+        self.queue.ask(
+            turn(self.numbers, tokens, urgency, self.now_s + 1000.0), self.now_s
+        )
+
+    @rule()
+    def give(self):
+        for each in self.queue.next_turns(self.now_s, bool):
+            self.reading[each.item.request_id] = (each.item.tokens, self.now_s)
+
+    @rule(data=st.data())
+    def end(self, data):
+        if self.reading:
+            request_id = data.draw(st.sampled_from(list(self.reading)))
+            del self.reading[request_id]
+            self.queue.end(request_id, self.now_s)
+
+    @rule(seconds=st.floats(0.01, 1.0))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+
+    @invariant()
+    def no_more_than_the_limit_is_read(self):
+        fresh = [
+            tokens
+            for tokens, at_s in self.reading.values()
+            if self.now_s - at_s <= TURN_S
+        ]
+        assert len(fresh) <= 1 or sum(fresh) <= READING_TOKENS
+
+    @invariant()
+    def somebody_reads_while_somebody_waits(self):
+        if self.queue.waiting():
+            self.give()
+            fresh = [at for _, at in self.reading.values() if self.now_s - at <= TURN_S]
+            assert fresh
+
+
+TestTurnMachine = TurnMachine.TestCase
