--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -79,3 +79,11 @@
 
 class turn_answered(Event):  # noqa: N801
     """An agent answered: ``TurnGiven`` or ``TurnRefused``."""
+
+
+class reload_wanted(Event):  # noqa: N801
+    """Read the settings again: SIGHUP came."""
+
+
+class settings_changed(Event):  # noqa: N801
+    """The settings of this process changed: ``VmSettings``."""
--- a/chervilgw/forward/ready.py
+++ b/chervilgw/forward/ready.py
@@ -7,6 +7,8 @@
 
 from circuits import BaseComponent, Event, Timer, handler
 
+from chervilgw.core.errors import ChervilError
+from chervilgw.forward.events import settings_changed
 from chervilgw.runtime.control_events import drain
 from chervilgw.runtime.events import (
     HttpReply,
@@ -17,6 +19,7 @@
     http_stop_listening,
 )
 from chervilgw.runtime.role import FLUSH_S
+from chervilgw.settings.vm import VmSettings
 from chervilgw.telemetry import log_event
 
 NOTICE_S = 3.0
@@ -29,6 +32,10 @@
 """The process ends by itself this long before the platform would kill it."""
 
 
+CHECK_EVERY_TICKS = 10
+"""Ticks of 0.1 s between looks at the settings file: it may change without a signal."""
+
+
 class exit_due(Event):  # noqa: N801
     """All work has ended and its bytes are sent."""
 
@@ -108,36 +115,39 @@
 class ReloadTask(BaseComponent):
     """Reads the settings again; see :func:`make_reload_task`."""
 
-    CHECK_TICKS = 10
-
-    def __init__(self, read: Callable[[], str], channel):
+    def __init__(self, read: Callable[[], VmSettings], settings: VmSettings, channel):
         super().__init__(channel=channel)
         self._read = read
-        self._text = read()
+        self._settings = settings
         self._ticks = 0
 
     @handler("clock_tick", channel="*")
     def _on_tick(self, now_s, paused):
         self._ticks += 1
-        if self._ticks % self.CHECK_TICKS == 0:
+        if self._ticks % CHECK_EVERY_TICKS == 0:
             self._check()
 
-    @handler("settings_changed", channel="*")
-    def _on_signal(self):
+    @handler("reload_wanted", channel="*")
+    def _on_reload_wanted(self):
         log_event("settings_signal")
         self._check()
 
     def _check(self):
         try:
-            text = self._read()
-        except OSError as error:
-            log_event("settings_unreadable", level="warning", detail=str(error))
+            settings = self._read()
+        except ChervilError as error:
+            log_event("settings_unusable", level="warning", detail=str(error))
             return
-        if text != self._text:
-            changed = set(text.splitlines()) ^ set(self._text.splitlines())
-            self._text = text
-            names = sorted({line.partition("=")[0] for line in changed})
-            log_event("settings_changed_on_disk", fields=names)
+        if settings == self._settings:
+            return
+        changed = sorted(
+            name
+            for name in type(settings).model_fields
+            if getattr(settings, name) != getattr(self._settings, name)
+        )
+        self._settings = settings
+        log_event("settings_changed", fields=changed)
+        self.fire(settings_changed(settings), "*")
 
 
 def make_ready_task(channel="ready") -> ReadyTask:
@@ -160,6 +170,18 @@
     return StopTask(grace_s, has_callers, channel)
 
 
-def make_reload_task(read: Callable[[], str], channel="reload") -> ReloadTask:
-    """Return the task that notices changes of the settings file."""
-    return ReloadTask(read, channel)
+def make_reload_task(
+    read: Callable[[], VmSettings], settings: VmSettings, channel="reload"
+) -> ReloadTask:
+    """Return the task that notices changes of the settings.
+
+    Parameters
+    ----------
+    read : callable
+        Reads the settings again; raises `ChervilError` if it cannot.
+    settings : VmSettings
+        Those that the process started with.
+    channel : str
+        Channel of the task.
+    """
+    return ReloadTask(read, settings, channel)
--- a/chervilgw/platform/start.py
+++ b/chervilgw/platform/start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 from chervilgw.platform.boot import boot_path, load_vm_settings
@@ -34,20 +35,25 @@
         return EXIT_BAD_SETTINGS
     configure_logs(stream=make_bounded_stream(sys.stdout.fileno()))
     # Each role imports only what it needs, which keeps its memory down.
+    from chervilgw.forward.events import reload_wanted
+    from chervilgw.forward.ready import make_reload_task
     from chervilgw.platform.store import make_store_task
 
+    reload = make_reload_task(lambda: load_vm_settings(path), settings)
     if settings.front_listen is not None:
         from chervilgw.forward.app import make_forward_entry
         from chervilgw.platform.requests import PlatformCodec
 
         store = make_store_task(settings.store.address, follow_servers=True)
-        app = make_forward_entry(settings, PlatformCodec(), metrics_port, store)
+        app = make_forward_entry(settings, PlatformCodec(), metrics_port, store, reload)
     else:
         from chervilgw.forward.agent_app import make_agent
         from chervilgw.platform.engines import PlatformEngineCodec
 
         store = make_store_task(settings.store.address, follow_servers=False)
-        app = make_agent(settings, PlatformEngineCodec(), metrics_port, store)
+        app = make_agent(settings, PlatformEngineCodec(), metrics_port, store, reload)
+    # Without a handler the signal would end the process.
+    signal.signal(signal.SIGHUP, lambda *_: app.fire(reload_wanted(), "*"))
     log_event("process_started", vm=settings.vm, zone=settings.zone)
     app.run()
     log_event("process_stopped", vm=settings.vm)
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -102,6 +102,10 @@
             topic = log_format.SERVERS_TOPIC
             self._followers.append(_Follower(topic, 0.0, SERVERS_POLL_S))
 
+    @handler("settings_changed", channel="*")
+    def _on_settings(self, settings):
+        self._address = settings.store.address
+
     # Calls.
 
     @handler("started", channel="*")
--- a/fleet/deployed.py
+++ b/fleet/deployed.py
@@ -119,10 +119,15 @@
     folder: Path
     process: subprocess.Popen | None = None
 
-    def start(self) -> None:
-        """Write the settings file and start the process."""
+    def write_settings(self) -> Path:
+        """Write the settings file, and return where it is."""
         path = self.folder / f"{self.fields['node_name']}.conf"
         path.write_text("".join(f"{k}={v}\n" for k, v in self.fields.items()))
+        return path
+
+    def start(self) -> None:
+        """Write the settings file and start the process."""
+        path = self.write_settings()
         self.log = open(self.folder / f"{self.fields['node_name']}.log", "ab")  # noqa: SIM115
         self.process = subprocess.Popen(
             [sys.executable, "-m", "chervilgw.daemon", "--deployed"],
--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -1,11 +1,13 @@
 """The whole path on the platform's stand-ins, with the faults that its pages name."""
 
+import signal
 import threading
 
 import httpx
 import pytest
 
 from fleet.deployed import DeployedFleet, wait_for
+from standins.opaque_platform import StoreStandIn
 
 MODEL = {"X-Model": "m1", "X-Token-Count": "100,20", "X-Prompt-Prefix": "5c:100"}
 
@@ -213,6 +215,25 @@
     assert entry.program.process.wait(20) == 0
 
 
+def test_sighup_and_a_changed_store_address_are_taken_without_a_restart(fleet):
+    """Guards against a process that the signal ends, or that follows an old store."""
+    server = fleet.add_server(name="i-1")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    second = StoreStandIn()
+    second.start()
+    newer = fleet.configuration | {"version": 9, "routes": []}
+    for _ in range(3):
+        second.put("keyed.op", "config", newer)
+    entry.program.fields["platform.address"] = second.address
+    entry.program.write_settings()
+    entry.program.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: '"settings_changed"' in entry.program.log_text(), "it is read")
+    wait_for(lambda: entry.send("/reserve/1").status_code == 404, "it is in force")
+    assert entry.program.process.poll() is None
+    second.stop()
+
+
 def test_a_caller_that_leaves_is_cancelled_at_the_server(fleet):
     server = fleet.add_server(name="i-1")
     entry = fleet.add_entry()
