--- a/chervilgw/codec/frames.py
+++ b/chervilgw/codec/frames.py
@@ -56,6 +56,7 @@
     messages.TurnGiven: 28,
     messages.TurnRefused: 29,
     messages.TurnEnded: 30,
+    messages.DemandReport: 31,
 }
 
 _LENGTH = struct.Struct(">I")
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -343,10 +343,9 @@
 
     ``granted`` maps a customer to the tokens granted within the quota window.
     ``running`` maps a server to the requests at it, and ``unread_tokens`` to the prompt
-    tokens of those that have not produced anything yet. ``rates`` maps a model to the
-    requests per second for it, and ``running_by_model`` to those in progress.
-    ``address`` is where datagrams reach the sender. ``remembers`` is False while the
-    sender may have forgotten grants of its former process.
+    tokens of those that have not produced anything yet. ``address`` is where datagrams
+    reach the sender. ``remembers`` is False while the sender may have forgotten grants
+    of its former process.
     """
 
     sender: Incarnation
@@ -354,10 +353,22 @@
     granted: dict[str, int]
     running: dict[str, int]
     unread_tokens: dict[str, int]
+    remembers: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class DemandReport:
+    """What an entry tells the others of the demand for models, once a second.
+
+    ``rates`` maps a model to the requests per second for it, and ``running`` to those
+    in progress.
+    """
+
+    sender: Incarnation
+    address: str
     rates: dict[str, float]
-    running_by_model: dict[str, int]
+    running: dict[str, int]
     leaving: bool = False
-    remembers: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -382,7 +393,8 @@
     ``adapters`` maps a loaded model to its loaded adapters. ``orders`` counts the
     orders that the engine accepted; ``busy`` says that one is under way, and
     ``loading`` which model it loads. ``near`` lists models whose weights are in the
-    VM's memory or on its disk, where a load is short and not counted.
+    VM's memory or on its disk, where a load is short and not counted. ``answers`` is False if the engine
+    does not answer its agent.
     """
 
     server: str
@@ -396,6 +408,7 @@
     running: int
     used_tokens: int
     near: tuple[str, ...] = ()
+    answers: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -477,6 +490,7 @@
     | CrashReport
     | Leaving
     | EntryReport
+    | DemandReport
     | EngineWatch
     | EngineReport
     | TurnWanted
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -299,6 +299,7 @@
             self._report_call = None
             if self._orders.state is not None:
                 log_event("engine_silent", level="warning", detail=failed.detail)
+                self._tell_engine_is_down()
             self._orders.on_unreachable()
             self._refuse_turns(self._turns.clear(), "the engine does not answer")
         elif failed.call == self._order_call:
@@ -381,6 +382,27 @@
         )
         self.fire(datagram_send(report, addresses), "datagrams")
 
+    def _tell_engine_is_down(self):
+        if not self._is_known():
+            return
+        orders = self._orders.state.orders
+        report = EngineReport(
+            self._server,
+            self._server_started_ms,
+            orders,
+            False,
+            False,
+            "",
+            {},
+            0,
+            0,
+            0,
+            answers=False,
+        )
+        watchers = list(self._watchers)
+        if watchers:
+            self.fire(datagram_send(report, watchers), "datagrams")
+
     @handler("drain", channel="*")
     def _on_drain(self):
         self._stopping = True
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -65,6 +65,14 @@
     """Send this report to the other entries: ``EntryReport`` without its address."""
 
 
+class demand_report_due(Event):  # noqa: N801
+    """Send this report to the other entries: ``DemandReport`` without its address."""
+
+
+class demand_reported(Event):  # noqa: N801
+    """Report of another entry, or of this one: ``DemandReport``."""
+
+
 class entry_reported(Event):  # noqa: N801
     """Report of another entry: ``EntryReport``."""
 
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -18,7 +18,7 @@
 from chervilgw.core.deployment import Deployment, ServerId
 from chervilgw.core.errors import ChervilError
 from chervilgw.core.ids import Incarnation, RequestId, ZoneId
-from chervilgw.core.messages import EntryReport, TurnEnded, TurnGiven
+from chervilgw.core.messages import DemandReport, EntryReport, TurnEnded, TurnGiven
 from chervilgw.core.pipeline import make_pipeline
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason
@@ -29,6 +29,7 @@
 from chervilgw.forward.events import (
     agent_send,
     crash_shared,
+    demand_report_due,
     entry_drained,
     entry_report_due,
 )
@@ -70,10 +71,14 @@
     http_reply,
 )
 from chervilgw.settings.vm import Bounds
+from chervilgw.telemetry import log_event
 
 REPORT_EVERY_TICKS = 2
 """Ticks of 0.1 s between reports to the other entries: the quota and the choice of
 servers are as wrong as what happened meanwhile."""
+DEMAND_EVERY_TICKS = 10
+"""Ticks between reports of demand, an average over seconds; a request for a model that
+no engine holds is reported at the next tick."""
 SLOW_EVERY_TICKS = 10
 """Ticks between gauges and the clean-up of what is long gone."""
 STARTING_RETRY_S = 0.5
@@ -143,7 +148,10 @@
     @handler("engine_reported")
     def _on_engine_report(self, report):
         now_s = time.monotonic()
-        if self.fleet.on_report(report, now_s):
+        if not report.answers and self.fleet.is_current(report):
+            ejected_s = self.fleet.board.on_unreachable(ServerId(report.server), now_s)
+            log_event("engine_down", server=report.server, ejected_s=ejected_s)
+        elif self.fleet.on_report(report, now_s):
             for exchange in self._at(Stage.WAITING_FOR_MODEL):
                 self._attempt(exchange, now_s)
 
@@ -464,9 +472,11 @@
             elif exchange.stage is Stage.WAITING_FOR_MODEL:
                 self._attempt(exchange, now_s)
         self._ticks += 1
-        if self._ticks % REPORT_EVERY_TICKS == 0 or self._report_soon:
-            self._report_soon = False
+        if self._ticks % REPORT_EVERY_TICKS == 0:
             self._report(now_s)
+        if self._ticks % DEMAND_EVERY_TICKS == 0 or self._report_soon:
+            self._report_soon = False
+            self._report_demand(now_s)
         if self._ticks % SLOW_EVERY_TICKS == 0:
             self.fire(in_progress_counted(len(self._exchanges)), "metrics")
             self.fleet.directory.forget_gone(now_s)
@@ -485,14 +495,21 @@
             self._quota.granted(now_s),
             running,
             unread,
-            self._demand.rates(now_s),
-            self._running_by_model(),
-            self._draining,
             self._quota.remembers(now_s),
         )
         self.fire(entry_report_due(report), "gossip")
         self.share_servers(now_s)
 
+    def _report_demand(self, now_s: float):
+        report = DemandReport(
+            self._me,
+            "",
+            self._demand.rates(now_s),
+            self._running_by_model(),
+            self._draining,
+        )
+        self.fire(demand_report_due(report), "gossip")
+
     def _running_by_model(self) -> dict[str, int]:
         """Return the requests in progress, those that wait for an engine included."""
         models = [each.admitted.opaque.model for each in self._exchanges.values()]
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -15,6 +15,7 @@
 from chervilgw.core.ids import Incarnation, Offset
 from chervilgw.core.messages import (
     CrashReport,
+    DemandReport,
     EngineReport,
     EngineWatch,
     EntryReport,
@@ -25,6 +26,7 @@
 from chervilgw.forward.events import (
     announce_entry,
     crash_reported,
+    demand_reported,
     engine_reported,
     entry_reported,
     turn_answered,
@@ -88,7 +90,9 @@
                 if message.address not in self._peers:
                     log_event("entry_found", entry=str(message.sender))
                 self._peers[message.address] = time.monotonic()
-                self.fire(entry_reported(message), "gateway", "planner")
+                self.fire(entry_reported(message), "gateway")
+            case DemandReport():
+                self.fire(demand_reported(message), "planner")
             case EngineReport():
                 self.fire(engine_reported(message), "gateway", "planner")
             case TurnGiven() | TurnRefused():
@@ -104,7 +108,12 @@
                 del self._peers[address]
                 log_event("entry_silent", address=address, silent_s=SILENT_PEER_S)
         report = replace(report, address=self._options.address)
-        self.fire(entry_reported(report), "planner")
+        self._send(report, list(self._peers))
+
+    @handler("demand_report_due")
+    def _on_demand_due(self, report: DemandReport):
+        report = replace(report, address=self._options.address)
+        self.fire(demand_reported(report), "planner")
         self._send(report, list(self._peers))
 
     @handler("crash_shared")
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -13,14 +13,14 @@
 
 from chervilgw.core.deployment import Deployment, RegisteredServer, ServerId
 from chervilgw.core.ids import ModelName
-from chervilgw.core.messages import EngineReport, EntryReport, ModelWanted
+from chervilgw.core.messages import DemandReport, EngineReport, ModelWanted
 from chervilgw.forward.events import agent_send
 from chervilgw.placement.demand_rate import make_fleet_demand
 from chervilgw.placement.planner import EngineView, make_planner
 from chervilgw.telemetry import log_event
 
-ENTRY_AGE_S = 1.0
-"""An entry that has been silent for five reports does not plan and has no demand."""
+ENTRY_AGE_S = 2.5
+"""An entry that has been silent for two reports does not plan and has no demand."""
 REPORT_AGE_S = 3.0
 """An engine is planned with while its agent has reported in this time."""
 
@@ -40,7 +40,7 @@
         self._planner = make_planner()
         self._demand = make_fleet_demand()
         self._deployment: Deployment | None = None
-        self._entries: dict[str, tuple[EntryReport, float]] = {}
+        self._entries: dict[str, tuple[DemandReport, float]] = {}
         self._engines: dict[str, _Engine] = {}
         self._servers: list[RegisteredServer] = []
         self._is_planning = False
@@ -49,13 +49,16 @@
     def _on_deployment(self, deployment):
         self._deployment = deployment
 
-    @handler("entry_reported")
-    def _on_entry(self, report: EntryReport):
+    @handler("demand_reported")
+    def _on_demand(self, report: DemandReport):
         self._entries[report.address] = (report, time.monotonic())
 
     @handler("engine_reported")
     def _on_engine(self, report: EngineReport):
-        self._engines[report.server] = _Engine(report, time.monotonic())
+        if report.answers:
+            self._engines[report.server] = _Engine(report, time.monotonic())
+        else:
+            self._engines.pop(report.server, None)
 
     @handler("servers_known")
     def _on_servers(self, servers):
@@ -91,7 +94,7 @@
         reports = [report for report, _ in self._entries.values()]
         demand = self._demand.update(
             [report.rates for report in reports],
-            [report.running_by_model for report in reports],
+            [report.running for report in reports],
             now_s,
         )
         for service, rule in self._deployment.services.items():
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -53,8 +53,7 @@
     def on_report(self, report: EngineReport, now_s: float) -> bool:
         """Take the report of an engine's agent; return whether the engine matches."""
         server = ServerId(report.server)
-        known = self.directory.find(server)
-        if known is None or known.started_ms != report.started_ms:
+        if not self.is_current(report):
             return False
         last = self._reports.get(server)
         is_same = last is not None and last.report.started_ms == report.started_ms
@@ -66,6 +65,11 @@
             self.directory.on_seen_draining(server, report.started_ms)
         return True
 
+    def is_current(self, report: EngineReport) -> bool:
+        """Return whether a report is of the listed incarnation of its server."""
+        known = self.directory.find(ServerId(report.server))
+        return known is not None and known.started_ms == report.started_ms
+
     def _note_loading(self, server: ServerId, model: ModelName, now_s: float) -> None:
         key = (server, model)
         if key not in self._loading_since:
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -44,7 +44,9 @@
 CONFIGURATION_WAIT_S = 2.0
 """A read waits this long for a new configuration. It also bounds how long a connection
 that has gone silent hides one."""
-SERVERS_POLL_S = 0.6
+SIZES_WAIT_S = 10.0
+"""The same for a process that needs only the sizes of models, which rarely change."""
+SERVERS_POLL_S = 0.8
 """Servers write several heartbeats a second in all, so a waiting read would return at
 once each time. A leaving server must get no work 2 s after it said so."""
 
@@ -97,7 +99,8 @@
         self._writes: list[_Write] = []
         self._fence_to = ""
         topic = log_format.CONFIGURATION_TOPIC
-        self._followers = [_Follower(topic, CONFIGURATION_WAIT_S, 0.0)]
+        wait_s = CONFIGURATION_WAIT_S if follow_servers else SIZES_WAIT_S
+        self._followers = [_Follower(topic, wait_s, 0.0)]
         if follow_servers:
             topic = log_format.SERVERS_TOPIC
             self._followers.append(_Follower(topic, 0.0, SERVERS_POLL_S))
