Take a refusing service out of the load report, and call a refused connection not run

Cause: a sidecar told its entry that an attempt had started before there was a connection to the service, so a refused connection counted as unknown (502), and the dead service kept its share of the requests: the new test had 502 for about half of 60 requests.

--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -393,8 +393,8 @@
     ``adapters`` maps a loaded model to its loaded adapters. ``orders`` counts the
     orders that the engine accepted; ``busy`` says that one is under way, and
     ``loading`` which model it loads. ``near`` lists models whose weights are in the
-    VM's memory or on its disk, where a load is short and not counted. ``answers`` is False if the engine
-    does not answer its agent.
+    VM's memory or on its disk, where a load is short and not counted. ``answers`` is
+    False if the engine does not answer its agent.
     """
 
     server: str
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -60,7 +60,8 @@
     the outcome would be unknown. ``stream`` delivers the body in parts. ``forwarded``
     sends the headers as they are, without a Host of the address and a length of an
     empty body. An answer without the header pair ``echo`` belongs to another request
-    and is skipped.
+    and is skipped. ``notify_sent`` asks for ``call_sent`` once the connection stands
+    and the request goes out on it.
     """
 
     call: str
@@ -77,6 +78,7 @@
     connect_timeout_s: float | None = None
     forwarded: bool = False
     echo: tuple[str, str] | None = None
+    notify_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +162,10 @@
     """Close the connection of a call: call id."""
 
 
+class call_sent(Event):  # noqa: N801
+    """The request of a call goes out on a connection: call id."""
+
+
 class call_head(Event):  # noqa: N801
     """``CallHead``."""
 
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -25,6 +25,7 @@
     call_done,
     call_failed,
     call_head,
+    call_sent,
 )
 from chervilgw.runtime.sockets import Dialer
 
@@ -116,6 +117,8 @@
         if spec.body:
             parts.append(parser.send(h11.Data(data=spec.body)))
         parts.append(parser.send(h11.EndOfMessage()))
+        if spec.notify_sent:
+            self.fire(call_sent(spec.call), spec.reply_to)
         self._dialer.write(sock, b"".join(parts))
 
     def _on_read(self, sock, data):
--- a/chervilgw/sidecar/calls.py
+++ b/chervilgw/sidecar/calls.py
@@ -50,6 +50,7 @@
             idle_timeout_s=IDLE_TIMEOUT_S,
             fresh=True,
             stream=True,
+            notify_sent=True,
         )
     return HttpCall(
         call,
@@ -63,6 +64,7 @@
         # A kept connection that the service closes at the same moment would leave a
         # booking's outcome unknown; a lookup is simply repeated.
         fresh=not dispatch.idempotent,
+        notify_sent=True,
     )
 
 
--- a/chervilgw/sidecar/events.py
+++ b/chervilgw/sidecar/events.py
@@ -104,3 +104,11 @@
 
 class run_ended(Event):  # noqa: N801
     """A run has ended: request id, tokens that it used."""
+
+
+class service_refuses(Event):  # noqa: N801
+    """The plain service refused a connection."""
+
+
+class service_answers(Event):  # noqa: N801
+    """The plain service answered."""
--- a/chervilgw/sidecar/queue_task.py
+++ b/chervilgw/sidecar/queue_task.py
@@ -41,6 +41,7 @@
 )
 from chervilgw.sidecar.loading import copies_needed
 from chervilgw.sidecar.running import StopRun, make_running_attempts
+from chervilgw.sidecar.service_health import make_service_health
 from chervilgw.telemetry import log_event
 
 PARK_S = 1.0
@@ -95,6 +96,7 @@
         self._crashes = make_crash_tracker()
         self._engine = EngineView()
         self._load: Load | None = None
+        self._health = make_service_health()
         self._refuse_from_s = float("inf")
         self._drained = False
 
@@ -337,8 +339,19 @@
             for request_id in list(self._waiting):
                 self._drop_waiting(request_id, refuse_stale())
 
+    @handler("service_refuses")
+    def _on_service_refuses(self):
+        self._health.on_refused(time.monotonic())
+        log_event("service_refuses", level="warning", services=self._options.services)
+        self._report_load()
+
+    @handler("service_answers")
+    def _on_service_answers(self):
+        self._health.on_answer()
+
     def _report_load(self):
         options = self._options
+        offered = self._health.is_offered(time.monotonic())
         load = Load(
             options.kind,
             self._engine.capacity_bytes,
@@ -347,7 +360,7 @@
             len(self._fair_queue),
             dict(self._engine.resident),
             self._fair_queue.tokens_by_target(),
-            options.services,
+            options.services if offered else (),
             options.pool,
         )
         if load != self._load:
--- a/chervilgw/sidecar/run_task.py
+++ b/chervilgw/sidecar/run_task.py
@@ -31,6 +31,8 @@
     booking_request,
     engine_probe,
     run_ended,
+    service_answers,
+    service_refuses,
     suspect_passed,
 )
 from chervilgw.sidecar.generation import (
@@ -100,7 +102,6 @@
         self._start(run)
 
     def _start(self, run: _Run):
-        self._answer(Started(run.dispatch.request_id))
         call = make_backend_call(
             run.dispatch,
             run.call,
@@ -142,6 +143,14 @@
 
     # Results of the engine or service.
 
+    @handler("call_sent")
+    def _on_call_sent(self, call: str):
+        # Not before a connection stands: a refused one is certainly not a run, and the
+        # entry then tries another backend server.
+        run = self._run_of(call)
+        if run is not None:
+            self._answer(Started(run.dispatch.request_id))
+
     @handler("call_head")
     def _on_call_head(self, head):
         run = self._run_of(head.call)
@@ -192,6 +201,7 @@
         if run.booking:
             answer = (run.dispatch.request_id, status, kept, body)
             self.fire(booking_finished(*answer), "bookings")
+        self.fire(service_answers(), "queue")
         self._answer(*service_messages(run.dispatch, status, kept, body, PART_BYTES))
         self._finish(run, run.used_tokens())
 
@@ -201,6 +211,8 @@
         if run is None:
             return
         if not failed.sent:
+            if run.generation is None:
+                self.fire(service_refuses(), "queue")
             detail = "the backend server's engine or service refuses connections"
             self._refuse(run, make_refusal(RefusalReason.BACKEND_LOST, detail, 0.0))
         elif run.generation is not None:
--- a/fleet/tests/test_faults_bookings.py
+++ b/fleet/tests/test_faults_bookings.py
@@ -295,3 +295,44 @@
         path = f"{BOOKINGS}/slow"
         found = [try_call(two, "GET", path, key=key).status for _ in range(8)]
         assert set(found) <= {200, 404}, found
+
+
+def answers_beside_a_dead_service(fleet, send):
+    """Kill one of two services, not its sidecar, and return 60 answers."""
+    addresses = fleet.entry_addresses()
+    fleet.vms["casework-1"].backend.kill()
+    return [send(addresses[number % 2], f"d{number}") for number in range(60)]
+
+
+def test_a_dead_service_beside_a_live_sidecar_gets_no_share_of_the_requests(runs_file):
+    """Guards against 502 "unknown" for requests whose connection was refused.
+
+    Half of the requests went to such a sidecar for as long as its service was dead, and
+    each was called unknown although nothing could have run.
+    """
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+
+        def send(address, name):
+            return book(address, key, name, timeout_s=5)
+
+        statuses = [each.status for each in answers_beside_a_dead_service(fleet, send)]
+        assert statuses == [201] * 60
+
+
+def test_bookings_with_a_key_succeed_beside_a_dead_service(runs_file):
+    """Guards against a booking that its own first try shuts out.
+
+    The refusal of the first server can reach the entry before the record that releases
+    the booking's key reaches the log; the second server then answers 409.
+    """
+    with booking_fleet(runs_file) as fleet:
+        key = fleet.keys["tenants"]
+
+        def send(address, name):
+            return book(address, key, name, name, 5)
+
+        answers = answers_beside_a_dead_service(fleet, send)
+        assert [answer.status for answer in answers] == [201] * 60
+        runs = runs_of(runs_file)
+        assert [runs[f"d{number}"] for number in range(60)] == [1] * 60
