--- a/chervilgw/quota/window.py
+++ b/chervilgw/quota/window.py
@@ -25,6 +25,8 @@
 RESTART_S = 1.0
 """A process that ended is started again after a second or more; what it granted is at
 least that old."""
+FORGOTTEN_EXCESS = 1.15
+"""What nobody remembers may have been spent late in the window rather than evenly."""
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 8.0
 
@@ -106,7 +108,8 @@
         known = any(peer.remembers for peer in live)
         part = limit / (1 + len(live)) if known else limit
         elapsed_s = now_s - self._began_s + RESTART_S
-        return part * max(0.0, 1.0 - elapsed_s / self._window_s)
+        left = FORGOTTEN_EXCESS * (1.0 - elapsed_s / self._window_s)
+        return part * min(1.0, max(0.0, left))
 
     def granted(self, now_s: float) -> dict[CustomerId, int]:
         """Return what this entry granted each customer within the window."""
