--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -21,12 +21,6 @@
 REQUEST_S = 1.6
 """How long a request lasts on an engine that is not overloaded; what is refused or not
 served yet counts by this."""
-SPARE_RATE_PER_S = 2.0
-"""A model with this demand gets a second copy: a crash of its only engine would refuse
-its callers for the 4 to 9 s of a load from the store."""
-IDLE_RATE_PER_S = 0.04
-"""A spare copy takes only the place of a model with less demand: one request in the
-last nine seconds at most."""
 FAR_RATE_PER_S = 0.25
 """A load from the weight store takes 4 to 8 s, blocks its engine's adapters meanwhile
 and drives other weights off the VM, so it needs three requests in ten seconds."""
@@ -196,9 +190,7 @@
                 continue
             loss = sum(_loss(each, demand, copies) for each in victims)
             far = model not in engine.near
-            if gain <= 0 and (far or not _are_idle(victims, demand)):
-                continue
-            if gain > 0 and victims and gain < MOVE_GAIN * loss:
+            if victims and gain < MOVE_GAIN * loss:
                 continue
             move = Move(engine.server, model, victims, far)
             order = (far, loss, engine.running)
@@ -267,14 +259,6 @@
     return _unserved(model, demand, copies[model] - 1)
 
 
-def _are_idle(models: Iterable[ModelName], demand) -> bool:
-    return all(
-        demand[each].per_s < IDLE_RATE_PER_S and demand[each].running < 0.5
-        for each in models
-        if each in demand
-    )
-
-
 def _by_need(spec, demand, copies, engine_count: int) -> list[ModelName]:
     """Return models that need another copy, those without any first."""
     needed = []
@@ -282,8 +266,7 @@
         if model not in spec.models or known.per_s < MIN_RATE_PER_S:
             continue
         unserved = _unserved(model, demand, copies[model])
-        needs_spare = copies[model] == 1 and known.per_s >= SPARE_RATE_PER_S
-        if (unserved > 0 or needs_spare) and copies[model] < engine_count:
+        if unserved > 0 and copies[model] < engine_count:
             needed.append((copies[model] > 0, -unserved, model))
     return [model for _, _, model in sorted(needed)]
 
