--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -10,9 +10,8 @@
 import time
 from dataclasses import dataclass
 from itertools import count
-from typing import Protocol
 
-from circuits import BaseComponent, Event, handler
+from circuits import Event, handler
 
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.errors import ChervilError
@@ -22,24 +21,18 @@
     EngineWatch,
     ModelWanted,
     TurnEnded,
-    TurnGiven,
-    TurnRefused,
     TurnWanted,
 )
-from chervilgw.core.refusals import Refusal
+from chervilgw.forward.engine_codec import EngineCodec
 from chervilgw.forward.events import fence_wanted
-from chervilgw.forward.metrics_task import order_counted, turn_counted
+from chervilgw.forward.metrics_task import order_counted
+from chervilgw.forward.turn_giver import TurnGiver
 from chervilgw.placement.engine_orders import (
-    EngineState,
     Order,
-    OrderReply,
-    make_engine_orders,
 )
 from chervilgw.runtime.alarm import alarm_set
 from chervilgw.runtime.datagrams import datagram_send
-from chervilgw.runtime.events import Headers, HttpCall, http_call
-from chervilgw.scheduling.fair_queue import QueuedItem
-from chervilgw.scheduling.turns import Turn, make_turn_queue
+from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.telemetry import log_event
 
 REPORT_EVERY_S = 0.2
@@ -54,33 +47,6 @@
 """The engine is on the same VM and answers within a few milliseconds."""
 
 
-class EngineCodec(Protocol):
-    """Translates reports of an engine and orders to it."""
-
-    report_path: str
-    order_path: str
-
-    def decode_report(self, body: bytes) -> EngineState:
-        """Return a report; raises `ChervilError` if it is malformed."""
-        ...
-
-    def encode_order(self, order: Order, holder: str, fence: int) -> bytes:
-        """Return the body of an order."""
-        ...
-
-    def order_headers(self, server: ServerId) -> Headers:
-        """Return the headers of an order to one incarnation."""
-        ...
-
-    def decode_reply(self, status: int) -> OrderReply:
-        """Return what the engine answered to an order."""
-        ...
-
-    def encode_refusal(self, refusal: Refusal) -> tuple[int, Headers, bytes]:
-        """Return status, headers and body for a refused caller."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class AgentOptions:
     """Identity of the agent, and the address of the engine beside it."""
@@ -94,26 +60,21 @@
     """Read the engine's report again."""
 
 
-class Agent(BaseComponent):
+class Agent(TurnGiver):
     """Agent task; see :func:`make_agent_task`."""
 
     def __init__(self, options: AgentOptions, codec: EngineCodec, channel):
-        super().__init__(channel=channel)
+        super().__init__(channel)
         self._options = options
         self._codec = codec
-        self._orders = make_engine_orders()
-        self._turns = make_turn_queue()
         self._numbers = count(1)
         self._fence: int | None = None
-        self._server: ServerId | None = None
-        self._server_started_ms = 0
         self._watchers: dict[str, float] = {}
         self._report_call: str | None = None
         self._order_call: str | None = None
         self._order: Order | None = None
         self._reported_s = float("-inf")
         self._passed_on_s = float("-inf")
-        self._stopping = False
 
     @handler("started", channel="*")
     def _on_started(self, *args):
@@ -129,9 +90,9 @@
         rule = deployment.services.get(self._options.service)
         engines = [each.engine for each in deployment.services.values() if each.engine]
         if rule is not None and rule.engine is not None:
-            self._orders.spec = rule.engine
+            self.orders.spec = rule.engine
         elif len(engines) == 1:
-            self._orders.spec = engines[0]
+            self.orders.spec = engines[0]
 
     # What entries say.
 
@@ -142,91 +103,28 @@
             case EngineWatch():
                 self._on_watch(message, now_s)
             case TurnWanted():
-                self._on_turn_wanted(message, now_s)
+                self.on_turn_wanted(message, now_s)
             case TurnEnded():
-                self._turns.end(message.turn, now_s)
-                self._give_turns(now_s)
-            case ModelWanted() if message.server == self._server:
+                self.turns.end(message.turn, now_s)
+                self.give_turns(now_s)
+            case ModelWanted() if message.server == self.server:
                 log_event("model_wanted", model=message.model, unload=message.unload)
                 unload = tuple(map(ModelName, message.unload))
-                self._orders.want_model(ModelName(message.model), unload, now_s)
-                self._go_on(now_s)
+                self.orders.want_model(ModelName(message.model), unload, now_s)
+                self.go_on(now_s)
                 self._pass_on(list(self._watchers), now_s)
 
     def _on_watch(self, watch: EngineWatch, now_s: float):
         is_new = watch.address not in self._watchers
         self._watchers[watch.address] = now_s + WATCHED_S
-        if watch.started_ms >= self._server_started_ms:
-            if watch.server != self._server:
+        if watch.started_ms >= self.server_started_ms:
+            if watch.server != self.server:
                 log_event("engine_known", server=watch.server)
-            self._server = ServerId(watch.server)
-            self._server_started_ms = watch.started_ms
-        if is_new and self._orders.state is not None:
+            self.server = ServerId(watch.server)
+            self.server_started_ms = watch.started_ms
+        if is_new and self.orders.state is not None:
             self._pass_on([watch.address], now_s)
 
-    # Turns.
-
-    def _on_turn_wanted(self, wanted: TurnWanted, now_s: float):
-        if self._turns.is_given(wanted.turn):
-            self._answer(wanted.address, TurnGiven(wanted.turn, wanted.server))
-            return
-        if wanted.server != self._server or not self._takes(wanted.model):
-            detail = "the engine does not hold the model or is leaving"
-            refused = TurnRefused(wanted.turn, wanted.server, 0.0, detail)
-            self._answer(wanted.address, refused)
-            return
-        target = f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
-        item = QueuedItem(
-            wanted.turn,
-            wanted.customer,
-            target,
-            wanted.tokens,
-            wanted.urgency,
-            now_s + wanted.patience_s,
-        )
-        refusal = self._turns.ask(Turn(item, wanted.address), now_s)
-        if refusal is not None:
-            retry_s = refusal.retry_after_s or 0.0
-            refused = TurnRefused(wanted.turn, wanted.server, retry_s, refusal.detail)
-            self._answer(wanted.address, refused)
-            return
-        self._want_adapters(now_s)
-        self._give_turns(now_s)
-        self._go_on(now_s)
-
-    def _takes(self, model: str) -> bool:
-        state = self._orders.state
-        is_open = self._is_known() and not state.draining and not self._stopping
-        return is_open and model in self._orders.offered()
-
-    def _want_adapters(self, now_s: float):
-        for item in self._turns.waiting():
-            model, _, adapter = item.target.partition("/")
-            if adapter:
-                self._orders.want_adapter(ModelName(model), adapter, now_s)
-
-    def _can_run(self, item: QueuedItem) -> bool:
-        model, _, adapter = item.target.partition("/")
-        held = self._orders.offered().get(ModelName(model))
-        return held is not None and (not adapter or adapter in held)
-
-    def _give_turns(self, now_s: float):
-        if not self._is_known():
-            return
-        for turn in self._turns.next_turns(now_s, self._can_run):
-            self._answer(turn.address, TurnGiven(turn.item.request_id, self._server))
-
-    def _refuse_turns(self, turns: list[Turn], detail: str):
-        for turn in turns:
-            server = self._server or ""
-            refused = TurnRefused(turn.item.request_id, server, 0.0, detail)
-            self._answer(turn.address, refused)
-
-    def _answer(self, address: str, message):
-        result = "given" if isinstance(message, TurnGiven) else "refused"
-        self.fire(turn_counted(result), "metrics")
-        self.fire(datagram_send(message, [address]), "datagrams")
-
     # The engine.
 
     @handler("clock_tick", channel="*")
@@ -238,11 +136,11 @@
                 if now_s >= until_s:
                     del self._watchers[address]
             self._pass_on(list(self._watchers), now_s)
-        late = self._turns.expire(now_s)
-        self._refuse_turns(late, "the caller would not wait for its turn")
-        self._want_adapters(now_s)
-        self._give_turns(now_s)
-        self._go_on(now_s)
+        late = self.turns.expire(now_s)
+        self.refuse_turns(late, "the caller would not wait for its turn")
+        self.want_adapters(now_s)
+        self.give_turns(now_s)
+        self.go_on(now_s)
 
     @handler("report_due")
     def _on_report_due(self):
@@ -281,14 +179,14 @@
             reply = self._codec.decode_reply(done.status)
             log_event(
                 "order_answered",
-                server=self._server,
+                server=self.server,
                 kind=self._order.kind,
                 model=self._order.model,
                 adapter=self._order.adapter,
                 expected_orders=self._order.expected_orders,
                 reply=reply,
             )
-            self._orders.on_reply(reply)
+            self.orders.on_reply(reply)
             counted = order_counted(self._order.kind.value, reply.value)
             self.fire(counted, "metrics")
             self._ask_report()
@@ -297,17 +195,17 @@
     def _on_failed(self, failed):
         if failed.call == self._report_call:
             self._report_call = None
-            if self._orders.state is not None:
+            if self.orders.state is not None:
                 log_event("engine_silent", level="warning", detail=failed.detail)
                 self._tell_engine_is_down()
-            self._orders.on_unreachable()
-            self._refuse_turns(self._turns.clear(), "the engine does not answer")
+            self.orders.on_unreachable()
+            self.refuse_turns(self.turns.clear(), "the engine does not answer")
         elif failed.call == self._order_call:
             self._order_call = None
             log_event(
                 "order_unanswered",
                 level="warning",
-                server=self._server,
+                server=self.server,
                 kind=self._order.kind,
                 model=self._order.model,
                 adapter=self._order.adapter,
@@ -316,17 +214,17 @@
 
     def _on_report(self, done, now_s: float):
         if done.status != 200:
-            self._orders.on_unreachable()
+            self.orders.on_unreachable()
             return
         try:
             state = self._codec.decode_report(done.body)
         except ChervilError as error:
             log_event("report_malformed", level="warning", detail=str(error))
             return
-        if self._orders.on_state(state):
+        if self.orders.on_state(state):
             log_event(
                 "engine_changed",
-                server=self._server,
+                server=self.server,
                 orders=state.orders,
                 busy=state.busy,
                 draining=state.draining,
@@ -335,45 +233,39 @@
             )
             self._pass_on(list(self._watchers), now_s)
             if state.draining:
-                self._refuse_turns(self._turns.clear(), "the engine is leaving")
-            self._give_turns(now_s)
+                self.refuse_turns(self.turns.clear(), "the engine is leaving")
+            self.give_turns(now_s)
         if state.coming:
             self.fire(alarm_set(now_s + SOON_S, report_due(), self.channel), "alarm")
-        self._go_on(now_s)
-
-    def _is_known(self) -> bool:
-        """Return whether the engine that reports is the one of the platform's list."""
-        state = self._orders.state
-        if state is None or self._server is None:
-            return False
-        return state.started_ms in (0, self._server_started_ms)
+        self.go_on(now_s)
 
-    def _go_on(self, now_s: float):
+    def go_on(self, now_s: float):
+        """Give the next order, if there is one and the engine may get it."""
         ready = self._fence is not None and self._order_call is None
-        if not ready or self._stopping or not self._is_known():
+        if not ready or self.stopping or not self.is_known():
             return
-        order = self._orders.next_order(now_s)
+        order = self.orders.next_order(now_s)
         if order is None:
             return
         self._order = order
         self._order_call = f"order-{next(self._numbers)}"
         body = self._codec.encode_order(order, self._options.me.vm, self._fence)
-        headers = self._codec.order_headers(self._server)
+        headers = self._codec.order_headers(self.server)
         self._call(self._order_call, "POST", self._codec.order_path, headers, body)
 
     def _pass_on(self, addresses: list[str], now_s: float):
-        state = self._orders.state
-        if not self._is_known() or not addresses:
+        state = self.orders.state
+        if not self.is_known() or not addresses:
             return
         self._passed_on_s = now_s
-        offered = self._orders.offered()
+        offered = self.orders.offered()
         report = EngineReport(
-            self._server,
-            self._server_started_ms,
+            self.server,
+            self.server_started_ms,
             state.orders,
             state.draining,
             state.busy,
-            self._orders.loading or "",
+            self.orders.loading or "",
             {name: tuple(sorted(each)) for name, each in offered.items()},
             state.waiting,
             state.running,
@@ -383,12 +275,12 @@
         self.fire(datagram_send(report, addresses), "datagrams")
 
     def _tell_engine_is_down(self):
-        if not self._is_known():
+        if not self.is_known():
             return
-        orders = self._orders.state.orders
+        orders = self.orders.state.orders
         report = EngineReport(
-            self._server,
-            self._server_started_ms,
+            self.server,
+            self.server_started_ms,
             orders,
             False,
             False,
@@ -405,7 +297,7 @@
 
     @handler("drain", channel="*")
     def _on_drain(self):
-        self._stopping = True
+        self.stopping = True
 
 
 def make_agent_task(options: AgentOptions, codec: EngineCodec, channel="agent"):
--- /dev/null
+++ b/chervilgw/forward/engine_codec.py
@@ -0,0 +1,37 @@
+"""What the agent needs of an engine's encoding."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from chervilgw.core.deployment import ServerId
+from chervilgw.core.refusals import Refusal
+from chervilgw.placement.engine_orders import EngineState, Order, OrderReply
+from chervilgw.runtime.events import Headers
+
+
+class EngineCodec(Protocol):
+    """Translates reports of an engine and orders to it."""
+
+    report_path: str
+    order_path: str
+
+    def decode_report(self, body: bytes) -> EngineState:
+        """Return a report; raises `ChervilError` if it is malformed."""
+        ...
+
+    def encode_order(self, order: Order, holder: str, fence: int) -> bytes:
+        """Return the body of an order."""
+        ...
+
+    def order_headers(self, server: ServerId) -> Headers:
+        """Return the headers of an order to one incarnation."""
+        ...
+
+    def decode_reply(self, status: int) -> OrderReply:
+        """Return what the engine answered to an order."""
+        ...
+
+    def encode_refusal(self, refusal: Refusal) -> tuple[int, Headers, bytes]:
+        """Return status, headers and body for a refused caller."""
+        ...
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -10,15 +10,14 @@
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass
-from itertools import count
 
 from circuits import handler
 from returns.pipeline import is_successful
 
 from chervilgw.core.deployment import Deployment, ServerId
 from chervilgw.core.errors import ChervilError
-from chervilgw.core.ids import Incarnation, RequestId, ZoneId
-from chervilgw.core.messages import DemandReport, EntryReport, TurnEnded, TurnGiven
+from chervilgw.core.ids import Incarnation, ZoneId
+from chervilgw.core.messages import DemandReport, EntryReport
 from chervilgw.core.pipeline import make_pipeline
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason
@@ -27,7 +26,6 @@
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.crash_watch import make_crash_watch
 from chervilgw.forward.events import (
-    agent_send,
     crash_shared,
     demand_report_due,
     entry_drained,
@@ -39,13 +37,11 @@
     make_quota_filter,
     make_route_filter,
 )
-from chervilgw.forward.fleet_keeper import FleetKeeper
 from chervilgw.forward.journal import (
     log_attempt_failed,
     log_attempt_not_served,
     log_early_refusal,
     log_ended,
-    log_turn_refused,
 )
 from chervilgw.forward.messages import Incoming
 from chervilgw.forward.metrics_task import (
@@ -55,6 +51,7 @@
     request_counted,
 )
 from chervilgw.forward.retry_budgets import make_retry_budgets
+from chervilgw.forward.turn_keeper import TurnKeeper
 from chervilgw.placement.demand_rate import make_demand_rates
 from chervilgw.quota.window import make_window_quota
 from chervilgw.routing.table import make_route_table
@@ -109,17 +106,16 @@
     first_start: bool
 
 
-class Gateway(FleetKeeper):
+class Gateway(TurnKeeper):
     """Gateway task; see :func:`make_gateway`."""
 
     def __init__(self, options: GatewayOptions, codec: FrontCodec, channel):
-        super().__init__(channel)
+        super().__init__(options.me, channel)
         bounds, now_s = options.bounds, time.monotonic()
-        self._me = options.me
         self._codec = codec
         self._deployment: Deployment | None = None
         self._pipeline = None
-        self._dispatcher = decisions.make_dispatcher(self.fleet, codec, options.zone)
+        self.dispatcher = decisions.make_dispatcher(self.fleet, codec, options.zone)
         began_s = None if options.first_start else now_s
         self._quota = make_window_quota(bounds.quota_window_s, QUOTA_MARGIN, began_s)
         self._retries = make_retry_budgets(bounds)
@@ -127,8 +123,6 @@
         self._demand = make_demand_rates()
         self._exchanges: dict[int, Exchange] = {}
         self._by_call: dict[str, Exchange] = {}
-        self._by_turn: dict[RequestId, Exchange] = {}
-        self._turn_numbers = count(1)
         self._ticks = 0
         self._draining = False
         self._accept_until_s = float("inf")
@@ -153,7 +147,7 @@
             log_event("engine_down", server=report.server, ejected_s=ejected_s)
         elif self.fleet.on_report(report, now_s):
             for exchange in self._at(Stage.WAITING_FOR_MODEL):
-                self._attempt(exchange, now_s)
+                self.attempt(exchange, now_s)
 
     @handler("entry_reported")
     def _on_entry_report(self, report: EntryReport):
@@ -213,7 +207,7 @@
             self._demand.on_request(opaque.model, now_s)
         blocked = self._crashes.check(digest, now_s)
         if is_successful(blocked):
-            self._attempt(exchange, now_s)
+            self.attempt(exchange, now_s)
         else:
             self._fail(exchange, blocked.failure(), now_s)
 
@@ -224,88 +218,30 @@
         self.fire(http_reply(HttpReply(http.exchange, *reply)), http.server)
         self.fire(refusal_counted(refusal.reason.value), "metrics")
 
-    def _attempt(self, exchange: Exchange, now_s: float):
+    def attempt(self, exchange: Exchange, now_s: float):
         """Choose a server, and send the request or wait."""
         entries = self._quota.entries(now_s)
-        decision = self._dispatcher.decide(exchange, self._deployment, entries, now_s)
+        decision = self.dispatcher.decide(exchange, self._deployment, entries, now_s)
         match decision:
             case decisions.SendNow(server, unread):
-                self._send(exchange, server, unread, now_s)
+                self.send(exchange, server, unread, now_s)
             case decisions.AskTurn(server, unread):
-                self._ask_turn(exchange, server, unread, now_s)
+                self.ask_turn(exchange, server, unread, now_s)
             case decisions.HoldForModel():
                 exchange.stage, exchange.server = Stage.WAITING_FOR_MODEL, None
                 self._report_soon = True
             case decisions.GiveUp(refusal):
                 self._fail(exchange, refusal, now_s)
 
-    def _send(self, exchange: Exchange, server: ServerId, unread: int, now_s: float):
+    def send(self, exchange: Exchange, server: ServerId, unread: int, now_s: float):
+        """Send the request to a server."""
         known = self.fleet.directory.find(server)
         exchange.begin_attempt(server, known.started_ms, unread)
         self._by_call[exchange.call] = exchange
         self.fleet.on_sent(server, exchange.admitted.opaque, unread, now_s)
-        call = self._dispatcher.call(exchange, self.channel, now_s)
+        call = self.dispatcher.call(exchange, self.channel, now_s)
         self.fire(http_call(call), "server-client")
 
-    # Turns at engines.
-
-    def _ask_turn(self, exchange: Exchange, server: ServerId, unread: int, now_s):
-        """Wait for the engine's agent, which lets prompts be read one at a time."""
-        self._leave_queue(exchange)
-        exchange.stage, exchange.server = Stage.WAITING_FOR_TURN, server
-        exchange.turn = RequestId(self._me, next(self._turn_numbers))
-        exchange.unread = unread
-        self._by_turn[exchange.turn] = exchange
-        self.fleet.board.on_sent(server, unread)
-        self._repeat_turn(exchange, now_s)
-
-    def _repeat_turn(self, exchange: Exchange, now_s: float):
-        wanted = self._dispatcher.turn_wanted(exchange, now_s)
-        self.fire(agent_send(exchange.server, wanted), "gossip")
-
-    @handler("turn_answered")
-    def _on_turn(self, answer):
-        exchange = self._by_turn.get(answer.turn)
-        now_s = time.monotonic()
-        if exchange is None:
-            if isinstance(answer, TurnGiven):
-                # The caller left or the request went elsewhere meanwhile.
-                self._end_turn(answer.turn, ServerId(answer.server))
-            return
-        if exchange.stage is not Stage.WAITING_FOR_TURN:
-            return
-        if isinstance(answer, TurnGiven):
-            self.fleet.board.on_ended(exchange.server, exchange.unread)
-            self._send(exchange, exchange.server, exchange.unread, now_s)
-            return
-        log_turn_refused(exchange, answer)
-        exchange.on_turn_refused(answer.retry_after_s)
-        self._leave_queue(exchange)
-        self._attempt(exchange, now_s)
-
-    def _wait_for_turn(self, exchange: Exchange, now_s: float):
-        """Ask again, as a datagram may be lost, or choose another engine."""
-        server = self.fleet.directory.find(exchange.server)
-        if self.fleet.report_of(server, now_s) is None:
-            self._leave_queue(exchange)
-            self._attempt(exchange, now_s)
-        else:
-            self._repeat_turn(exchange, now_s)
-
-    def _leave_queue(self, exchange: Exchange):
-        """Give up the place in an engine's queue, if the request has one."""
-        if exchange.turn is None:
-            return
-        if exchange.stage is Stage.WAITING_FOR_TURN:
-            self.fleet.board.on_ended(exchange.server, exchange.unread)
-            exchange.unread = 0
-        self._by_turn.pop(exchange.turn, None)
-        self._end_turn(exchange.turn, exchange.server)
-        exchange.turn = None
-
-    def _end_turn(self, turn: RequestId, server: ServerId):
-        self.fire(agent_send(server, TurnEnded(turn, server)), "gossip")
-
     # Answers.
 
     @handler("call_head")
@@ -343,7 +279,7 @@
         if exchange.unread:
             self.fleet.board.on_started(exchange.server, exchange.unread)
             exchange.unread = 0
-        self._leave_queue(exchange)
+        self.leave_queue(exchange)
 
     @handler("call_done")
     def _on_done(self, done):
@@ -404,7 +340,7 @@
             if never_arrived or self._retries.try_retry(service, entries, now_s):
                 if exchange.cutter is not None:
                     exchange.cutter.drop_partial()
-                self._attempt(exchange, now_s)
+                self.attempt(exchange, now_s)
                 return
         reason = RefusalReason.BACKEND_LOST
         if exchange.answer is not None and exchange.answer.not_run:
@@ -413,7 +349,7 @@
         self._fail(exchange, refusal, now_s)
 
     def _release(self, exchange: Exchange):
-        self._leave_queue(exchange)
+        self.leave_queue(exchange)
         self.fleet.board.on_ended(exchange.server, exchange.unread)
         exchange.unread = 0
 
@@ -434,7 +370,7 @@
         self._end(exchange, refusal.reason.value, now_s, refusal)
 
     def _end(self, exchange: Exchange, outcome: str, now_s: float, refusal=None):
-        self._leave_queue(exchange)
+        self.leave_queue(exchange)
         exchange.stage = Stage.ENDED
         self._exchanges.pop(exchange.number, None)
         counted = request_counted(
@@ -468,9 +404,9 @@
             if now_s >= exchange.give_up_s:
                 self._time_out(exchange, now_s)
             elif exchange.stage is Stage.WAITING_FOR_TURN:
-                self._wait_for_turn(exchange, now_s)
+                self.wait_for_turn(exchange, now_s)
             elif exchange.stage is Stage.WAITING_FOR_MODEL:
-                self._attempt(exchange, now_s)
+                self.attempt(exchange, now_s)
         self._ticks += 1
         if self._ticks % REPORT_EVERY_TICKS == 0:
             self._report(now_s)
@@ -490,7 +426,7 @@
     def _report(self, now_s: float):
         running, unread = self.fleet.board.report()
         report = EntryReport(
-            self._me,
+            self.me,
             "",
             self._quota.granted(now_s),
             running,
@@ -502,7 +438,7 @@
 
     def _report_demand(self, now_s: float):
         report = DemandReport(
-            self._me,
+            self.me,
             "",
             self._demand.rates(now_s),
             self._running_by_model(),
--- /dev/null
+++ b/chervilgw/forward/turn_giver.py
@@ -0,0 +1,101 @@
+"""Base of the agent task: gives turns at the engine beside it."""
+
+from __future__ import annotations
+
+from circuits import BaseComponent
+
+from chervilgw.core.deployment import ServerId
+from chervilgw.core.ids import ModelName
+from chervilgw.core.messages import TurnGiven, TurnRefused, TurnWanted
+from chervilgw.forward.metrics_task import turn_counted
+from chervilgw.placement.engine_orders import make_engine_orders
+from chervilgw.runtime.datagrams import datagram_send
+from chervilgw.scheduling.fair_queue import QueuedItem
+from chervilgw.scheduling.turns import Turn, make_turn_queue
+
+
+class TurnGiver(BaseComponent):
+    """Task that owns the turns at one engine and what is known of the engine.
+
+    The agent adds :meth:`go_on`, which gives the next order.
+    """
+
+    def __init__(self, channel):
+        super().__init__(channel=channel)
+        self.orders = make_engine_orders()
+        self.turns = make_turn_queue()
+        self.server: ServerId | None = None
+        self.server_started_ms = 0
+        self.stopping = False
+
+    def is_known(self) -> bool:
+        """Return whether the engine that reports is the one of the platform's list."""
+        state = self.orders.state
+        if state is None or self.server is None:
+            return False
+        return state.started_ms in (0, self.server_started_ms)
+
+    def on_turn_wanted(self, wanted: TurnWanted, now_s: float):
+        """Queue a request, or refuse it at once if it would not be in time."""
+        if self.turns.is_given(wanted.turn):
+            self._answer(wanted.address, TurnGiven(wanted.turn, wanted.server))
+            return
+        if wanted.server != self.server or not self._takes(wanted.model):
+            detail = "the engine does not hold the model or is leaving"
+            refused = TurnRefused(wanted.turn, wanted.server, 0.0, detail)
+            self._answer(wanted.address, refused)
+            return
+        target = f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
+        item = QueuedItem(
+            wanted.turn,
+            wanted.customer,
+            target,
+            wanted.tokens,
+            wanted.urgency,
+            now_s + wanted.patience_s,
+        )
+        refusal = self.turns.ask(Turn(item, wanted.address), now_s)
+        if refusal is not None:
+            retry_s = refusal.retry_after_s or 0.0
+            refused = TurnRefused(wanted.turn, wanted.server, retry_s, refusal.detail)
+            self._answer(wanted.address, refused)
+            return
+        self.want_adapters(now_s)
+        self.give_turns(now_s)
+        self.go_on(now_s)
+
+    def _takes(self, model: str) -> bool:
+        state = self.orders.state
+        is_open = self.is_known() and not state.draining and not self.stopping
+        return is_open and model in self.orders.offered()
+
+    def want_adapters(self, now_s: float):
+        """Ask for the adapters of the requests that wait."""
+        for item in self.turns.waiting():
+            model, _, adapter = item.target.partition("/")
+            if adapter:
+                self.orders.want_adapter(ModelName(model), adapter, now_s)
+
+    def _can_run(self, item: QueuedItem) -> bool:
+        model, _, adapter = item.target.partition("/")
+        held = self.orders.offered().get(ModelName(model))
+        return held is not None and (not adapter or adapter in held)
+
+    def give_turns(self, now_s: float):
+        """Tell the entries whose requests may be sent now."""
+        if not self.is_known():
+            return
+        for turn in self.turns.next_turns(now_s, self._can_run):
+            self._answer(turn.address, TurnGiven(turn.item.request_id, self.server))
+
+    def refuse_turns(self, turns: list[Turn], detail: str):
+        """Tell the entries of requests that were taken out of the queue."""
+        for turn in turns:
+            server = self.server or ""
+            refused = TurnRefused(turn.item.request_id, server, 0.0, detail)
+            self._answer(turn.address, refused)
+
+    def _answer(self, address: str, message):
+        result = "given" if isinstance(message, TurnGiven) else "refused"
+        self.fire(turn_counted(result), "metrics")
+        self.fire(datagram_send(message, [address]), "datagrams")
