--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -160,6 +160,23 @@
     assert {order["holder"] for order in engine.orders} == {agent.fields["node_name"]}
 
 
+def test_an_engine_that_stops_gets_no_work_as_soon_as_its_agent_sees_it(fleet):
+    """Guards against seconds of work for a dead engine that the list still names."""
+    engine = fleet.add_server(name="i-1", service="llm", models={"m1": []})
+    # A VM of its own: an agent takes the engine at its address for the one beside it.
+    elsewhere = {"service": "llm", "models": {"m1": []}, "ip": "127.0.0.2"}
+    other = fleet.add_server(name="i-2", **elsewhere)
+    entry = fleet.add_entry()
+    agent = fleet.add_agent(engine)
+    wait_for(lambda: "engine_known" in agent.log_text(), "the agent knows its engine")
+    wait_for(listed(entry, other), "the other engine is known")
+    engine.stop()
+    wait_for(lambda: '"engine_down"' in entry.program.log_text(), "it is told", 5.0)
+    for _ in range(4):
+        assert entry.send("/draft/1", headers=MODEL).status_code == 200
+    assert engine.runs == []
+
+
 def test_a_model_that_no_engine_holds_is_loaded_for_those_who_ask(fleet):
     engine = fleet.add_server(name="i-1", service="llm", models={"m1": []})
     entry = fleet.add_entry()
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import itertools
 import json
+import socket
 import struct
 import threading
 import time
@@ -52,6 +54,20 @@
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
 
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.open: set[socket.socket] = set()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Note the connection, and serve it in a thread."""
+        self.open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Forget the connection and close it."""
+        self.open.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Pass over callers that left."""
 
@@ -71,9 +87,12 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def stop(self) -> None:
-        """Refuse further connections."""
+        """Refuse further connections and break off the open ones."""
         self.server.shutdown()
         self.server.server_close()
+        for connection in list(self.server.open):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
     def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
         """Answer a request."""
