--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from chervilgw.core.ids import CustomerId, Incarnation, Offset, RequestId
+from chervilgw.core.ids import CustomerId, Incarnation, RequestId
 from chervilgw.core.states import Urgency
 
 
@@ -57,7 +57,6 @@
     address: str
     server: str
     started_ms: int
-    offset: Offset
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -47,7 +47,6 @@
     digest: Digest
     started_s: float
     give_up_s: float
-    patience_until_s: float
     stage: Stage = Stage.SENT
     server: ServerId | None = None
     server_started_ms: int = 0
@@ -219,6 +218,5 @@
         digest,
         now_s,
         now_s + limit_s,
-        now_s + patience_s,
         cutter=cutter,
     )
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -12,7 +12,7 @@
 from circuits import BaseComponent, handler
 
 from chervilgw.core.deployment import RegisteredServer, ServerId
-from chervilgw.core.ids import Incarnation, Offset
+from chervilgw.core.ids import Incarnation
 from chervilgw.core.messages import (
     CrashReport,
     DemandReport,
@@ -137,7 +137,6 @@
                 self._options.address,
                 server.server,
                 server.started_ms,
-                Offset(0),
             )
             self._send(watch, [self._agent_of(server)])
 
--- a/chervilgw/placement/engine_orders.py
+++ b/chervilgw/placement/engine_orders.py
@@ -219,10 +219,6 @@
         ]
         return min(loaded, key=lambda name: self._used_s.get(name, 0.0), default=None)
 
-    def note_use(self, model: ModelName, adapter: str, now_s: float) -> None:
-        """Note that a loaded adapter is in use, so that others are dropped first."""
-        self._used_s[model, adapter] = now_s
-
     # Models.
 
     def _free_mb(self) -> float:
--- a/chervilgw/placement/tests/test_engine_orders.py
+++ b/chervilgw/placement/tests/test_engine_orders.py
@@ -187,8 +187,10 @@
     orders.spec = SPEC
     engine.held = {ModelName("m1"): {"a1", "a2"}}
     ready(orders, engine)
-    orders.note_use(ModelName("m1"), "a1", 5.0)
-    orders.note_use(ModelName("m1"), "a2", 3.0)
+    # A wish for a loaded adapter is a use of it; it has passed when the third comes.
+    orders.want_adapter(ModelName("m1"), "a2", 3.0)
+    orders.want_adapter(ModelName("m1"), "a1", 4.0)
+    assert orders.next_order(5.5) is None
     orders.want_adapter(ModelName("m1"), "a3", 6.0)
     order = orders.next_order(6.0)
     assert (order.kind, order.adapter) == (OrderKind.UNLOAD, "a2")
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -65,7 +65,6 @@
     model: ModelName | None
     prompt_tokens: int
     first_token_limit_s: float
-    slots_limit: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -170,6 +170,8 @@
     agent = fleet.add_agent(engine)
     wait_for(lambda: "engine_known" in agent.log_text(), "the agent knows its engine")
     wait_for(listed(entry, other), "the other engine is known")
+    # An agent that has not read a report yet has no engine to miss.
+    wait_for(lambda: "engine_changed" in agent.log_text(), "the engine has reported")
     engine.stop()
     wait_for(lambda: '"engine_down"' in entry.program.log_text(), "it is told", 5.0)
     for _ in range(4):
