--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -43,6 +43,8 @@
 LOAD_SHARE = 0.8
 """Part of the weight store's rate that is planned for; the rest covers a second planner
 after a partition."""
+LOAD_WINDOW_S = 5.0
+"""Window over which the operators count loads from the weight store."""
 LOAD_EXTRA = 1
 """Loads at once beyond the rate, which the operators allow on top."""
 
@@ -173,10 +175,9 @@
         """Return whether the weight store's rate allows one more load."""
         if spec.loads_per_s <= 0:
             return True
-        window_s = 5.0
-        while self._loads_s and now_s - self._loads_s[0] > window_s:
+        while self._loads_s and now_s - self._loads_s[0] > LOAD_WINDOW_S:
             self._loads_s.popleft()
-        limit = LOAD_SHARE * spec.loads_per_s * window_s + LOAD_EXTRA
+        limit = LOAD_SHARE * spec.loads_per_s * LOAD_WINDOW_S + LOAD_EXTRA
         return len(self._loads_s) + 1 <= limit
 
     def _best_move(self, spec, model, free, demand, copies, now_s) -> Move | None:
