Reset cancelled requests, and answer all requests before a process ends

A cancelled or failed forwarded call now resets its connection. Both have tests; the wait for a model was not ended early on purpose, as most such requests are still served.

--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -81,6 +81,10 @@
     """Report of the agent beside an engine: ``EngineReport``."""
 
 
+class end_requests(Event):  # noqa: N801
+    """The process ends: answer all requests in progress now."""
+
+
 class entry_drained(Event):  # noqa: N801
     """No request is in progress any more on an entry that is leaving."""
 
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -459,6 +459,15 @@
         self._accept_until_s = time.monotonic() + LEAVING_ACCEPT_S
         self._check_drained()
 
+    @handler("end_requests")
+    def _on_end_requests(self):
+        now_s = time.monotonic()
+        for exchange in list(self._exchanges.values()):
+            self._stop_attempt(exchange)
+            text = "this entry ended before the answer came"
+            reason, run = RefusalReason.LEAVING, exchange.run_state
+            self._fail(exchange, Refusal(reason, run, text, LEAVING_RETRY_S), now_s)
+
     def _check_drained(self):
         if self._draining and not self._exchanges:
             self.fire(entry_drained(), "*")
--- a/chervilgw/forward/ready.py
+++ b/chervilgw/forward/ready.py
@@ -8,7 +8,7 @@
 from circuits import BaseComponent, Event, Timer, handler
 
 from chervilgw.core.errors import ChervilError
-from chervilgw.forward.events import settings_changed
+from chervilgw.forward.events import end_requests, settings_changed
 from chervilgw.runtime.control_events import drain
 from chervilgw.runtime.events import (
     HttpReply,
@@ -103,6 +103,7 @@
         noticed = waited_s >= NOTICE_S or not self._has_callers
         if (noticed and self._drained) or waited_s >= self._grace_s - GRACE_MARGIN_S:
             self._exiting = True
+            self.fire(end_requests(), "gateway")
             log_event("shutdown_finished", drained=self._drained, waited_s=waited_s)
             self.fire(http_stop_listening(), "*")
             Timer(FLUSH_S, exit_due(), self.channel).register(self)
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -244,7 +244,7 @@
         self._calls.pop(call.spec.call, None)
         if call.sock is not None:
             self._by_sock.pop(call.sock, None)
-            self._dialer.close(call.sock)
+            self._give_up(call)
         else:
             self._dialer.abandon(call.spec.call)
         message = CallFailed(call.spec.call, sent, detail, broken)
@@ -281,7 +281,18 @@
             self._dialer.abandon(call_id)
             return
         self._by_sock.pop(call.sock, None)
-        self._dialer.close(call.sock)
+        self._give_up(call)
+
+    def _give_up(self, call: _Call):
+        """Close a connection in the middle of a call.
+
+        A forwarded request must not reach its server after its caller has been told, or
+        has left.
+        """
+        if call.spec.forwarded:
+            self._dialer.abort(call.sock)
+        else:
+            self._dialer.close(call.sock)
 
     @handler("clock_tick", channel="*")
     def _on_tick(self, now_s, paused):
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -8,6 +8,7 @@
 
 import socket
 import ssl
+import struct
 from errno import EAGAIN, EINPROGRESS, EWOULDBLOCK
 from typing import Any
 
@@ -265,6 +266,25 @@
             if owner == token:
                 self._finish_connect(sock, "abandoned")
 
+    def abort(self, sock):
+        """Reset a connection, so that bytes which have not arrived never will.
+
+        An ordinary close leaves them to the kernel, which delivers them when a link
+        heals or a server returns, seconds after they were given up.
+        """
+        if _is_closed(sock) or sock not in self._clients:
+            return
+        # The library's own close shuts the connection down first, which sends the rest.
+        self._pending_bytes.pop(sock, None)
+        self._buffers.pop(sock, None)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+        self._poller.discard(sock)
+        self._clients.remove(sock)
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+
     def _finish_connect(self, sock, failure: str | None):
         token = self._connecting.pop(sock)
         self._poller.discard(sock)
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -6,7 +6,7 @@
 import pytest
 from circuits import BaseComponent, handler
 
-from chervilgw.runtime.events import HttpCall, http_call
+from chervilgw.runtime.events import HttpCall, http_call, http_call_cancel
 from chervilgw.runtime.http_client import make_http_client
 
 from .running import running, wait_until
@@ -133,3 +133,17 @@
         with accept(listener) as second:
             second.sendall(OWN)
             wait_until(lambda: len(caller.done) == 2)
+
+
+def test_a_cancelled_request_is_reset_so_that_held_up_bytes_never_arrive(pair):
+    """Guards against requests that reach a server seconds after their caller left.
+
+    A server that was cut off or silent got what the kernel still held after an ordinary
+    close.
+    """
+    listener, caller = pair
+    caller.call("c1")
+    with accept(listener) as connection:
+        caller.fire(http_call_cancel("c1"), "http-client")
+        with pytest.raises(ConnectionResetError):
+            connection.recv(65536)
--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -234,6 +234,26 @@
     assert entry.program.process.wait(20) == 0
 
 
+def test_a_request_that_outlasts_the_grace_time_is_answered(fleet):
+    """Guards against a whole request that gets neither an answer nor a refusal."""
+    server = fleet.add_server(name="i-1", service="llm", models={"m1": []})
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    server.hold.clear()
+    answers = []
+    headers = MODEL | {"X-Deadline-Ms": "15000"}
+    caller = threading.Thread(
+        target=lambda: answers.append(entry.send("/draft/1", headers=headers))
+    )
+    caller.start()
+    wait_for(lambda: server.runs, "the request is at the server")
+    entry.program.process.terminate()
+    caller.join(20)
+    server.hold.set()
+    # It may have run, so the answer must not promise that it has not.
+    assert [each.status_code for each in answers] == [502]
+
+
 def test_sighup_and_a_changed_store_address_are_taken_without_a_restart(fleet):
     """Guards against a process that the signal ends, or that follows an old store."""
     server = fleet.add_server(name="i-1")
