Release a booking's key before its refusal, and ask the log about a held key

Cause: of 60 keyed bookings beside a dead service one got 409 "the first request with this key has no result yet". The refusal of the first server overtook the record that releases the key; and a sidecar that had read the first one's intent, but not yet its release, refused from its own state.

Change: an attempt that won and did not run is refused once the log holds its release, or after wait_s if the log fails; a digest whose winner has no result is settled by the log. The refusal keeps the reason and Retry-After of the run task. on_service_lost is gone, as refuse does the same with the full refusal; the state machine calls refuse with the same run states.

--- a/chervilgw/bookings/decisions.py
+++ b/chervilgw/bookings/decisions.py
@@ -38,6 +38,14 @@
     state: _State = _State.QUEUED
 
 
+@dataclass(frozen=True, slots=True)
+class _Release:
+    """A refusal that waits until the log holds the release of its digest."""
+
+    refusal: Refusal
+    since_s: float
+
+
 class Bookings:
     """State of one sidecar's bookings. See :func:`make_bookings`.
 
@@ -56,6 +64,7 @@
         # Attempts whose intent was not read back yet, oldest first.
         self._waiting: dict[RequestId, _Attempt] = {}
         self._closed: OrderedDict[RequestId, float] = OrderedDict()
+        self._releases: dict[RequestId, _Release] = {}
         self._queue: deque[Record] = deque()
         self._number = 0
         self._append: Append | None = None
@@ -84,7 +93,10 @@
         if attempt in self._attempts or attempt in self._closed:
             return []
         entry = self._state.entry(booking.digest, booking.time_ms)
-        if entry is not None and (entry.winner or attempt in entry.void):
+        # A winner without a result may have been released since the last read, so only
+        # the log can tell.
+        is_known = entry is not None and entry.winner and entry.run is not None
+        if is_known or (entry is not None and attempt in entry.void):
             return [self._close(_outcome(booking, entry), now_s)]
         if len(self._waiting) >= MAX_WAITING:
             detail = "too many bookings wait for the log"
@@ -109,10 +121,23 @@
         -------
         list of Output
         """
+        outputs: list[Output] = []
         if append == self._append:
             self._append = None
             self._read_wanted = True
-        return self._work(now_s)
+            outputs = self._end_releases(append.records)
+        return outputs + self._work(now_s)
+
+    def _end_releases(self, records: Sequence[Record]) -> list[Output]:
+        """Refuse the attempts whose release the log now holds."""
+        found = [
+            record.attempt
+            for record in records
+            if isinstance(record, Result) and record.attempt in self._releases
+        ]
+        return [
+            Refuse(attempt, self._releases.pop(attempt).refusal) for attempt in found
+        ]
 
     def on_records(
         self, read: Read, records: Sequence[tuple[Offset, Record | None]], now_s: float
@@ -210,31 +235,15 @@
             self._queue.append(Result(digest, attempt, RunState.RUN, answer))
         return [self._close(Answer(attempt, answer), now_s), *self._work(now_s)]
 
-    def on_service_lost(
-        self, attempt: RequestId, may_have_run: bool, now_s: float
-    ) -> list[Output]:
-        """Note that the service gave no answer.
-
-        Parameters
-        ----------
-        attempt : RequestId
-        may_have_run : bool
-            False only if it is certain that the service did not get the request.
-        now_s : float
-
-        Returns
-        -------
-        list of Output
-        """
-        run = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
-        refusal = Refusal(RefusalReason.BACKEND_LOST, run, "the service did not answer")
-        return self.refuse(attempt, refusal, now_s)
-
     def refuse(
         self, attempt: RequestId, refusal: Refusal, now_s: float
     ) -> list[Output]:
         """Refuse an attempt, before or after it won; it does not run from now on.
 
+        An attempt that won and did not run is refused only once the log holds the
+        release of its digest. The entry tries another server at once, which would still
+        find the digest taken. The wait ends after ``wait_s`` if the log fails.
+
         Parameters
         ----------
         attempt : RequestId
@@ -258,7 +267,11 @@
             if run is RunState.RUN:
                 run = RunState.UNKNOWN
             self._queue.append(Result(held.booking.digest, attempt, run))
-        return [self._close(Refuse(attempt, refusal), now_s), *self._work(now_s)]
+        refuse = self._close(Refuse(attempt, refusal), now_s)
+        if held.state is _State.RUNNING and refusal.run is RunState.NOT_RUN:
+            self._releases[attempt] = _Release(refusal, now_s)
+            return self._work(now_s)
+        return [refuse, *self._work(now_s)]
 
     def tick(self, now_s: float) -> list[Output]:
         """Withdraw attempts that waited too long, and continue failed operations.
@@ -276,6 +289,10 @@
             if now_s - held.since_s < self._wait_s:
                 break
             outputs += self.refuse(attempt, _log_refusal(self._retry_s), now_s)
+        for attempt, release in list(self._releases.items()):
+            if now_s - release.since_s >= self._wait_s:
+                del self._releases[attempt]
+                outputs.append(Refuse(attempt, release.refusal))
         while self._closed:
             attempt, closed_s = next(iter(self._closed.items()))
             if now_s - closed_s < KEEP_CLOSED_S:
--- a/chervilgw/bookings/task.py
+++ b/chervilgw/bookings/task.py
@@ -60,11 +60,8 @@
         self._perform(output for output in outputs if not isinstance(output, Answer))
 
     @handler("booking_lost")
-    def _on_lost(self, request_id, may_have_run):
-        outputs = self._bookings.on_service_lost(
-            request_id, may_have_run, time.monotonic()
-        )
-        self._perform(output for output in outputs if not isinstance(output, Refuse))
+    def _on_lost(self, request_id, refusal):
+        self._perform(self._bookings.refuse(request_id, refusal, time.monotonic()))
 
     @handler("clock_tick", channel="*")
     def _on_tick(self, now_s, paused):
--- a/chervilgw/bookings/tests/test_bookings.py
+++ b/chervilgw/bookings/tests/test_bookings.py
@@ -25,7 +25,7 @@
 from chervilgw.bookings.decisions import MAX_BODY_BYTES
 from chervilgw.bookings.fold import CLOCK_MARGIN_MS
 from chervilgw.core.ids import Incarnation, Offset, RequestId, VmId
-from chervilgw.core.refusals import make_refusal
+from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 
 ENTRY = Incarnation(VmId("e1"), 1)
@@ -172,6 +172,47 @@
     assert log.drive(bookings, bookings.request(booking(B), 0)) == [Run(B)]
 
 
+def test_refusal_of_a_run_that_did_not_begin_waits_for_its_release():
+    """Guards against a 409 from the second server for a booking that never ran.
+
+    The refusal overtook the record that releases the key, so the server that the entry
+    tried next still found the first one's intent.
+    """
+    log, first = Log(), make_bookings(ME)
+    second = make_bookings(Incarnation(VmId("b2"), 1))
+    assert log.drive(first, first.request(booking(A), 0)) == [Run(A)]
+    refusal = make_refusal(RefusalReason.BACKEND_LOST, "refused the connection", 0.0)
+    outputs = first.refuse(A, refusal, 1.0)
+    assert not [each for each in outputs if isinstance(each, Refuse)]
+    assert log.drive(first, outputs, 1.0) == [Refuse(A, refusal)]
+    assert log.drive(second, second.request(booking(B), 1.0), 1.0) == [Run(B)]
+
+
+def test_a_digest_that_was_released_since_the_last_read_is_free():
+    """Guards against a 409 from a sidecar that knows the intent but not its release."""
+    log, first = Log(), make_bookings(ME)
+    second = make_bookings(Incarnation(VmId("b2"), 1))
+    assert log.drive(first, first.request(booking(A), 0)) == [Run(A)]
+    log.drive(second, second.tick(1.0), 1.0)
+    assert second.state.entries["d"].winner == A
+    refusal = make_refusal(RefusalReason.BACKEND_LOST, "refused the connection", 0.0)
+    assert log.drive(first, first.refuse(A, refusal, 1.1)) == [Refuse(A, refusal)]
+    assert log.drive(second, second.request(booking(B), 1.2), 1.2) == [Run(B)]
+
+
+def test_refusal_does_not_wait_for_a_log_that_fails():
+    """Guards against a caller that is kept waiting through an outage of the log."""
+    log, bookings = Log(), make_bookings(ME, wait_s=2.0, retry_s=0.25)
+    log.drive(bookings, bookings.request(booking(A), 0))
+    refusal = make_refusal(RefusalReason.BACKEND_LOST, "refused the connection", 0.0)
+    [append, *_] = bookings.refuse(A, refusal, 1.0)
+    bookings.on_log_failed(append, 1.5)
+    [append, *_] = bookings.tick(1.8)
+    assert Refuse(A, refusal) in bookings.tick(3.0)
+    outputs = bookings.on_append_answer(append, 3.1)
+    assert not [each for each in outputs if isinstance(each, Refuse)]
+
+
 def test_requests_during_an_append_share_the_next_one():
     bookings = make_bookings(ME)
     [append, _] = bookings.request(booking(RequestId(ENTRY, 0)), 0)
@@ -346,7 +387,9 @@
         else:
             if how == "lost":
                 self.execute(attempt)
-            outputs = sidecar.on_service_lost(attempt, how != "not run", self.now_s)
+            run = NOT_RUN if how == "not run" else UNKNOWN
+            refusal = Refusal(RefusalReason.BACKEND_LOST, run, "no answer")
+            outputs = sidecar.refuse(attempt, refusal, self.now_s)
         self.take(index, outputs)
 
     @rule(step_s=st.sampled_from([0.3, 1.0, 2.5]))
--- a/chervilgw/sidecar/events.py
+++ b/chervilgw/sidecar/events.py
@@ -71,7 +71,10 @@
 
 
 class booking_lost(Event):  # noqa: N801
-    """The service gave no answer: request id, whether it may have run."""
+    """The service gave no answer: request id, ``Refusal``.
+
+    The booking task answers with ``refuse_booking``.
+    """
 
 
 class attempt_arrived(Event):  # noqa: N801
--- a/chervilgw/sidecar/run_task.py
+++ b/chervilgw/sidecar/run_task.py
@@ -247,8 +247,9 @@
     def _refuse(self, run: _Run, refusal: Refusal, crash: CrashId | None = None):
         request_id = run.dispatch.request_id
         if run.booking:
-            may_have_run = refusal.run is not RunState.NOT_RUN
-            self.fire(booking_lost(request_id, may_have_run), "bookings")
+            # The booking task refuses the attempt once its key is released.
+            self.fire(booking_lost(request_id, refusal), "bookings")
+            return
         self._answer(refused(request_id, refusal, crash))
         self._finish(run, run.used_tokens())
 
