Place models by the work at each engine, and spread callers that come back

A model was short of copies only if its own work exceeded what its copies serve, whatever else its engines held, and a copy beyond the first was never fetched from the store, as the holder itself counted as having the weights at hand. 671 of 832 refusals were for models that no engine held: rates averaged over ten seconds showed a shift of demand late in both directions; callers were told to come back after 1.6 s when the load took over 4 s, and they come back only once; all those of one load came back at the same moment. 532 of 2,794 first tokens were late, as each request of an overloaded engine waited until it was late.

Change: the planner weighs the work at each engine (placement/engine_load.py); rates follow what the last two seconds show for certain; an engine that has a wish is not asked for another model, and wishes that are not acted on end after 2 s; refusals give the time of a load from the store unless a nearer one is under way, and a place of its own to each caller (routing/return_times.py); at an engine late requests give way to those still in time.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -34,13 +34,14 @@
 class DemandReport:
     """What an entry tells the others of the demand for models, once a second.
 
-    ``rates`` maps a model to the requests per second for it, and ``running`` to those
-    in progress.
+    ``rates`` maps a model to the requests per second for it, ``sudden`` to those of the
+    last two seconds, and ``running`` to those in progress.
     """
 
     sender: Incarnation
     address: str
     rates: dict[str, float]
+    sudden: dict[str, float]
     running: dict[str, int]
     leaving: bool = False
 
@@ -65,9 +66,9 @@
 
     ``adapters`` maps a loaded model to its loaded adapters. ``orders`` counts the
     orders that the engine accepted; ``busy`` says that one is under way, and
-    ``loading`` which model it loads. ``near`` lists models whose weights are in the
-    VM's memory or on its disk, where a load is short and not counted. ``answers`` is
-    False if the engine does not answer its agent.
+    ``loading`` which model it loads or is to load. ``near`` lists models whose weights
+    are in the VM's memory or on its disk, where a load is short and not counted.
+    ``answers`` is False if the engine does not answer its agent.
     """
 
     server: str
@@ -89,7 +90,8 @@
     """Ask an engine's agent for the turn to send a request.
 
     ``tokens`` is what the engine has to read of the prompt. The agent loads the adapter
-    first if there is one. ``patience_s`` is how long the caller waits for a token.
+    first if there is one. ``patience_s`` is how long the caller waits for a token, and
+    ``target_in_s`` how long until the first token is late.
     ``address`` is where the agent answers.
     """
 
@@ -102,6 +104,7 @@
     tokens: int
     urgency: Urgency
     patience_s: float
+    target_in_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -265,7 +265,7 @@
             state.orders,
             state.draining,
             state.busy,
-            self.orders.loading or "",
+            self.orders.expected_model() or "",
             {name: tuple(sorted(each)) for name, each in offered.items()},
             state.waiting,
             state.running,
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -14,11 +14,17 @@
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.exchange import Exchange, first_token_limit_s, urgency_of
 from chervilgw.forward.messages import ServerRequest
-from chervilgw.membership.fleet_view import FleetView
-from chervilgw.routing.dispatch import DispatchRequest, ServerChoice, choose_server
+from chervilgw.membership.fleet_view import PLAN_S, FleetView
+from chervilgw.routing.dispatch import (
+    READ_TOKENS_PER_S,
+    DispatchRequest,
+    ServerChoice,
+    choose_server,
+)
+from chervilgw.routing.return_times import ReturnTimes, make_return_times
 from chervilgw.runtime.events import HttpCall
 
-MODEL_WAIT_SHARE = 0.7
+MODEL_WAIT_SHARE = 0.85
 """Part of a caller's patience that may go to the load of its model; the rest is for the
 queue and the prompt."""
 PLAN_WAIT_S = 1.0
@@ -73,6 +79,7 @@
     fleet: FleetView
     codec: FrontCodec
     zone: ZoneId
+    return_times: ReturnTimes
 
     def decide(
         self, exchange: Exchange, deployment: Deployment, entries: int, now_s: float
@@ -107,7 +114,9 @@
         chosen = choose_server(request, candidates)
         if is_successful(chosen):
             return self._place(exchange, chosen.unwrap(), now_s)
-        return self._without_server(exchange, deployment, chosen.failure(), now_s)
+        return self._without_server(
+            exchange, deployment, chosen.failure(), entries, now_s
+        )
 
     def _place(self, exchange, choice: ServerChoice, now_s: float) -> Decision:
         server = self.fleet.directory.find(choice.server)
@@ -116,7 +125,9 @@
             return AskTurn(choice.server, choice.unread_tokens)
         return SendNow(choice.server, choice.unread_tokens)
 
-    def _without_server(self, exchange, deployment, refusal, now_s) -> Decision:
+    def _without_server(
+        self, exchange, deployment, refusal, entries: int, now_s: float
+    ) -> Decision:
         if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
             spec = _spec_of(deployment, exchange)
             if spec is not None and exchange.may_send_again():
@@ -125,8 +136,12 @@
                 )
                 if _is_in_time(exchange, outlook, now_s):
                     return HoldForModel()
-                retry_s = outlook.ready_in_s + LOADED_MARGIN_S
-                refusal = _with_retry(refusal, retry_s)
+                # Weights at hand would be loading by now: expect the weight store.
+                ready_in_s = spec.load_s + PLAN_S
+                if outlook.under_way:
+                    ready_in_s = outlook.ready_in_s
+                refusal = _with_retry(refusal, ready_in_s + LOADED_MARGIN_S)
+        refusal = self._with_place(exchange, refusal, entries, now_s)
         if exchange.retry_after_s is not None:
             refusal = _with_retry(refusal, exchange.retry_after_s)
         run = exchange.run_state
@@ -134,11 +149,26 @@
             refusal = Refusal(refusal.reason, run, refusal.detail)
         return GiveUp(refusal)
 
+    def _with_place(
+        self, exchange, refusal: Refusal, entries: int, now_s: float
+    ) -> Refusal:
+        """Return a refusal that spreads the callers of one model when they return."""
+        opaque = exchange.admitted.opaque
+        if opaque.model is None or refusal.retry_after_s is None:
+            return refusal
+        gap_s = entries * (opaque.prompt_tokens or 0) / READ_TOKENS_PER_S
+        left_s = exchange.give_up_s - now_s
+        retry_s = self.return_times.after_s(
+            opaque.model, refusal.retry_after_s, gap_s, left_s, now_s
+        )
+        return _with_retry(refusal, retry_s)
+
     def turn_wanted(self, exchange: Exchange, now_s: float) -> TurnWanted:
         """Return the question to the agent of the engine that was chosen."""
         admitted = exchange.admitted
         customer = admitted.customer
         patience_s = exchange.started_s + first_token_limit_s(admitted) - now_s
+        target_in_s = exchange.started_s + admitted.route.target_s - now_s
         return TurnWanted(
             exchange.turn,
             "",
@@ -149,6 +179,7 @@
             exchange.unread,
             urgency_of(admitted.rank),
             patience_s,
+            target_in_s,
         )
 
     def call(self, exchange: Exchange, reply_to: str, now_s: float) -> HttpCall:
@@ -213,4 +244,4 @@
 
 def make_dispatcher(fleet: FleetView, codec: FrontCodec, zone: ZoneId) -> Dispatcher:
     """Return the decisions of an entry in a zone."""
-    return Dispatcher(fleet, codec, zone)
+    return Dispatcher(fleet, codec, zone, make_return_times())
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -231,6 +231,8 @@
                 exchange.stage, exchange.server = Stage.WAITING_FOR_MODEL, None
                 self._report_soon = True
             case decisions.GiveUp(refusal):
+                if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
+                    self._report_soon = True
                 self._fail(exchange, refusal, now_s)
 
     def send(self, exchange: Exchange, server: ServerId, unread: int, now_s: float):
@@ -416,6 +418,7 @@
         if self._ticks % SLOW_EVERY_TICKS == 0:
             self.fire(in_progress_counted(len(self._exchanges)), "metrics")
             self.fleet.directory.forget_gone(now_s)
+            self.dispatcher.return_times.forget_past(now_s)
 
     def _time_out(self, exchange: Exchange, now_s: float):
         self._stop_attempt(exchange)
@@ -441,6 +444,7 @@
             self.me,
             "",
             self._demand.rates(now_s),
+            self._demand.sudden(now_s),
             self._running_by_model(),
             self._draining,
         )
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -94,6 +94,7 @@
         reports = [report for report, _ in self._entries.values()]
         demand = self._demand.update(
             [report.rates for report in reports],
+            [report.sudden for report in reports],
             [report.running for report in reports],
             now_s,
         )
--- a/chervilgw/forward/turn_giver.py
+++ b/chervilgw/forward/turn_giver.py
@@ -13,6 +13,10 @@
 from chervilgw.scheduling.fair_queue import QueuedItem
 from chervilgw.scheduling.turns import Turn, make_turn_queue
 
+START_S = 0.1
+"""From the turn to the first token: the way to the engine and back and the prompt, of
+which an engine reads 20 tokens in a millisecond."""
+
 
 class TurnGiver(BaseComponent):
     """Task that owns the turns at one engine and what is known of the engine.
@@ -53,6 +57,7 @@
             wanted.tokens,
             wanted.urgency,
             now_s + wanted.patience_s,
+            now_s + wanted.target_in_s - START_S,
         )
         refusal = self.turns.ask(Turn(item, wanted.address), now_s)
         if refusal is not None:
--- a/chervilgw/placement/demand_rate.py
+++ b/chervilgw/placement/demand_rate.py
@@ -12,6 +12,13 @@
 AVERAGE_S = 10.0
 """Time constant of the request rate. Rare models are asked for every ten seconds or so,
 and busy ones show within a second all the same."""
+SUDDEN_AVERAGE_S = 2.0
+"""Time constant of the rate that shows that customers have just turned to a model, or
+away from it."""
+SUDDEN_PER_S = 1.0
+"""By how much the fast rate may differ by chance: two requests in a row."""
+LEAST_SUDDEN_PER_S = 0.1
+"""Fast rates below this, three seconds after a request, are not reported."""
 FORGET_PER_S = 0.005
 """Below this rate a model is dropped: its last request was half a minute ago."""
 WORK_AVERAGE_S = 2.0
@@ -20,8 +27,16 @@
 
 @dataclass(slots=True)
 class _Rate:
-    per_s: float
-    at_s: float
+    average_s: float
+    per_s: float = 0.0
+    at_s: float = 0.0
+
+    def add(self, now_s: float) -> None:
+        self.per_s = self.at(now_s) + 1.0 / self.average_s
+        self.at_s = now_s
+
+    def at(self, now_s: float) -> float:
+        return self.per_s * math.exp((self.at_s - now_s) / self.average_s)
 
 
 class DemandRates:
@@ -29,28 +44,35 @@
 
     def __init__(self, average_s: float):
         self._average_s = average_s
-        self._rates: dict[ModelName, _Rate] = {}
+        self._rates: dict[ModelName, tuple[_Rate, _Rate]] = {}
 
     def on_request(self, model: ModelName, now_s: float) -> None:
         """Count a request, also one that is refused later."""
-        rate = self._rates.setdefault(model, _Rate(0.0, now_s))
-        rate.per_s = self._decayed(rate, now_s) + 1.0 / self._average_s
-        rate.at_s = now_s
-
-    def _decayed(self, rate: _Rate, now_s: float) -> float:
-        return rate.per_s * math.exp((rate.at_s - now_s) / self._average_s)
+        if model not in self._rates:
+            self._rates[model] = _Rate(self._average_s), _Rate(SUDDEN_AVERAGE_S)
+        for rate in self._rates[model]:
+            rate.add(now_s)
 
     def rates(self, now_s: float) -> dict[ModelName, float]:
-        """Return the current rates in requests per second."""
+        """Return the average rates in requests per second."""
         found = {}
-        for model, rate in list(self._rates.items()):
-            per_s = self._decayed(rate, now_s)
+        for model, (average, _) in list(self._rates.items()):
+            per_s = average.at(now_s)
             if per_s < FORGET_PER_S:
                 del self._rates[model]
             else:
                 found[model] = round(per_s, 3)
         return found
 
+    def sudden(self, now_s: float) -> dict[ModelName, float]:
+        """Return the rates of the last two seconds where there were requests."""
+        found = {}
+        for model, (_, sudden) in self._rates.items():
+            per_s = sudden.at(now_s)
+            if per_s >= LEAST_SUDDEN_PER_S:
+                found[model] = round(per_s, 2)
+        return found
+
 
 @dataclass(frozen=True, slots=True)
 class Demand:
@@ -74,15 +96,20 @@
     def update(
         self,
         rates: Iterable[Mapping[ModelName, float]],
+        sudden: Iterable[Mapping[ModelName, float]],
         running: Iterable[Mapping[ModelName, int]],
         now_s: float,
     ) -> dict[ModelName, Demand]:
         """Return the demand from what each entry last reported.
 
+        A rate is the average, as far as the last two seconds do not show another one.
+
         Parameters
         ----------
         rates : iterable of mapping
             Requests per second by model, one mapping for each entry.
+        sudden : iterable of mapping
+            The same over the last two seconds.
         running : iterable of mapping
             Requests in progress by model, one mapping for each entry.
         now_s : float
@@ -91,23 +118,30 @@
         elapsed_s = now_s - self._updated_s if self._updated_s is not None else 0.0
         keep = math.exp(-elapsed_s / WORK_AVERAGE_S)
         self._updated_s = now_s
-        sums: defaultdict[ModelName, float] = defaultdict(float)
-        for each in running:
-            for model, count in each.items():
-                sums[model] += count
+        sums = _sum(running)
         for model in set(self._running) | set(sums):
             average = keep * self._running[model] + (1 - keep) * sums[model]
             self._running[model] = average
-        per_s: defaultdict[ModelName, float] = defaultdict(float)
-        for each in rates:
-            for model, rate in each.items():
-                per_s[model] += rate
+        per_s, fast = _sum(rates), _sum(sudden)
+        for model in set(per_s) | set(fast):
+            least, most = fast[model] - SUDDEN_PER_S, fast[model] + SUDDEN_PER_S
+            per_s[model] = min(most, max(least, per_s[model]))
         return {
             model: Demand(per_s[model], self._running[model])
             for model in set(per_s) | set(self._running)
         }
 
 
+def _sum(
+    rates: Iterable[Mapping[ModelName, float]],
+) -> defaultdict[ModelName, float]:
+    sums: defaultdict[ModelName, float] = defaultdict(float)
+    for each in rates:
+        for model, rate in each.items():
+            sums[model] += rate
+    return sums
+
+
 def make_demand_rates(average_s: float = AVERAGE_S) -> DemandRates:
     """Return rates without requests.
 
--- a/chervilgw/placement/engine_orders.py
+++ b/chervilgw/placement/engine_orders.py
@@ -19,8 +19,9 @@
 """Adapters that may be on their way to an engine at the same time."""
 WANTED_S = 1.0
 """How long a wish for an adapter holds: its request waits no longer."""
-MODEL_WANTED_S = 6.0
-"""How long a wish for a model holds unless it is repeated."""
+MODEL_WANTED_S = 2.0
+"""How long a wish for a model holds at an engine that carries out no order: the planner
+then asks another one."""
 REPEAT_S = 0.5
 """An order without an answer is given again after this time, with the same number."""
 
@@ -145,6 +146,8 @@
             self._stale = True
         if self._stale or self.state is None or self.spec is None:
             return None
+        if self.state.busy and self._model is not None:
+            self._model.until_s = now_s + MODEL_WANTED_S
         if self.state.draining or self.state.busy:
             return None
         order = self._adapter_order(now_s) or self._model_order(now_s)
@@ -170,6 +173,12 @@
         elif reply is OrderReply.REFUSED:
             self._model = None
 
+    def expected_model(self) -> ModelName | None:
+        """Return the model that the engine loads, or will once another is unloaded."""
+        if self.loading is None and self._model is not None:
+            return self._model.model
+        return self.loading
+
     def offered(self) -> dict[ModelName, frozenset[str]]:
         """Return the loaded models without one that is about to be unloaded.
 
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -7,26 +7,23 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from chervilgw.core.deployment import EngineSpec, ServerId
 from chervilgw.core.ids import ModelName, ZoneId
 from chervilgw.placement.demand_rate import Demand
+from chervilgw.placement.engine_load import EngineLoad, make_engine_load
 
-RUNNING_PER_COPY = 10.0
-"""Requests in progress that one engine serves within the target: at about 6 requests a
-second that last 1.7 s each, it reads prompts for less than half of the time."""
-REQUEST_S = 1.6
-"""How long a request lasts on an engine that is not overloaded; what is refused or not
-served yet counts by this."""
 FAR_RATE_PER_S = 0.25
 """A load from the weight store takes 4 to 8 s, blocks its engine's adapters meanwhile
 and drives other weights off the VM, so it needs three requests in ten seconds."""
 NEAR_WAIT_S = 1.0
 """How long a model in demand waits for an engine that has its weights at hand and is
 busy: such loads take 0.8 s."""
+SHORT_WAIT_S = 0.3
+"""The same for a model in great demand."""
 WARM_UP_S = 6.0
 """A planner that has just begun to hear of demand unloads nothing: most models look
 idle to it."""
@@ -40,6 +37,22 @@
 have come back; models would otherwise drive each other out in turn."""
 REPEAT_S = 1.0
 """A wish is not repeated sooner: the engine first reports what it does."""
+UNDER_WAY_S = 8.0
+"""A wish whose engine is busy counts for this long: the unload before the load waits
+for the runs of its model."""
+FAR_NEED = 8.0
+"""Work beyond what the copies of a model serve, from which a further copy is worth a
+load from the store."""
+LASTING_S = 1.0
+"""How long a model must be short of copies before one more is loaded from the store: a
+burst of customers is over before such a load ends."""
+FAR_COST = 4.0
+"""Requests in progress that a load from the store must be better by than one of weights
+at hand, as it takes some four seconds longer."""
+FURTHER_NEED = 3.0
+"""The same for a load of weights that are at hand."""
+GREAT_NEED = 4.0
+"""Work of a model without any copy that does not wait for weights at hand."""
 LOAD_SHARE = 0.8
 """Part of the weight store's rate that is planned for; the rest covers a second planner
 after a partition."""
@@ -54,7 +67,7 @@
     """What the planner needs to know of an engine.
 
     ``near`` holds models whose weights are on the engine's VM; ``loading`` is the model
-    that it loads, or an empty string.
+    that it loads or is about to load, or an empty string.
     """
 
     server: ServerId
@@ -85,6 +98,7 @@
     _loads_s: deque = field(default_factory=deque)
     _was_loading: dict[ServerId, str] = field(default_factory=dict)
     _missing_s: dict[ModelName, float] = field(default_factory=dict)
+    _short_s: dict[ModelName, float] = field(default_factory=dict)
     _began_s: float | None = None
 
     def plan(
@@ -110,19 +124,19 @@
         if self._began_s is None:
             self._began_s = now_s
         self._observe(engines, now_s)
-        copies = self._copies(engines)
-        free = [each for each in engines if self._is_free(each, now_s)]
-        for model in [each for each in self._missing_s if copies[each]]:
+        load = make_engine_load(self._expected(engines), demand)
+        free = [each for each in engines if self._is_free(each)]
+        for model in [each for each in self._missing_s if load.copies(each)]:
             del self._missing_s[model]
         moves = []
-        for model in _by_need(spec, demand, copies, len(engines)):
+        for model in _by_need(spec, demand, load, len(engines)):
             # Where an engine has the weights on its VM, a load takes a fifth of the
             # time, and the next such load soon ends if the engine is busy. A load from
             # the store would also drive other weights off its engine's disk.
             usable = [each for each in free if model in each.near]
-            if self._may_be_far(model, engines, demand, copies, now_s):
+            if self._may_be_far(model, engines, demand, load, now_s):
                 usable = free
-            move = self._best_move(spec, model, usable, demand, copies, now_s)
+            move = self._best_move(spec, model, usable, load, now_s)
             if move is None:
                 continue
             if move.from_store and not self._may_load(spec, now_s):
@@ -131,9 +145,7 @@
                 continue
             moves.append(move)
             free = [each for each in free if each.server != move.server]
-            copies[model] += 1
-            for victim in move.unload:
-                copies[victim] -= 1
+            load.move(move.server, model, move.unload)
             self._asked[move.server] = (move, now_s)
             if move.from_store:
                 self._loads_s.append(now_s)
@@ -150,12 +162,15 @@
                 continue
             move, asked_s = asked
             is_seen = engine.loading == move.model or move.model in engine.models
-            if is_seen or now_s - asked_s >= REPEAT_S:
+            wait_s = UNDER_WAY_S if engine.busy else REPEAT_S
+            if is_seen or now_s - asked_s >= wait_s:
                 del self._asked[engine.server]
 
-    def _copies(self, engines: Iterable[EngineView]) -> defaultdict[ModelName, int]:
-        """Count the copies of each model as they will be after the moves asked for."""
-        copies: defaultdict[ModelName, int] = defaultdict(int)
+    def _expected(
+        self, engines: Iterable[EngineView]
+    ) -> dict[ServerId, set[ModelName]]:
+        """Return what each engine will hold after the moves asked for."""
+        expected = {}
         for engine in engines:
             held = set(engine.models)
             if engine.loading:
@@ -164,12 +179,12 @@
             if asked is not None:
                 held.add(asked[0].model)
                 held.difference_update(asked[0].unload)
-            for model in held:
-                copies[model] += 1
-        return copies
+            expected[engine.server] = held
+        return expected
 
-    def _is_free(self, engine: EngineView, now_s: float) -> bool:
-        return not engine.busy and engine.server not in self._asked
+    def _is_free(self, engine: EngineView) -> bool:
+        is_used = engine.busy or engine.loading or engine.server in self._asked
+        return not is_used
 
     def _may_load(self, spec: EngineSpec, now_s: float) -> bool:
         """Return whether the weight store's rate allows one more load."""
@@ -180,40 +195,56 @@
         limit = LOAD_SHARE * spec.loads_per_s * LOAD_WINDOW_S + LOAD_EXTRA
         return len(self._loads_s) + 1 <= limit
 
-    def _best_move(self, spec, model, free, demand, copies, now_s) -> Move | None:
-        gain = _unserved(model, demand, copies[model])
-        best: tuple[tuple[bool, float, int], Move] | None = None
+    def _best_move(
+        self, spec, model, free, load: EngineLoad, now_s: float
+    ) -> Move | None:
+        """Return the move that serves most of what a model needs, or None."""
+        need = load.need(model)
+        best: tuple[tuple[float, int], Move] | None = None
         for engine in free:
             if model in engine.models or engine.loading == model:
                 continue
-            victims = self._victims(spec, model, engine, demand, copies, now_s)
+            victims = self._victims(spec, model, engine, load, now_s)
             if victims is None or (victims and self._is_cold(now_s)):
                 continue
-            loss = sum(_loss(each, demand, copies) for each in victims)
-            far = model not in engine.near
+            loss = sum(load.loss(each) for each in victims)
+            room = load.room(engine.server, victims)
+            gain = min(need, room) if load.copies(model) else need
             if victims and gain < MOVE_GAIN * loss:
                 continue
+            far = model not in engine.near
+            if load.copies(model) and gain < (FAR_NEED if far else FURTHER_NEED):
+                continue
             move = Move(engine.server, model, victims, far)
-            order = (far, loss, engine.running)
+            cost = loss - min(need, room) + (FAR_COST if far else 0.0)
+            order = (cost, engine.running)
             if best is None or order < best[0]:
                 best = order, move
         return best[1] if best is not None else None
 
-    def _may_be_far(self, model, engines, demand, copies, now_s) -> bool:
+    def _may_be_far(self, model, engines, demand, load, now_s) -> bool:
         """Return whether a model may be loaded where its weights are not at hand."""
+        if load.copies(model):
+            return self._is_short(model, load, now_s)
         if not any(model in engine.near for engine in engines):
             return True
-        if copies[model]:
-            return False
         since_s = self._missing_s.setdefault(model, now_s)
         is_urgent = demand[model].per_s >= FAR_RATE_PER_S
-        return is_urgent and now_s - since_s >= NEAR_WAIT_S
+        wait_s = SHORT_WAIT_S if load.need(model) >= GREAT_NEED else NEAR_WAIT_S
+        return is_urgent and now_s - since_s >= wait_s
+
+    def _is_short(self, model: ModelName, load: EngineLoad, now_s: float) -> bool:
+        """Return whether a model has lacked copies for long enough."""
+        if load.need(model) < FAR_NEED:
+            self._short_s.pop(model, None)
+            return False
+        return now_s - self._short_s.setdefault(model, now_s) >= LASTING_S
 
     def _is_cold(self, now_s: float) -> bool:
         return now_s - self._began_s < WARM_UP_S
 
     def _victims(
-        self, spec, model, engine, demand, copies, now_s
+        self, spec, model, engine, load: EngineLoad, now_s: float
     ) -> tuple[ModelName, ...] | None:
         """Return what to unload so that the model fits, or None if it cannot."""
         sizes = spec.models
@@ -227,9 +258,7 @@
             (each.adapter_mb for each in sizes.values()), default=0.0
         )
         needed_mb = sizes[model].weights_mb
-        held = sorted(
-            engine.models, key=lambda name: (_loss(name, demand, copies), name)
-        )
+        held = sorted(engine.models, key=lambda name: (load.loss(name), name))
         victims = []
         for name in held:
             if free_mb >= needed_mb:
@@ -242,33 +271,17 @@
         return tuple(victims) if free_mb >= needed_mb else None
 
 
-def _work(model: ModelName, demand: Mapping[ModelName, Demand]) -> float:
-    """Return the requests in progress that a model would have if it were served."""
-    known = demand.get(model)
-    if known is None:
-        return 0.0
-    return max(known.running, known.per_s * REQUEST_S)
-
-
-def _unserved(model: ModelName, demand, copies: int) -> float:
-    """Return the work that is beyond what a number of copies serves."""
-    return max(0.0, _work(model, demand) - RUNNING_PER_COPY * copies)
-
-
-def _loss(model: ModelName, demand, copies) -> float:
-    """Return the work that loses its place if one copy goes."""
-    return _unserved(model, demand, copies[model] - 1)
-
-
-def _by_need(spec, demand, copies, engine_count: int) -> list[ModelName]:
+def _by_need(
+    spec, demand: Mapping[ModelName, Demand], load: EngineLoad, engine_count: int
+) -> list[ModelName]:
     """Return models that need another copy, those without any first."""
     needed = []
     for model, known in demand.items():
         if model not in spec.models or known.per_s < MIN_RATE_PER_S:
             continue
-        unserved = _unserved(model, demand, copies[model])
-        if unserved > 0 and copies[model] < engine_count:
-            needed.append((copies[model] > 0, -unserved, model))
+        need = load.need(model)
+        if need > 0 and load.copies(model) < engine_count:
+            needed.append((load.copies(model) > 0, -need, model))
     return [model for _, _, model in sorted(needed)]
 
 
--- a/chervilgw/placement/tests/test_planner.py
+++ b/chervilgw/placement/tests/test_planner.py
@@ -2,7 +2,11 @@
 
 from chervilgw.core.deployment import EngineSpec, ModelSpec
 from chervilgw.core.ids import ModelName
-from chervilgw.placement.demand_rate import Demand, make_fleet_demand
+from chervilgw.placement.demand_rate import (
+    Demand,
+    make_demand_rates,
+    make_fleet_demand,
+)
 from chervilgw.placement.planner import (
     NEAR_WAIT_S,
     REPEAT_S,
@@ -120,6 +124,72 @@
 def test_running_requests_are_averaged_over_entries():
     demand = make_fleet_demand()
     for step in range(100):
-        known = demand.update([{"a": 1.0}, {"a": 2.0}], [{"a": 3}, {"a": 4}], step / 10)
+        known = demand.update(
+            [{"a": 1.0}, {"a": 2.0}],
+            [{"a": 0.8}, {"a": 2.3}],
+            [{"a": 3}, {"a": 4}],
+            step / 10,
+        )
     assert known["a"].per_s == 3.0
     assert 6.5 < known["a"].running <= 7.0
+
+
+def test_rates_follow_customers_who_turn_to_another_model():
+    """Pattern: within a second all demand of one model moves to another.
+
+    Guards against a planner that keeps places for the former for ten seconds, while
+    the new one counts as rare.
+    """
+    rates, fleet = make_demand_rates(), make_fleet_demand()
+    now_s = 0.0
+    while now_s < 20.0:
+        now_s += 0.1
+        rates.on_request(ModelName("old"), now_s)
+    until_s = now_s + 2.5
+    while now_s < until_s:
+        now_s += 0.1
+        rates.on_request(ModelName("new"), now_s)
+    known = fleet.update([rates.rates(now_s)], [rates.sudden(now_s)], [{}], now_s)
+    assert known["new"].per_s > 5.0
+    assert known["old"].per_s < 4.5
+
+
+def test_single_requests_for_a_rare_model_do_not_look_sudden():
+    rates, fleet = make_demand_rates(), make_fleet_demand()
+    rates.on_request(ModelName("rare"), 0.0)
+    rates.on_request(ModelName("rare"), 0.1)
+    known = fleet.update([rates.rates(0.1)], [rates.sudden(0.1)], [{}], 0.1)
+    assert known["rare"].per_s <= 0.2
+
+
+def test_a_model_beside_busy_ones_gets_a_copy_on_an_idle_engine():
+    """Pattern: one engine holds three models in demand, its neighbours only rare ones.
+
+    Guards against an engine with ten times the work of the others: each of its models
+    has less work than one engine serves, but together they have more.
+    """
+    engines = [engine("e1", "abc"), engine("e2", "def"), engine("e3", "gh")]
+    demand = {m: (9.0, 15.0) for m in "abc"} | {m: (0.05, 0.1) for m in "defgh"}
+    made, found = planner(), []
+    for step in range(15):
+        found += moves(made, engines, demand, LATER_S + step / 10)
+    assert {server for server, _, _ in found} == {"e2", "e3"}
+    assert {model for _, model, _ in found} < set("abc")
+
+
+def test_requests_that_wait_do_not_count_as_work_for_ever():
+    """Guards against a copy on each engine for a model whose queue has grown."""
+    engines = [engine("e1", "a"), *(engine(f"e{n}", "") for n in range(2, 9))]
+    made, found = planner(), []
+    for step in range(20):
+        found += moves(made, engines, {"a": (12.0, 120.0)}, LATER_S + step / 10)
+    assert 1 <= len(found) <= 2
+
+
+def test_an_engine_that_was_asked_is_not_asked_for_another_model():
+    """Guards against wishes that replace each other before the engine acts on one."""
+    made, demand = planner(), {"g": (0.5, 1.0), "h": (0.4, 1.0)}
+    assert moves(made, [engine("e1", "ab", near="gh")], demand) == [("e1", "g", ())]
+    told = [engine("e1", "ab", near="gh", loading="g")]
+    for step in range(1, 30):
+        assert moves(made, told, demand, LATER_S + step / 10) == []
--- a/chervilgw/scheduling/fair_queue.py
+++ b/chervilgw/scheduling/fair_queue.py
@@ -30,7 +30,11 @@
 
 @dataclass(frozen=True, slots=True)
 class QueuedItem:
-    """One waiting request; ``tokens`` is prompt plus maximum completion."""
+    """One waiting request; ``tokens`` is prompt plus maximum completion.
+
+    A request that starts after ``on_time_s`` is served late, and after ``deadline_s``
+    not at all.
+    """
 
     request_id: RequestId
     customer: CustomerId
@@ -38,6 +42,11 @@
     tokens: int
     urgency: Urgency = Urgency.STANDARD
     deadline_s: float | None = None
+    on_time_s: float | None = None
+
+    def is_late(self, now_s: float) -> bool:
+        """Return whether the request would be late if it started now."""
+        return self.on_time_s is not None and now_s > self.on_time_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +175,7 @@
         A customer none of whose requests can run earns no credit meanwhile, so that it
         does not displace the others once its model is loaded.
         """
-        heads = {u: self._head(c, can_run) for u, c in self._classes.items()}
+        heads = {u: self._head(c, can_run, now_s) for u, c in self._classes.items()}
         urgency = self._select_class(heads)
         if urgency is None:
             self._rate.idle()
@@ -236,13 +245,19 @@
             del urgency.flows[item.customer]
 
     def _head(
-        self, urgency: _Class, can_run: Callable[[QueuedItem], bool]
+        self, urgency: _Class, can_run: Callable[[QueuedItem], bool], now_s: float
     ) -> tuple[CustomerId, QueuedItem] | None:
+        """Return the next request of a class that can run, or None.
+
+        A request that is late already gives way to those of its customer that are not:
+        in an overload all would otherwise wait until they are late.
+        """
         ordered = sorted(urgency.flows.items(), key=lambda pair: (pair[1].tag, pair[0]))
         for customer, flow in ordered:
-            for item in flow.items():
-                if can_run(item):
-                    return customer, item
+            runnable = [item for item in flow.items() if can_run(item)]
+            if runnable:
+                on_time = (item for item in runnable if not item.is_late(now_s))
+                return customer, next(on_time, runnable[0])
         return None
 
     def _select_class(self, heads: Mapping[Urgency, object]) -> Urgency | None:
--- a/chervilgw/scheduling/tests/test_turns.py
+++ b/chervilgw/scheduling/tests/test_turns.py
@@ -132,3 +132,33 @@
 
 
 TestTurnMachine = TurnMachine.TestCase
+
+
+def test_in_an_overload_late_requests_give_way_to_those_still_in_time():
+    """Pattern: half as many prompts again as one engine can read, for ten seconds.
+
+    Guards against a queue in which every request waits until it is late.
+    """
+    queue, on_time, served, number = make_turn_queue(), 0, 0, 0
+    patience_s, target_s, read_s = 2.4, 0.5, 0.07
+    for step in range(1000):
+        now_s = step / 100
+        if step % 7 in (0, 4):
+            number += 1
+            item = QueuedItem(
+                RequestId(ENTRY, number),
+                CustomerId("a"),
+                "m",
+                1_400,
+                deadline_s=now_s + patience_s,
+                on_time_s=now_s + target_s,
+            )
+            queue.ask(Turn(item, "10.0.0.1:7600"), now_s)
+        queue.expire(now_s)
+        if step % 7 == 0:
+            for turn in queue.next_turns(now_s, lambda item: True):
+                served += 1
+                on_time += not turn.item.is_late(now_s)
+                queue.end(turn.item.request_id, now_s + read_s)
+    assert served >= 140
+    assert on_time >= 0.8 * served
