Grant half of the operators' tolerance beyond a limit, and spread callers over quota

Callers over the quota were all called back for the room of the same grant.

Change: half of the tolerated share and a quarter of the tolerated tokens are granted (settings of the platform, zero where it has none); the rest covers lag and killed entries. Each refused caller gets the room after that of the others.

--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -53,7 +53,7 @@
 from chervilgw.forward.retry_budgets import make_retry_budgets
 from chervilgw.forward.turn_keeper import TurnKeeper
 from chervilgw.placement.demand_rate import make_demand_rates
-from chervilgw.quota.window import make_window_quota
+from chervilgw.quota.window import QuotaTolerance, make_window_quota
 from chervilgw.routing.table import make_route_table
 from chervilgw.runtime.events import (
     HttpPart,
@@ -89,8 +89,10 @@
 LONG_BODY_BYTES = 1_048_576
 """Answers of plain services are collected up to this size, so that one that breaks off
 can be replaced; longer ones are passed on as they arrive."""
-QUOTA_MARGIN = 1.0
-"""Part of each limit that is granted."""
+TOLERATED_SHARE = 0.5
+TOLERATED_TOKENS = 0.25
+"""Parts of what the operators tolerate beyond a customer's limit that are granted. The
+rest covers the lag of reports between entries and what killed entries had granted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +119,11 @@
         self._pipeline = None
         self.dispatcher = decisions.make_dispatcher(self.fleet, codec, options.zone)
         began_s = None if options.first_start else now_s
-        self._quota = make_window_quota(bounds.quota_window_s, QUOTA_MARGIN, began_s)
+        tolerance = QuotaTolerance(
+            TOLERATED_SHARE * bounds.quota_over_share,
+            TOLERATED_TOKENS * bounds.quota_over_tokens,
+        )
+        self._quota = make_window_quota(bounds.quota_window_s, tolerance, began_s)
         self._retries = make_retry_budgets(bounds)
         self._crashes = make_crash_watch(options.me)
         self._demand = make_demand_rates()
--- a/chervilgw/quota/tests/test_window.py
+++ b/chervilgw/quota/tests/test_window.py
@@ -7,7 +7,12 @@
 
 from chervilgw.core.deployment import CustomerRule
 from chervilgw.core.ids import CustomerId, Incarnation, VmId
-from chervilgw.quota.window import LOST_S, SILENT_S, make_window_quota
+from chervilgw.quota.window import (
+    LOST_S,
+    SILENT_S,
+    QuotaTolerance,
+    make_window_quota,
+)
 
 ACME = CustomerId("acme")
 WINDOW_S = 8.0
@@ -185,3 +190,34 @@
     quota.reserve(RULE, int(LIMIT), 0.0)
     quota.cancel(ACME, int(LIMIT))
     assert is_successful(quota.reserve(RULE, int(LIMIT), 0.0))
+
+
+def test_callers_of_one_customer_are_not_called_back_for_the_same_room():
+    """Guards against ten callers that come back at once for the room of one."""
+    quota = make_window_quota(WINDOW_S)
+    for step in range(10):
+        quota.reserve(RULE, int(LIMIT) // 10, step / 10)
+    amount = int(LIMIT) // 10
+    back_s = [
+        1.0 + quota.reserve(RULE, amount, 1.0).failure().retry_after_s for _ in range(5)
+    ]
+    assert back_s == pytest.approx([WINDOW_S + step / 10 for step in range(5)])
+    for at_s in back_s:
+        assert is_successful(quota.reserve(RULE, amount, at_s + 0.01))
+
+
+def test_the_tolerance_is_granted_once_over_all_entries():
+    tolerance = QuotaTolerance(0.05, 50)
+    quota = make_window_quota(WINDOW_S, tolerance)
+    most = int(LIMIT * 1.05 + 50)
+    quota.on_report(entry(1), {ACME: most - 10}, 0.0)
+    assert not is_successful(quota.reserve(RULE, 11, 0.1))
+    assert is_successful(quota.reserve(RULE, 10, 0.1))
+
+
+def test_a_tolerance_in_tokens_does_not_apply_to_a_limit_in_requests():
+    """Guards against thousands of requests granted beyond a limit of some hundred."""
+    quota = make_window_quota(WINDOW_S, QuotaTolerance(0.0, 50))
+    rule = CustomerRule(ACME, None, 100.0, 200.0, False, 1)
+    assert not is_successful(quota.reserve(rule, int(LIMIT) + 1, 0.0))
+    assert is_successful(quota.reserve(rule, int(LIMIT), 0.0))
--- a/chervilgw/quota/window.py
+++ b/chervilgw/quota/window.py
@@ -31,10 +31,34 @@
 MAX_RETRY_S = 8.0
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaTolerance:
+    """What is granted beyond a limit, so that none is refused within it.
+
+    The counts of several entries lag and include requests that end up not being run.
+
+    Attributes
+    ----------
+    share : float
+        Part of the limit.
+    tokens : float
+        Tokens on top, where a limit counts tokens.
+    """
+
+    share: float = 0.0
+    tokens: float = 0.0
+
+
+EXACT = QuotaTolerance()
+
+
 @dataclass(slots=True)
 class _Own:
+    """Grants of this entry, and what refused callers were told to come back for."""
+
     grants: deque = field(default_factory=deque)
     total: int = 0
+    promised: deque = field(default_factory=deque)
 
 
 @dataclass(slots=True)
@@ -50,9 +74,11 @@
 class WindowQuota:
     """Sliding windows of all customers; see :func:`make_window_quota`."""
 
-    def __init__(self, window_s: float, margin: float, began_s: float | None):
+    def __init__(
+        self, window_s: float, tolerance: QuotaTolerance, began_s: float | None
+    ):
         self._window_s = window_s
-        self._margin = margin
+        self._tolerance = tolerance
         self._began_s = began_s
         self._own: dict[CustomerId, _Own] = {}
         self._peers: dict[VmId, _Peer] = {}
@@ -146,15 +172,20 @@
         own = self._own.setdefault(rule.customer, _Own())
         self._expire(own, now_s)
         if rule.rate_per_s > 0:
-            limit = (rule.rate_per_s * self._window_s + rule.burst) * self._margin
+            limit = self._limit(rule)
             free = limit - own.total - self._of_peers(rule.customer, limit, now_s)
             free -= self._forgotten(limit, now_s)
             if amount > free:
-                return Failure(self._refusal(own, amount - free, limit, now_s))
+                return Failure(self._refusal(own, amount, free, limit, now_s))
         own.grants.append((now_s, amount))
         own.total += amount
         return Success(amount)
 
+    def _limit(self, rule: CustomerRule) -> float:
+        limit = rule.rate_per_s * self._window_s + rule.burst
+        tokens = self._tolerance.tokens if rule.counts_tokens else 0.0
+        return limit * (1.0 + self._tolerance.share) + tokens
+
     def cancel(self, customer: CustomerId, amount: int) -> None:
         """Give back a grant that was certainly not run."""
         own = self._own.get(customer)
@@ -187,15 +218,22 @@
             own.total -= own.grants.popleft()[1]
 
     def _refusal(
-        self, own: _Own, missing: float, limit: float, now_s: float
+        self, own: _Own, amount: int, free: float, limit: float, now_s: float
     ) -> Refusal:
-        """Say when enough of the window will have passed."""
+        """Say when enough of the window will have passed for this caller too.
+
+        What other callers were told to come back for is not free for this one.
+        """
+        while own.promised and own.promised[0][0] <= now_s:
+            own.promised.popleft()
+        missing = amount - free + sum(each for _, each in own.promised)
         retry_s = MAX_RETRY_S
         freed = 0
-        for granted_s, amount in own.grants:
-            freed += amount
+        for granted_s, granted in own.grants:
+            freed += granted
             if freed >= missing:
                 retry_s = granted_s + self._window_s - now_s
+                own.promised.append((now_s + retry_s, amount))
                 break
         retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
         detail = f"over {limit:.0f} tokens in {self._window_s:g} s"
@@ -203,7 +241,9 @@
 
 
 def make_window_quota(
-    window_s: float, margin: float = 1.0, began_s: float | None = None
+    window_s: float,
+    tolerance: QuotaTolerance = EXACT,
+    began_s: float | None = None,
 ) -> WindowQuota:
     """Return windows without grants.
 
@@ -211,8 +251,8 @@
     ----------
     window_s : float
         Length of the sliding window, in seconds.
-    margin : float
-        Part of each limit that is granted.
+    tolerance : QuotaTolerance
+        What is granted beyond each limit.
     began_s : float or None
         Monotonic time at which this process began after a former one of the system;
         None if there was none before.
@@ -226,4 +266,4 @@
     >>> quota.reserve(rule, 1, now_s=1.0).failure().retry_after_s
     7.0
     """
-    return WindowQuota(window_s, margin, began_s)
+    return WindowQuota(window_s, tolerance, began_s)
