--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 bench: $(STAMP)
 	$(PY) -m benchmarks.policy
 	$(PY) -m benchmarks.prefixes
+	$(PY) -m benchmarks.planner
 	$(PY) -m benchmarks.quota_spread
 	$(PY) -m benchmarks.relay
 	$(PY) -m benchmarks.deployments > benchmarks/results/deployments.txt
