Serve plain requests from the last entry that leaves, and avoid silent engines

Change: entries tell each other whether they take requests. One that is leaving and knows of no other that does goes on with requests that surely end before it does; a stream may be cut, so its caller is told when the first entry is back.

Ruled out: a shorter life of reports, as an entry without one sends straight to the engine, past its queue.

Tests that failed first: the last entry serves plain requests (process level, 503 before), a silent engine is avoided.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -19,7 +19,7 @@
     ``running`` maps a server to the requests at it, and ``unread_tokens`` to the prompt
     tokens of those that have not produced anything yet. ``address`` is where datagrams
     reach the sender. ``remembers`` is False while the sender may have forgotten grants
-    of its former process.
+    of its former process, ``takes_requests`` while it starts or leaves.
     """
 
     sender: Incarnation
@@ -28,6 +28,7 @@
     running: dict[str, int]
     unread_tokens: dict[str, int]
     remembers: bool = True
+    takes_requests: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -184,6 +184,12 @@
     return min(longest, route.timeout_s)
 
 
+def answer_limit_s(admitted: Admitted) -> float:
+    """Return how long a caller waits for its whole answer at most."""
+    patience_s, timeout_s = admitted.opaque.patience_s, admitted.route.timeout_s
+    return timeout_s if patience_s is None else min(patience_s, timeout_s)
+
+
 def urgency_of(rank: int) -> Urgency:
     """Return the class in an engine's queue for the rank of a request, 0 first."""
     return Urgency(min(max(rank, 0), Urgency.OVERNIGHT))
@@ -206,9 +212,7 @@
     now_s : float
         Monotonic time.
     """
-    opaque, route = admitted.opaque, admitted.route
-    patience_s = opaque.patience_s if opaque.patience_s is not None else route.timeout_s
-    limit_s = min(patience_s, route.timeout_s)
+    route = admitted.route
     is_resumable = route.kind is RouteKind.STREAMING and route.resumable
     cutter = make_event_cutter() if is_resumable else None
     return Exchange(
@@ -217,6 +221,6 @@
         admitted,
         digest,
         now_s,
-        now_s + limit_s,
+        now_s + answer_limit_s(admitted),
         cutter=cutter,
     )
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -43,6 +43,7 @@
     log_early_refusal,
     log_ended,
 )
+from chervilgw.forward.leaving import RETRY_S, make_leaving
 from chervilgw.forward.messages import Incoming
 from chervilgw.forward.metrics_task import (
     attempt_counted,
@@ -81,11 +82,6 @@
 STARTING_RETRY_S = 0.5
 """A process learns its configuration within some tenths of a second of its start, and a
 server that broke off is replaced or ejected in that time."""
-LEAVING_ACCEPT_S = 2.9
-"""An entry that is leaving takes requests for this long: by then the balancer has asked
-twice, and what has been taken can end within the grace time."""
-LEAVING_RETRY_S = 0.05
-"""A retry reaches another entry."""
 LONG_BODY_BYTES = 1_048_576
 """Answers of plain services are collected up to this size, so that one that breaks off
 can be replaced; longer ones are passed on as they arrive."""
@@ -130,8 +126,7 @@
         self._exchanges: dict[int, Exchange] = {}
         self._by_call: dict[str, Exchange] = {}
         self._ticks = 0
-        self._draining = False
-        self._accept_until_s = float("inf")
+        self._leaving = make_leaving(bounds.grace_s)
         self._report_soon = False
 
     # What the process believes.
@@ -160,6 +155,7 @@
         now_s = time.monotonic()
         sender = report.sender
         self._quota.on_report(sender, report.granted, now_s, report.remembers)
+        self._leaving.roll.on_report(sender.vm, report.takes_requests, now_s)
         self.fleet.board.on_peer(sender.vm, report.running, report.unread_tokens, now_s)
 
     @handler("crash_reported")
@@ -188,7 +184,13 @@
         if not is_successful(result):
             self._refuse_early(http, opaque.attempt, result.failure())
             return
-        self._accept(http, result.unwrap(), now_s)
+        admitted = result.unwrap()
+        if not self._leaving.takes(admitted, now_s):
+            if admitted.customer is not None:
+                self._quota.cancel(admitted.customer.customer, admitted.charge)
+            self._refuse_early(http, opaque.attempt, self._leaving.refusal(now_s))
+            return
+        self._accept(http, admitted, now_s)
 
     def _closed(self, now_s: float) -> Refusal | None:
         """Return why this entry takes no requests now, or None."""
@@ -196,9 +198,8 @@
             text = "this entry has not read its configuration yet"
             reason = RefusalReason.CONFIGURATION_STALE
             return make_refusal(reason, text, STARTING_RETRY_S)
-        if now_s >= self._accept_until_s:
-            text = "this entry is leaving"
-            return make_refusal(RefusalReason.LEAVING, text, LEAVING_RETRY_S)
+        if self._leaving.is_closed(now_s):
+            return self._leaving.refusal(now_s)
         return None
 
     def _accept(self, http: HttpRequest, admitted, now_s: float):
@@ -441,6 +442,7 @@
             running,
             unread,
             self._quota.remembers(now_s),
+            self._deployment is not None and self._leaving.takes_all(now_s),
         )
         self.fire(entry_report_due(report), "gossip")
         self.share_servers(now_s)
@@ -452,7 +454,7 @@
             self._demand.rates(now_s),
             self._demand.sudden(now_s),
             self._running_by_model(),
-            self._draining,
+            self._leaving.has_begun,
         )
         self.fire(demand_report_due(report), "gossip")
 
@@ -465,8 +467,7 @@
 
     @handler("drain", channel="*")
     def _on_drain(self):
-        self._draining = True
-        self._accept_until_s = time.monotonic() + LEAVING_ACCEPT_S
+        self._leaving.begin(time.monotonic())
         self._check_drained()
 
     @handler("end_requests")
@@ -476,10 +477,10 @@
             self._stop_attempt(exchange)
             text = "this entry ended before the answer came"
             reason, run = RefusalReason.LEAVING, exchange.run_state
-            self._fail(exchange, Refusal(reason, run, text, LEAVING_RETRY_S), now_s)
+            self._fail(exchange, Refusal(reason, run, text, RETRY_S), now_s)
 
     def _check_drained(self):
-        if self._draining and not self._exchanges:
+        if self._leaving.has_begun and not self._exchanges:
             self.fire(entry_drained(), "*")
 
 
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -20,7 +20,8 @@
 
 REPORT_AGE_S = 3.0
 """A report older than this says nothing any more: agents send one a second at least."""
-
+MISSED_S = 1.5
+"""After this time without one, a report is missing."""
 
 PLAN_S = 0.5
 """From a request for a missing model to the order: two reports, a plan, a datagram."""
@@ -144,6 +145,7 @@
             request.adapter is None or request.adapter in (adapters or ()),
             cached.get(name, 0),
             report is not None and report.busy,
+            report is not None and now_s - self._reports[name].heard_s > MISSED_S,
         )
 
     def _cached_tokens(
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -28,6 +28,8 @@
 weights are at hand."""
 FAILURE_COST_S = 2.0
 """A server that fails each request counts as this much slower."""
+SILENT_COST_S = 1.0
+"""An engine whose agent has missed a report may be dark with its VM."""
 PLAIN_SLOT_COST_S = 0.05
 """A running request of a plain service costs about one service time over its slots."""
 NO_SERVER_RETRY_S = 0.5
@@ -40,7 +42,8 @@
     """A server that may take the request, with what is known of its work.
 
     ``cached_tokens`` is how much of the prompt the server probably keeps. ``is_busy``
-    says that it carries out an order, and loads no adapter meanwhile.
+    says that it carries out an order, and loads no adapter meanwhile; ``is_silent``
+    says that its agent has missed a report.
     """
 
     server: RegisteredServer
@@ -51,6 +54,7 @@
     has_adapter: bool = True
     cached_tokens: int = 0
     is_busy: bool = False
+    is_silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +137,8 @@
     cost_s = unread / READ_TOKENS_PER_S + RUNNING_COST_S * candidate.running
     if not candidate.has_adapter:
         cost_s += BUSY_ADAPTER_COST_S if candidate.is_busy else ADAPTER_COST_S
+    if candidate.is_silent:
+        cost_s += SILENT_COST_S
     cost_s += FAILURE_COST_S * candidate.failures
     return cost_s + _zone_cost_s(request, candidate)
 
--- a/chervilgw/routing/tests/test_dispatch.py
+++ b/chervilgw/routing/tests/test_dispatch.py
@@ -144,3 +144,13 @@
     result = choose(candidate("x", running=6), candidate("y", running=2), model=None)
     assert is_successful(result)
     assert result.unwrap().server == "y"
+
+
+def test_an_engine_whose_agent_is_silent_is_avoided_if_another_holds_the_model():
+    """Pattern: a VM goes dark with its agent, and the list names it for 3 s more.
+
+    Guards against requests that are sent to it meanwhile and time out there.
+    """
+    silent, busy = candidate("a", is_silent=True), candidate("b", running=40)
+    assert chosen(silent, busy) == "b"
+    assert chosen(silent) == "a"
--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -254,6 +254,32 @@
     assert [each.status_code for each in answers] == [502]
 
 
+def test_the_last_entry_serves_plain_requests_while_it_leaves(fleet):
+    """Guards against a rolling restart in which all entries refuse at the same time."""
+    engine = fleet.add_server(name="i-1", service="llm", models={"m1": []})
+    desk = fleet.add_server(name="i-2")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, engine), "the engine is known")
+    wait_for(listed(entry, desk), "the desk is known")
+    engine.hold.clear()
+    headers = MODEL | {"X-Deadline-Ms": "15000"}
+    caller = threading.Thread(
+        target=lambda: entry.send("/draft/1", headers=headers), daemon=True
+    )
+    caller.start()
+    wait_for(lambda: engine.runs, "a stream is under way")
+    entry.program.process.terminate()
+    short = {"X-Deadline-Ms": "300"}
+    wait_for(
+        lambda: entry.send("/draft/2", headers=MODEL | short).status_code == 503,
+        "streams are refused",
+    )
+    assert entry.send("/reserve/1", headers=short).status_code == 200
+    engine.hold.set()
+    caller.join(20)
+    assert entry.program.process.wait(20) == 0
+
+
 def test_sighup_and_a_changed_store_address_are_taken_without_a_restart(fleet):
     """Guards against a process that the signal ends, or that follows an old store."""
     server = fleet.add_server(name="i-1")
