Name the peers of an entry, and the planner's thresholds by what they weigh

From the read-through: EntryRoll is PeerEntries; a time of 0.0 counts as one; a queue looks no further than the first request that is in time; the thresholds of further copies stand together with what they are compared with.

--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -155,7 +155,7 @@
         now_s = time.monotonic()
         sender = report.sender
         self._quota.on_report(sender, report.granted, now_s, report.remembers)
-        self._leaving.roll.on_report(sender.vm, report.takes_requests, now_s)
+        self._leaving.peers.on_report(sender.vm, report.takes_requests, now_s)
         self.fleet.board.on_peer(sender.vm, report.running, report.unread_tokens, now_s)
 
     @handler("crash_reported")
--- a/chervilgw/forward/leaving.py
+++ b/chervilgw/forward/leaving.py
@@ -9,7 +9,7 @@
 from chervilgw.core.states import RefusalReason
 from chervilgw.forward.exchange import answer_limit_s
 from chervilgw.forward.messages import Admitted
-from chervilgw.membership.entry_roll import EntryRoll, make_entry_roll
+from chervilgw.membership.peer_entries import PeerEntries, make_peer_entries
 
 ACCEPT_S = 2.9
 """An entry that is leaving takes requests for this long: by then the balancer has asked
@@ -27,10 +27,10 @@
 class Leaving:
     """Decisions of one entry about its own stop; see :func:`make_leaving`.
 
-    ``roll`` holds which of the other entries take requests.
+    ``peers`` holds which of the other entries take requests.
     """
 
-    roll: EntryRoll
+    peers: PeerEntries
     _grace_s: float
     _since_s: float | None = None
 
@@ -50,7 +50,7 @@
 
     def is_closed(self, now_s: float) -> bool:
         """Return whether no request is taken, as callers have another entry."""
-        return not self.takes_all(now_s) and self.roll.any_takes(now_s)
+        return not self.takes_all(now_s) and self.peers.any_takes(now_s)
 
     def takes(self, admitted: Admitted, now_s: float) -> bool:
         """Return whether a request is taken.
@@ -68,9 +68,9 @@
     def refusal(self, now_s: float) -> Refusal:
         """Return a refusal that sends the caller to an entry that takes requests."""
         retry_s = None
-        if not self.roll.any_takes(now_s):
+        if not self.peers.any_takes(now_s):
             away_s = self._grace_s - ACCEPT_S + RESTART_S
-            retry_s = self.roll.back_in_s(away_s, now_s)
+            retry_s = self.peers.back_in_s(away_s, now_s)
         if retry_s is None:
             retry_s = RETRY_S
         return make_refusal(RefusalReason.LEAVING, "this entry is leaving", retry_s)
@@ -84,4 +84,4 @@
     grace_s : float
         Time from the request to stop until the platform kills the process.
     """
-    return Leaving(make_entry_roll(), grace_s)
+    return Leaving(make_peer_entries(), grace_s)
--- a/chervilgw/forward/tests/test_leaving.py
+++ b/chervilgw/forward/tests/test_leaving.py
@@ -32,7 +32,7 @@
     made = make_leaving(GRACE_S)
     made.begin(0.0)
     if other_takes is not None:
-        made.roll.on_report(OTHER, other_takes, ACCEPT_S)
+        made.peers.on_report(OTHER, other_takes, ACCEPT_S)
     return made
 
 
--- a/chervilgw/membership/entry_roll.py
+++ b/chervilgw/membership/peer_entries.py
@@ -23,8 +23,8 @@
 
 
 @dataclass(slots=True)
-class EntryRoll:
-    """State of the other entries; see :func:`make_entry_roll`."""
+class PeerEntries:
+    """State of the other entries; see :func:`make_peer_entries`."""
 
     _entries: dict[VmId, _Entry] = field(default_factory=dict)
 
@@ -54,22 +54,25 @@
         now_s : float
             Monotonic time.
         """
-        closed = [each.closed_s for each in self._entries.values() if each.closed_s]
-        left_s = [at_s + away_s - now_s for at_s in closed if at_s + away_s > now_s]
+        left_s = [
+            each.closed_s + away_s - now_s
+            for each in self._entries.values()
+            if each.closed_s is not None and each.closed_s + away_s > now_s
+        ]
         return min(left_s, default=None)
 
 
-def make_entry_roll() -> EntryRoll:
+def make_peer_entries() -> PeerEntries:
     """Return the state of an entry that has heard of no other.
 
     Examples
     --------
-    >>> roll = make_entry_roll()
-    >>> roll.on_report(VmId("entry-2"), True, now_s=1.0)
-    >>> roll.any_takes(now_s=1.5), roll.any_takes(now_s=3.0)
+    >>> peers = make_peer_entries()
+    >>> peers.on_report(VmId("entry-2"), True, now_s=1.0)
+    >>> peers.any_takes(now_s=1.5), peers.any_takes(now_s=3.0)
     (True, False)
-    >>> roll.on_report(VmId("entry-2"), False, now_s=4.0)
-    >>> roll.any_takes(now_s=4.0), roll.back_in_s(away_s=7.0, now_s=6.0)
+    >>> peers.on_report(VmId("entry-2"), False, now_s=4.0)
+    >>> peers.any_takes(now_s=4.0), peers.back_in_s(away_s=7.0, now_s=6.0)
     (False, 5.0)
     """
-    return EntryRoll()
+    return PeerEntries()
--- /dev/null
+++ b/chervilgw/membership/tests/test_peer_entries.py
@@ -0,0 +1,38 @@
+"""An entry knows whether callers have another one to go to."""
+
+from chervilgw.core.ids import VmId
+from chervilgw.membership.peer_entries import HEARD_S, make_peer_entries
+
+ONE, TWO = VmId("entry-1"), VmId("entry-2")
+
+
+def test_a_rolling_restart_leaves_no_entry_that_takes_requests():
+    """Pattern: entries are stopped two seconds apart, and each is away for seven."""
+    peers = make_peer_entries()
+    for step in range(20):
+        now_s = step / 5
+        peers.on_report(ONE, now_s < 1.0, now_s)
+        peers.on_report(TWO, now_s < 3.0, now_s)
+        assert peers.any_takes(now_s) is (now_s < 3.0)
+    assert peers.back_in_s(7.0, 3.8) == 1.0 + 7.0 - 3.8
+
+
+def test_a_silent_entry_is_not_counted_on():
+    peers = make_peer_entries()
+    peers.on_report(ONE, True, 0.0)
+    assert peers.any_takes(HEARD_S - 0.1)
+    assert not peers.any_takes(HEARD_S + 0.1)
+
+
+def test_an_entry_that_is_back_is_not_waited_for():
+    peers = make_peer_entries()
+    peers.on_report(ONE, False, 1.0)
+    peers.on_report(ONE, True, 5.0)
+    assert peers.back_in_s(7.0, 5.0) is None
+    assert peers.any_takes(5.0)
+
+
+def test_an_entry_that_never_came_back_is_not_waited_for():
+    peers = make_peer_entries()
+    peers.on_report(ONE, False, 1.0)
+    assert peers.back_in_s(7.0, 9.0) is None
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -23,7 +23,7 @@
 """How long a model in demand waits for an engine that has its weights at hand and is
 busy: such loads take 0.8 s."""
 SHORT_WAIT_S = 0.3
-"""The same for a model in great demand."""
+"""The same for a model in great demand (:data:`GREAT_NEED`)."""
 WARM_UP_S = 6.0
 """A planner that has just begun to hear of demand unloads nothing: most models look
 idle to it."""
@@ -40,19 +40,21 @@
 UNDER_WAY_S = 8.0
 """A wish whose engine is busy counts for this long: the unload before the load waits
 for the runs of its model."""
+FURTHER_NEED = 3.0
+"""Requests in progress beyond what the copies of a model serve, from which a further
+copy is worth a load of weights at hand. This and the next three are from trials on
+days of high load and quiet days."""
 FAR_NEED = 8.0
-"""Work beyond what the copies of a model serve, from which a further copy is worth a
-load from the store."""
+"""The same for a load from the weight store, which blocks its engine's adapters."""
 LASTING_S = 1.0
 """How long a model must be short of copies before one more is loaded from the store: a
 burst of customers is over before such a load ends."""
 FAR_COST = 4.0
 """Requests in progress that a load from the store must be better by than one of weights
 at hand, as it takes some four seconds longer."""
-FURTHER_NEED = 3.0
-"""The same for a load of weights that are at hand."""
 GREAT_NEED = 4.0
-"""Work of a model without any copy that does not wait for weights at hand."""
+"""Requests in progress of a model without any copy from which it does not wait for an
+engine that has its weights at hand."""
 LOAD_SHARE = 0.8
 """Part of the weight store's rate that is planned for; the rest covers a second planner
 after a partition."""
@@ -182,8 +184,8 @@
         return expected
 
     def _is_free(self, engine: EngineView) -> bool:
-        is_used = engine.busy or engine.loading or engine.server in self._asked
-        return not is_used
+        is_used = engine.busy or bool(engine.loading)
+        return not is_used and engine.server not in self._asked
 
     def _may_load(self, spec: EngineSpec, now_s: float) -> bool:
         """Return whether the weight store's rate allows one more load."""
--- a/chervilgw/scheduling/fair_queue.py
+++ b/chervilgw/scheduling/fair_queue.py
@@ -254,10 +254,15 @@
         """
         ordered = sorted(urgency.flows.items(), key=lambda pair: (pair[1].tag, pair[0]))
         for customer, flow in ordered:
-            runnable = [item for item in flow.items() if can_run(item)]
-            if runnable:
-                on_time = (item for item in runnable if not item.is_late(now_s))
-                return customer, next(on_time, runnable[0])
+            late = None
+            for item in flow.items():
+                if not can_run(item):
+                    continue
+                if not item.is_late(now_s):
+                    return customer, item
+                late = late or item
+            if late is not None:
+                return customer, late
         return None
 
     def _select_class(self, heads: Mapping[Urgency, object]) -> Urgency | None:
