Take more of a forgotten quota window as spent, and grant less of the tolerance

Change: a quarter of the tolerated tokens is granted and nothing of the share; an entry that has just started grants the limit alone, and takes 1.3 instead of 1.15 of what nobody remembers as spent. A test failed on the former grants.

--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -85,10 +85,10 @@
 LONG_BODY_BYTES = 1_048_576
 """Answers of plain services are collected up to this size, so that one that breaks off
 can be replaced; longer ones are passed on as they arrive."""
-TOLERATED_SHARE = 0.5
 TOLERATED_TOKENS = 0.25
-"""Parts of what the operators tolerate beyond a customer's limit that are granted. The
-rest covers the lag of reports between entries and what killed entries had granted."""
+"""Part of the tokens tolerated beyond a customer's limit that is granted. The rest, and
+the tolerated share of the limit, cover the lag of reports between entries and what
+killed entries had granted: that was 15% of a limit after all were killed at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,10 +115,7 @@
         self._pipeline = None
         self.dispatcher = decisions.make_dispatcher(self.fleet, codec, options.zone)
         began_s = None if options.first_start else now_s
-        tolerance = QuotaTolerance(
-            TOLERATED_SHARE * bounds.quota_over_share,
-            TOLERATED_TOKENS * bounds.quota_over_tokens,
-        )
+        tolerance = QuotaTolerance(tokens=TOLERATED_TOKENS * bounds.quota_over_tokens)
         self._quota = make_window_quota(bounds.quota_window_s, tolerance, began_s)
         self._retries = make_retry_budgets(bounds)
         self._crashes = make_crash_watch(options.me)
--- a/chervilgw/platform/boot.py
+++ b/chervilgw/platform/boot.py
@@ -18,7 +18,6 @@
     "grace_s": ("grace_s", 1.0),
     "drain_s": ("drain_ms", 0.001),
     "quota_window_s": ("quota_window_s", 1.0),
-    "quota_over_share": ("quota_over", 1.0),
     "quota_over_tokens": ("quota_slack", 1.0),
     "retry_ratio": ("budget_ratio", 1.0),
     "retry_window_s": ("budget_window_s", 1.0),
--- a/chervilgw/quota/tests/test_window.py
+++ b/chervilgw/quota/tests/test_window.py
@@ -221,3 +221,17 @@
     rule = CustomerRule(ACME, None, 100.0, 200.0, False, 1)
     assert not is_successful(quota.reserve(rule, int(LIMIT) + 1, 0.0))
     assert is_successful(quota.reserve(rule, int(LIMIT), 0.0))
+
+
+def test_entries_that_all_restarted_do_not_add_the_tolerance_to_what_was_spent():
+    """Guards against grants beyond the operators' bound after a kill of all entries.
+
+    With a tolerance on both sides of the kill a customer got 122 in 100 of its limit.
+    """
+    tolerance = QuotaTolerance(0.1, 0.0)
+    quota = make_window_quota(WINDOW_S, tolerance, began_s=0.0)
+    exact = make_window_quota(WINDOW_S, began_s=0.0)
+    now_s = WINDOW_S / 2
+    assert is_successful(exact.reserve(RULE, int(LIMIT * 0.5), now_s))
+    assert not is_successful(quota.reserve(RULE, int(LIMIT * 0.5), now_s))
+    assert is_successful(quota.reserve(RULE, int(LIMIT * 1.1), WINDOW_S))
--- a/chervilgw/quota/window.py
+++ b/chervilgw/quota/window.py
@@ -25,8 +25,9 @@
 RESTART_S = 1.0
 """A process that ended is started again after a second or more; what it granted is at
 least that old."""
-FORGOTTEN_EXCESS = 1.15
-"""What nobody remembers may have been spent late in the window rather than evenly."""
+FORGOTTEN_EXCESS = 1.3
+"""What nobody remembers may have been spent late in the window rather than evenly. With
+1.15 a customer got 4% beyond the operators' bound after all entries were killed."""
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 8.0
 
@@ -172,19 +173,21 @@
         own = self._own.setdefault(rule.customer, _Own())
         self._expire(own, now_s)
         if rule.rate_per_s > 0:
-            limit = self._limit(rule)
+            # A process that has forgotten grants must not add the tolerance to them.
+            tolerant = self._limit(rule, self._tolerance)
+            limit = tolerant if self.remembers(now_s) else self._limit(rule, EXACT)
             free = limit - own.total - self._of_peers(rule.customer, limit, now_s)
-            free -= self._forgotten(limit, now_s)
+            free -= self._forgotten(tolerant, now_s)
             if amount > free:
                 return Failure(self._refusal(own, amount, free, limit, now_s))
         own.grants.append((now_s, amount))
         own.total += amount
         return Success(amount)
 
-    def _limit(self, rule: CustomerRule) -> float:
+    def _limit(self, rule: CustomerRule, tolerance: QuotaTolerance) -> float:
         limit = rule.rate_per_s * self._window_s + rule.burst
-        tokens = self._tolerance.tokens if rule.counts_tokens else 0.0
-        return limit * (1.0 + self._tolerance.share) + tokens
+        tokens = tolerance.tokens if rule.counts_tokens else 0.0
+        return limit * (1.0 + tolerance.share) + tokens
 
     def cancel(self, customer: CustomerId, amount: int) -> None:
         """Give back a grant that was certainly not run."""
--- a/chervilgw/settings/vm.py
+++ b/chervilgw/settings/vm.py
@@ -24,7 +24,6 @@
     grace_s: float = Field(8.0, gt=0)
     drain_s: float = Field(2.0, ge=0)
     quota_window_s: float = Field(8.0, gt=0)
-    quota_over_share: float = Field(0.0, ge=0)
     quota_over_tokens: float = Field(0.0, ge=0)
     retry_ratio: float = Field(0.2, ge=0)
     retry_window_s: float = Field(10.0, gt=0)
