--- a/chervilgw/clients/log_task.py
+++ b/chervilgw/clients/log_task.py
@@ -67,7 +67,7 @@
                 self._read(stream, reading, now_s)
 
     def _read(self, stream, reading, now_s):
-        reading.call = call = f"log-read-{next(self._numbers)}"
+        reading.call = call = f"stream-read-{next(self._numbers)}"
         reading.asked_s = now_s
         self._calls[call] = stream
         request = make_read_call(self._spec, call, stream, reading.offset, WAIT_MS)
@@ -75,7 +75,7 @@
 
     @handler("log_append")
     def _on_append(self, token, stream, records, reply_to):
-        call = f"log-append-{next(self._numbers)}"
+        call = f"stream-append-{next(self._numbers)}"
         self._appends[call] = (token, stream, reply_to)
         request = make_append_call(self._spec, call, stream, records)
         self.fire(http_call(request), "http-client")
