--- a/chervilgw/bookings/decisions.py
+++ b/chervilgw/bookings/decisions.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from chervilgw.bookings.fold import BookingState, Entry, empty_state, fold
+from chervilgw.bookings.fold import BookingState, empty_state, fold
+from chervilgw.bookings.outcomes import log_refusal, outcome
 from chervilgw.bookings.outputs import Answer, Append, Output, Read, Refuse, Run
 from chervilgw.bookings.records import Booking, Intent, Record, RecordedAnswer, Result
 from chervilgw.core.ids import Incarnation, Offset, RequestId
@@ -97,7 +98,7 @@
         # the log can tell.
         is_known = entry is not None and entry.winner and entry.run is not None
         if is_known or (entry is not None and attempt in entry.void):
-            return [self._close(_outcome(booking, entry), now_s)]
+            return [self._close(outcome(booking, entry), now_s)]
         if len(self._waiting) >= MAX_WAITING:
             detail = "too many bookings wait for the log"
             refusal = make_refusal(RefusalReason.QUEUE_FULL, detail, self._retry_s)
@@ -181,9 +182,9 @@
         del self._attempts[booking.attempt]
         if entry is None or entry.winner is None:
             # The fold ignored the intent as too old and does so for its repeats.
-            refuse = Refuse(booking.attempt, _log_refusal(self._retry_s))
+            refuse = Refuse(booking.attempt, log_refusal(self._retry_s))
             return [self._close(refuse, now_s)]
-        return [self._close(_outcome(booking, entry), now_s)]
+        return [self._close(outcome(booking, entry), now_s)]
 
     def on_log_failed(self, operation: Append | Read, now_s: float) -> list[Output]:
         """Note that an operation failed, or that its answer was lost.
@@ -288,7 +289,7 @@
         for attempt, held in list(self._waiting.items()):
             if now_s - held.since_s < self._wait_s:
                 break
-            outputs += self.refuse(attempt, _log_refusal(self._retry_s), now_s)
+            outputs += self.refuse(attempt, log_refusal(self._retry_s), now_s)
         for attempt, release in list(self._releases.items()):
             if now_s - release.since_s >= self._wait_s:
                 del self._releases[attempt]
@@ -338,33 +339,6 @@
         return tuple(records)
 
 
-def _log_refusal(retry_after_s: float) -> Refusal:
-    detail = "the log did not record the booking in time"
-    return make_refusal(RefusalReason.LOG_UNAVAILABLE, detail, retry_after_s)
-
-
-def _outcome(booking: Booking, entry: Entry) -> Answer | Refuse:
-    """Return what an attempt gets that did not win."""
-    attempt = booking.attempt
-    if attempt in entry.void:
-        detail = "the attempt was withdrawn before"
-        return Refuse(attempt, make_refusal(RefusalReason.LOG_UNAVAILABLE, detail))
-    if entry.content != booking.content:
-        detail = "the idempotency key was used with another request"
-        return Refuse(attempt, make_refusal(RefusalReason.CONFLICT, detail))
-    if entry.answer is not None:
-        return Answer(attempt, entry.answer)
-    if entry.run is RunState.UNKNOWN:
-        detail = "the outcome of the first request with this key is unknown"
-        return Refuse(
-            attempt, Refusal(RefusalReason.BACKEND_LOST, RunState.UNKNOWN, detail)
-        )
-    detail = "the first request with this key has no result yet"
-    return Refuse(
-        attempt, Refusal(RefusalReason.DUPLICATE_REQUEST, RunState.UNKNOWN, detail, 1.0)
-    )
-
-
 def make_bookings(
     me: Incarnation,
     window_s: float = 86_400.0,
