--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -37,8 +37,9 @@
     """One request; see :func:`make_exchange`.
 
     ``tried`` holds the servers that got the request, ``may_have_run`` those of them
-    that did not say that they have not run it. ``unread`` is what the current server
-    has to read of the prompt, until its first token.
+    that did not say that they have not run it. ``turns`` lists all turns that it asked
+    for, ``turn_wait_s`` is how long it waited for them in all. ``unread`` is what the
+    current server has to read of the prompt, until its first token.
     """
 
     number: int
@@ -63,6 +64,9 @@
     body: list[bytes] = field(default_factory=list)
     cutter: EventCutter | None = None
     turn: RequestId | None = None
+    turns: list[RequestId] = field(default_factory=list)
+    turn_asked_s: float = 0.0
+    turn_wait_s: float = 0.0
     refused_by: set[ServerId] = field(default_factory=set)
     retry_after_s: float | None = None
 
@@ -83,6 +87,18 @@
             return None
         return self.first_byte_s - self.started_s
 
+    def ask_turn(
+        self, turn: RequestId, server: ServerId, unread: int, now_s: float
+    ) -> None:
+        """Note that the request waits for its turn at an engine."""
+        self.stage, self.server = Stage.WAITING_FOR_TURN, server
+        self.turn, self.unread, self.turn_asked_s = turn, unread, now_s
+        self.turns.append(turn)
+
+    def end_turn_wait(self, now_s: float) -> None:
+        """Note that the request waits no more, with or without a turn."""
+        self.turn_wait_s += now_s - self.turn_asked_s
+
     def begin_attempt(self, server: ServerId, started_ms: int, unread: int) -> None:
         """Note that the request goes to a server."""
         self.stage, self.server, self.server_started_ms = Stage.SENT, server, started_ms
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -14,7 +14,7 @@
 from circuits import handler
 from returns.pipeline import is_successful
 
-from chervilgw.core.deployment import Deployment, ServerId
+from chervilgw.core.deployment import Deployment, OpaqueRequest, ServerId
 from chervilgw.core.errors import ChervilError
 from chervilgw.core.ids import Incarnation, ZoneId
 from chervilgw.core.messages import DemandReport, EntryReport
@@ -169,23 +169,23 @@
         now_s = time.monotonic()
         closed = self._closed(now_s)
         if closed is not None:
-            self._refuse_early(http, "", closed)
+            self._refuse_early(http, None, closed)
             return
         try:
             opaque = self._codec.decode_request(http)
         except ChervilError as error:
             refusal = make_refusal(RefusalReason.BAD_REQUEST, str(error))
-            self._refuse_early(http, "", refusal)
+            self._refuse_early(http, None, refusal)
             return
         result = self._pipeline(Incoming(opaque, self._deployment), now_s)
         if not is_successful(result):
-            self._refuse_early(http, opaque.attempt, result.failure())
+            self._refuse_early(http, opaque, result.failure())
             return
         admitted = result.unwrap()
         if not self._leaving.takes(admitted, now_s):
             if admitted.customer is not None:
                 self._quota.cancel(admitted.customer.customer, admitted.charge)
-            self._refuse_early(http, opaque.attempt, self._leaving.refusal(now_s))
+            self._refuse_early(http, opaque, self._leaving.refusal(now_s))
             return
         self._accept(http, admitted, now_s)
 
@@ -215,12 +215,16 @@
         else:
             self._fail(exchange, blocked.failure(), now_s)
 
-    def _refuse_early(self, http: HttpRequest, attempt: str, refusal: Refusal):
+    def _refuse_early(
+        self, http: HttpRequest, opaque: OpaqueRequest | None, refusal: Refusal
+    ):
         reply = self._codec.encode_refusal(refusal)
         version = self._deployment.version if self._deployment else None
-        log_early_refusal(attempt, refusal, reply[0], version)
+        log_early_refusal(opaque, refusal, reply[0], version)
         self.fire(http_reply(HttpReply(http.exchange, *reply)), http.server)
-        self.fire(refusal_counted(refusal.reason.value), "metrics")
+        prompt_tokens = opaque.prompt_tokens if opaque else None
+        counted = refusal_counted(refusal.reason.value, prompt_tokens)
+        self.fire(counted, "metrics")
 
     def attempt(self, exchange: Exchange, now_s: float):
         """Choose a server, and send the request or wait."""
@@ -285,7 +289,7 @@
         if exchange.unread:
             self.fleet.board.on_started(exchange.server, exchange.unread)
             exchange.unread = 0
-        self.leave_queue(exchange)
+        self.leave_queue(exchange, now_s)
 
     @handler("call_done")
     def _on_done(self, done):
@@ -293,7 +297,7 @@
         if exchange is None:
             return
         now_s = time.monotonic()
-        self._release(exchange)
+        self._release(exchange, now_s)
         self._crashes.on_completed(exchange.digest)
         served = exchange.stage is not Stage.DISCARDING
         self.fire(attempt_counted("served" if served else "not_served"), "metrics")
@@ -323,7 +327,7 @@
             return
         now_s = time.monotonic()
         server, ejected_s = exchange.server, None
-        self._release(exchange)
+        self._release(exchange, now_s)
         if not failed.sent:
             exchange.may_have_run.discard(server)
             ejected_s = self.fleet.board.on_unreachable(server, now_s)
@@ -354,8 +358,8 @@
         refusal = Refusal(reason, exchange.run_state, detail, STARTING_RETRY_S)
         self._fail(exchange, refusal, now_s)
 
-    def _release(self, exchange: Exchange):
-        self.leave_queue(exchange)
+    def _release(self, exchange: Exchange, now_s: float):
+        self.leave_queue(exchange, now_s)
         self.fleet.board.on_ended(exchange.server, exchange.unread)
         exchange.unread = 0
 
@@ -372,16 +376,19 @@
         admitted = exchange.admitted
         if admitted.customer is not None and not exchange.may_have_run:
             self._quota.cancel(admitted.customer.customer, admitted.charge)
-        self.fire(refusal_counted(refusal.reason.value), "metrics")
+        prompt_tokens = admitted.opaque.prompt_tokens
+        counted = refusal_counted(refusal.reason.value, prompt_tokens)
+        self.fire(counted, "metrics")
         self._end(exchange, refusal.reason.value, now_s, refusal)
 
     def _end(self, exchange: Exchange, outcome: str, now_s: float, refusal=None):
-        self.leave_queue(exchange)
+        self.leave_queue(exchange, now_s)
         exchange.stage = Stage.ENDED
         self._exchanges.pop(exchange.number, None)
         counted = request_counted(
             exchange.admitted.route.kind.value,
             outcome,
+            exchange.admitted.opaque.prompt_tokens,
             exchange.first_byte_after_s,
             exchange.longest_pause_s,
         )
@@ -389,18 +396,19 @@
         log_ended(exchange, outcome, now_s, refusal)
         self._check_drained()
 
-    def _stop_attempt(self, exchange: Exchange):
+    def _stop_attempt(self, exchange: Exchange, now_s: float):
         """Close the connection to the server; it stops work on the request."""
         if self._by_call.pop(exchange.call, None) is not None:
             self.fire(http_call_cancel(exchange.call), "server-client")
-            self._release(exchange)
+            self._release(exchange, now_s)
 
     @handler("http_gone")
     def _on_gone(self, number: int):
         exchange = self._exchanges.get(number)
         if exchange is not None:
-            self._stop_attempt(exchange)
-            self._end(exchange, "caller_left", time.monotonic())
+            now_s = time.monotonic()
+            self._stop_attempt(exchange, now_s)
+            self._end(exchange, "caller_left", now_s)
 
     # Time.
 
@@ -425,7 +433,7 @@
             self.dispatcher.return_times.forget_past(now_s)
 
     def _time_out(self, exchange: Exchange, now_s: float):
-        self._stop_attempt(exchange)
+        self._stop_attempt(exchange, now_s)
         text = "no answer within the time-out of the route or the caller's deadline"
         reason = RefusalReason.DEADLINE_UNREACHABLE
         self._fail(exchange, Refusal(reason, exchange.run_state, text), now_s)
@@ -471,7 +479,7 @@
     def _on_end_requests(self):
         now_s = time.monotonic()
         for exchange in list(self._exchanges.values()):
-            self._stop_attempt(exchange)
+            self._stop_attempt(exchange, now_s)
             text = "this entry ended before the answer came"
             reason, run = RefusalReason.LEAVING, exchange.run_state
             self._fail(exchange, Refusal(reason, run, text, RETRY_S), now_s)
--- a/chervilgw/forward/journal.py
+++ b/chervilgw/forward/journal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from chervilgw.core.deployment import OpaqueRequest
+from chervilgw.core.ids import RequestId
 from chervilgw.core.messages import TurnRefused
 from chervilgw.core.refusals import Refusal
 from chervilgw.forward.exchange import Exchange
@@ -10,12 +12,18 @@
 
 
 def log_early_refusal(
-    attempt: str, refusal: Refusal, status: int, version: int | None
+    opaque: OpaqueRequest | None, refusal: Refusal, status: int, version: int | None
 ) -> None:
-    """Log a request that was refused before a server was chosen."""
+    """Log a request that was refused before a server was chosen.
+
+    ``opaque`` is None if the request was not read.
+    """
     log_event(
         "request_refused",
-        request=attempt,
+        request=opaque.attempt if opaque else "",
+        path=_path(opaque) if opaque else None,
+        prompt_tokens=opaque.prompt_tokens if opaque else None,
+        output_tokens=opaque.output_tokens if opaque else None,
         reason=refusal.reason,
         detail=refusal.detail,
         status=status,
@@ -30,11 +38,22 @@
         "turn_refused",
         request=exchange.admitted.opaque.attempt,
         server=answer.server,
+        turn=answer.turn,
+        unread_tokens=exchange.unread,
         retry_after_s=answer.retry_after_s,
         detail=answer.detail,
     )
 
 
+def log_turn_answered(
+    result: str, turn: RequestId, unread_tokens: int, **fields
+) -> None:
+    """Log at an engine's agent whether a request got its turn, and what decided it."""
+    log_event(
+        "turn_answered", turn=turn, result=result, unread_tokens=unread_tokens, **fields
+    )
+
+
 def log_attempt_not_served(exchange: Exchange) -> None:
     """Log an answer that is not passed to the caller."""
     log_event(
@@ -78,13 +97,22 @@
         "request_ended",
         request=opaque.attempt,
         route=exchange.admitted.route.name,
+        path=_path(opaque),
         model=opaque.model,
         adapter=opaque.adapter,
+        prompt_tokens=opaque.prompt_tokens,
+        output_tokens=opaque.output_tokens,
         server=exchange.server,
         outcome=outcome,
         sends=exchange.sends,
+        turns=[str(turn) for turn in exchange.turns],
+        turn_wait_s=round(exchange.turn_wait_s, 4),
         first_byte_s=None if first_s is None else round(first_s, 4),
         longest_pause_s=round(exchange.longest_pause_s, 4),
         took_s=round(now_s - exchange.started_s, 4),
         **fields,
     )
+
+
+def _path(opaque: OpaqueRequest) -> str:
+    return opaque.target.partition("?")[0]
--- a/chervilgw/forward/metrics_task.py
+++ b/chervilgw/forward/metrics_task.py
@@ -5,17 +5,21 @@
 from circuits import BaseComponent, Event, handler
 
 from chervilgw.runtime.events import HttpReply, HttpRequest, http_reply
-from chervilgw.telemetry.scrape import make_scrape_metrics
+from chervilgw.telemetry.scrape import make_scrape_metrics, size_label
 
 CONTENT_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 
 
 class request_counted(Event):  # noqa: N801
-    """A request ended: kind, outcome, first byte in s or None, longest pause in s."""
+    """A request ended.
+
+    Kind, outcome, prompt in tokens or None, first byte in s or None, longest pause
+    in s.
+    """
 
 
 class refusal_counted(Event):  # noqa: N801
-    """A request was refused: reason."""
+    """A request was refused: reason, prompt in tokens or None."""
 
 
 class attempt_counted(Event):  # noqa: N801
@@ -31,7 +35,7 @@
 
 
 class turn_counted(Event):  # noqa: N801
-    """A turn was given or refused: result."""
+    """A turn was given or refused: result, unread prompt in tokens, wait in s."""
 
 
 class store_call_counted(Event):  # noqa: N801
@@ -46,15 +50,15 @@
         self._metrics = make_scrape_metrics()
 
     @handler("request_counted")
-    def _on_request(self, kind, outcome, first_byte_s, pause_s):
-        self._metrics.requests.labels(kind, outcome).inc()
+    def _on_request(self, kind, outcome, prompt_tokens, first_byte_s, pause_s):
+        self._metrics.requests.labels(kind, outcome, size_label(prompt_tokens)).inc()
         if first_byte_s is not None:
             self._metrics.first_byte_s.labels(kind).observe(first_byte_s)
             self._metrics.pause_s.observe(pause_s)
 
     @handler("refusal_counted")
-    def _on_refusal(self, reason):
-        self._metrics.refusals.labels(reason).inc()
+    def _on_refusal(self, reason, prompt_tokens):
+        self._metrics.refusals.labels(reason, size_label(prompt_tokens)).inc()
 
     @handler("attempt_counted")
     def _on_attempt(self, result):
@@ -69,8 +73,11 @@
         self._metrics.orders.labels(kind, reply).inc()
 
     @handler("turn_counted")
-    def _on_turn(self, result):
-        self._metrics.turns.labels(result).inc()
+    def _on_turn(self, result, unread_tokens, waited_s):
+        size = size_label(unread_tokens)
+        self._metrics.turns.labels(result, size).inc()
+        if waited_s is not None:
+            self._metrics.turn_wait_s.labels(size).observe(waited_s)
 
     @handler("store_call_counted")
     def _on_store_call(self, result):
--- a/chervilgw/forward/turn_giver.py
+++ b/chervilgw/forward/turn_giver.py
@@ -7,11 +7,12 @@
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import ModelName
 from chervilgw.core.messages import TurnGiven, TurnRefused, TurnWanted
+from chervilgw.forward.journal import log_turn_answered
 from chervilgw.forward.metrics_task import turn_counted
 from chervilgw.placement.engine_orders import make_engine_orders
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.scheduling.fair_queue import QueuedItem
-from chervilgw.scheduling.turns import Turn, make_turn_queue
+from chervilgw.scheduling.turns import GivenTurn, Turn, make_turn_queue
 
 START_S = 0.1
 """From the turn to the first token: the way to the engine and back and the prompt, of
@@ -42,12 +43,12 @@
     def on_turn_wanted(self, wanted: TurnWanted, now_s: float):
         """Queue a request, or refuse it at once if it would not be in time."""
         if self.turns.is_given(wanted.turn):
-            self._answer(wanted.address, TurnGiven(wanted.turn, wanted.server))
+            self._tell(wanted.address, TurnGiven(wanted.turn, wanted.server))
             return
         if wanted.server != self.server or not self._takes(wanted.model):
             detail = "the engine does not hold the model or is leaving"
             refused = TurnRefused(wanted.turn, wanted.server, 0.0, detail)
-            self._answer(wanted.address, refused)
+            self._refuse(wanted.address, refused, wanted.tokens)
             return
         target = f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
         item = QueuedItem(
@@ -63,7 +64,7 @@
         if refusal is not None:
             retry_s = refusal.retry_after_s or 0.0
             refused = TurnRefused(wanted.turn, wanted.server, retry_s, refusal.detail)
-            self._answer(wanted.address, refused)
+            self._refuse(wanted.address, refused, wanted.tokens)
             return
         self.want_adapters(now_s)
         self.give_turns(now_s)
@@ -90,17 +91,32 @@
         """Tell the entries whose requests may be sent now."""
         if not self.is_known():
             return
-        for turn in self.turns.next_turns(now_s, self._can_run):
-            self._answer(turn.address, TurnGiven(turn.item.request_id, self.server))
+        for given in self.turns.next_turns(now_s, self._can_run):
+            self._give(given)
+
+    def _give(self, given: GivenTurn):
+        item = given.turn.item
+        log_turn_answered(
+            "given",
+            item.request_id,
+            item.tokens,
+            waited_s=round(given.waited_s, 4),
+            passed_by=given.passed_by,
+        )
+        self.fire(turn_counted("given", item.tokens, given.waited_s), "metrics")
+        self._tell(given.turn.address, TurnGiven(item.request_id, self.server))
 
     def refuse_turns(self, turns: list[Turn], detail: str):
         """Tell the entries of requests that were taken out of the queue."""
         for turn in turns:
             server = self.server or ""
             refused = TurnRefused(turn.item.request_id, server, 0.0, detail)
-            self._answer(turn.address, refused)
+            self._refuse(turn.address, refused, turn.item.tokens)
+
+    def _refuse(self, address: str, refused: TurnRefused, unread_tokens: int):
+        log_turn_answered("refused", refused.turn, unread_tokens, detail=refused.detail)
+        self.fire(turn_counted("refused", unread_tokens, None), "metrics")
+        self._tell(address, refused)
 
-    def _answer(self, address: str, message):
-        result = "given" if isinstance(message, TurnGiven) else "refused"
-        self.fire(turn_counted(result), "metrics")
-        self.fire(datagram_send(message, [address]), "datagrams")
+    def _tell(self, address: str, answer: TurnGiven | TurnRefused):
+        self.fire(datagram_send(answer, [address]), "datagrams")
--- a/chervilgw/forward/turn_keeper.py
+++ b/chervilgw/forward/turn_keeper.py
@@ -34,10 +34,9 @@
 
     def ask_turn(self, exchange: Exchange, server: ServerId, unread: int, now_s):
         """Wait for the engine's agent, which lets prompts be read one at a time."""
-        self.leave_queue(exchange)
-        exchange.stage, exchange.server = Stage.WAITING_FOR_TURN, server
-        exchange.turn = RequestId(self.me, next(self._turn_numbers))
-        exchange.unread = unread
+        self.leave_queue(exchange, now_s)
+        turn = RequestId(self.me, next(self._turn_numbers))
+        exchange.ask_turn(turn, server, unread, now_s)
         self._by_turn[exchange.turn] = exchange
         self.fleet.board.on_sent(server, unread)
         self._repeat_turn(exchange, now_s)
@@ -59,28 +58,30 @@
             return
         if isinstance(answer, TurnGiven):
             self.fleet.board.on_ended(exchange.server, exchange.unread)
+            exchange.end_turn_wait(now_s)
             self.send(exchange, exchange.server, exchange.unread, now_s)
             return
         log_turn_refused(exchange, answer)
         exchange.on_turn_refused(answer.retry_after_s)
-        self.leave_queue(exchange)
+        self.leave_queue(exchange, now_s)
         self.attempt(exchange, now_s)
 
     def wait_for_turn(self, exchange: Exchange, now_s: float):
         """Ask again, as a datagram may be lost, or choose another engine."""
         server = self.fleet.directory.find(exchange.server)
         if self.fleet.report_of(server, now_s) is None:
-            self.leave_queue(exchange)
+            self.leave_queue(exchange, now_s)
             self.attempt(exchange, now_s)
         else:
             self._repeat_turn(exchange, now_s)
 
-    def leave_queue(self, exchange: Exchange):
+    def leave_queue(self, exchange: Exchange, now_s: float):
         """Give up the place in an engine's queue, if the request has one."""
         if exchange.turn is None:
             return
         if exchange.stage is Stage.WAITING_FOR_TURN:
             self.fleet.board.on_ended(exchange.server, exchange.unread)
+            exchange.end_turn_wait(now_s)
             exchange.unread = 0
         self._by_turn.pop(exchange.turn, None)
         self._end_turn(exchange.turn, exchange.server)
--- a/chervilgw/scheduling/tests/test_turns.py
+++ b/chervilgw/scheduling/tests/test_turns.py
@@ -19,7 +19,8 @@
 
 
 def given(queue, now_s=0.0, can_run=bool):
-    return [each.item.request_id.counter for each in queue.next_turns(now_s, can_run)]
+    turns = [each.turn for each in queue.next_turns(now_s, can_run)]
+    return [each.item.request_id.counter for each in turns]
 
 
 def test_two_long_prompts_are_not_read_at_once():
@@ -101,7 +102,8 @@
     @rule()
     def give(self):
         for each in self.queue.next_turns(self.now_s, bool):
-            self.reading[each.item.request_id] = (each.item.tokens, self.now_s)
+            item = each.turn.item
+            self.reading[item.request_id] = (item.tokens, self.now_s)
 
     @rule(data=st.data())
     def end(self, data):
@@ -156,9 +158,10 @@
             queue.ask(Turn(item, "10.0.0.1:7600"), now_s)
         queue.expire(now_s)
         if step % 7 == 0:
-            for turn in queue.next_turns(now_s, lambda item: True):
+            for each in queue.next_turns(now_s, lambda item: True):
+                item = each.turn.item
                 served += 1
-                on_time += not turn.item.is_late(now_s)
-                queue.end(turn.item.request_id, now_s + read_s)
+                on_time += not item.is_late(now_s)
+                queue.end(item.request_id, now_s + read_s)
     assert served >= 140
     assert on_time >= 0.8 * served
--- a/chervilgw/scheduling/turns.py
+++ b/chervilgw/scheduling/turns.py
@@ -39,12 +39,32 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class GivenTurn:
+    """A request that may be sent now, and how it fared in the queue.
+
+    ``passed_by`` counts the requests that arrived later and were sent before it.
+    """
+
+    turn: Turn
+    waited_s: float
+    passed_by: int
+
+
+@dataclass(slots=True)
+class _Waiting:
+    turn: Turn
+    asked_s: float
+    passed_by: int = 0
+
+
 @dataclass(slots=True)
 class TurnQueue:
     """Turns at one engine; see :func:`make_turn_queue`."""
 
     _queue: FairQueue
-    _turns: dict[RequestId, Turn] = field(default_factory=dict)
+    # In the order of arrival.
+    _waiting: dict[RequestId, _Waiting] = field(default_factory=dict)
     _reading: dict[RequestId, tuple[Turn, float]] = field(default_factory=dict)
 
     def ask(self, turn: Turn, now_s: float) -> Refusal | None:
@@ -54,7 +74,7 @@
         """
         result = self._queue.push(turn.item, now_s)
         if is_successful(result):
-            self._turns[turn.item.request_id] = turn
+            self._waiting[turn.item.request_id] = _Waiting(turn, now_s)
             return None
         refusal = result.failure()
         if refusal.reason is RefusalReason.DUPLICATE_REQUEST:
@@ -67,7 +87,7 @@
 
     def next_turns(
         self, now_s: float, can_run: Callable[[QueuedItem], bool]
-    ) -> list[Turn]:
+    ) -> list[GivenTurn]:
         """Return the requests that may be sent now.
 
         Parameters
@@ -85,9 +105,16 @@
             item = self._queue.pop(now_s, lambda item: self._fits(item, can_run))
             if item is None:
                 return given
-            turn = self._turns.pop(item.request_id)
-            self._reading[item.request_id] = (turn, now_s)
-            given.append(turn)
+            given.append(self._give(item.request_id, now_s))
+
+    def _give(self, request_id: RequestId, now_s: float) -> GivenTurn:
+        for other_id, other in self._waiting.items():
+            if other_id == request_id:
+                break
+            other.passed_by += 1
+        waiting = self._waiting.pop(request_id)
+        self._reading[request_id] = (waiting.turn, now_s)
+        return GivenTurn(waiting.turn, now_s - waiting.asked_s, waiting.passed_by)
 
     def _fits(self, item: QueuedItem, can_run: Callable[[QueuedItem], bool]) -> bool:
         reading = sum(turn.item.tokens for turn, _ in self._reading.values())
@@ -101,13 +128,13 @@
         if reading is not None:
             item = reading[0].item
             self._queue.settle(item, item.tokens, now_s)
-        elif self._turns.pop(request_id, None) is not None:
+        elif self._waiting.pop(request_id, None) is not None:
             self._queue.remove(request_id)
 
     def expire(self, now_s: float) -> list[Turn]:
         """Take out requests that could not be in time any more, and return them."""
         late = self._queue.expire(now_s)
-        return [self._turns.pop(item.request_id) for item in late]
+        return [self._waiting.pop(item.request_id).turn for item in late]
 
     def waiting(self) -> tuple[QueuedItem, ...]:
         """Return the waiting requests in the order of their arrival."""
@@ -115,10 +142,10 @@
 
     def clear(self) -> list[Turn]:
         """Take out all waiting requests, as the engine takes none, and return them."""
-        turns = list(self._turns.values())
+        turns = [each.turn for each in self._waiting.values()]
         for turn in turns:
             self._queue.remove(turn.item.request_id)
-        self._turns.clear()
+        self._waiting.clear()
         self._reading.clear()
         return turns
 
@@ -134,10 +161,10 @@
     >>> for request in (first, second):
     ...     item = QueuedItem(request, CustomerId("a"), "m", 1_400)
     ...     _ = queue.ask(Turn(item, "10.0.0.1:7600"), now_s=0.0)
-    >>> [turn.item.request_id.counter for turn in queue.next_turns(0.0, bool)]
+    >>> [each.turn.item.request_id.counter for each in queue.next_turns(0.0, bool)]
     [1]
     >>> queue.end(first, now_s=0.1)
-    >>> [turn.item.request_id.counter for turn in queue.next_turns(0.1, bool)]
+    >>> [each.turn.item.request_id.counter for each in queue.next_turns(0.1, bool)]
     [2]
     """
     limits = QueueLimits(customer_tokens=QUEUE_TOKENS, total_tokens=QUEUE_TOKENS)
--- a/chervilgw/telemetry/scrape.py
+++ b/chervilgw/telemetry/scrape.py
@@ -22,6 +22,24 @@
 """From one round trip between zones to the longest deadline; 0.1, 0.3 and 0.6 s are
 targets of the deployments."""
 
+SIZES_TOKENS = (256, 512, 1_024, 2_048, 4_096, 8_192)
+"""Bounds of the sizes that counters tell apart; a route's largest prompts are two to
+five times as long as its mean."""
+
+
+def size_label(tokens: int | None) -> str:
+    """Return the label of a size in tokens.
+
+    Examples
+    --------
+    >>> [size_label(tokens) for tokens in (0, 300, 9_000, None)]
+    ['le_256', 'le_512', 'gt_8192', 'none']
+    """
+    if tokens is None:
+        return "none"
+    bound = next((each for each in SIZES_TOKENS if tokens <= each), None)
+    return f"gt_{SIZES_TOKENS[-1]}" if bound is None else f"le_{bound}"
+
 
 class ScrapeMetrics:
     """Metrics of one process; see :func:`make_scrape_metrics`."""
@@ -31,11 +49,14 @@
         self.requests = Counter(
             "chervilgw_requests",
             "Requests ended",
-            ["kind", "outcome"],
+            ["kind", "outcome", "prompt_tokens"],
             registry=registry,
         )
         self.refusals = Counter(
-            "chervilgw_refusals", "Requests refused", ["reason"], registry=registry
+            "chervilgw_refusals",
+            "Requests refused",
+            ["reason", "prompt_tokens"],
+            registry=registry,
         )
         self.attempts = Counter(
             "chervilgw_attempts", "Attempts at servers", ["result"], registry=registry
@@ -63,7 +84,17 @@
             registry=registry,
         )
         self.turns = Counter(
-            "chervilgw_turns", "Turns at the engine", ["result"], registry=registry
+            "chervilgw_turns",
+            "Turns at the engine",
+            ["result", "unread_tokens"],
+            registry=registry,
+        )
+        self.turn_wait_s = Histogram(
+            "chervilgw_turn_wait_seconds",
+            "From the question for a turn at the engine to the turn",
+            ["unread_tokens"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
         )
         self.store_calls = Counter(
             "chervilgw_store_calls", "Calls of the store", ["result"], registry=registry
@@ -80,8 +111,9 @@
     Examples
     --------
     >>> metrics = make_scrape_metrics()
-    >>> metrics.refusals.labels("rate_exceeded").inc()
-    >>> b'chervilgw_refusals_total{reason="rate_exceeded"} 1.0' in metrics.text()
+    >>> metrics.turns.labels("given", size_label(300)).inc()
+    >>> line = b'chervilgw_turns_total{result="given",unread_tokens="le_512"} 1.0'
+    >>> line in metrics.text()
     True
     """
     return ScrapeMetrics()
