--- a/chervilgw/telemetry/sizes.py
+++ b/chervilgw/telemetry/sizes.py
@@ -1,6 +1,6 @@
 """Outcomes of requests by the size of their prompts, from the entries' logs.
 
-``python -m chervilgw.telemetry.sizes FILE...`` prints a table for each route. Prompts
+``python -m chervilgw.telemetry.sizes FILE...`` prints a table for each path. Prompts
 of one route are split into ten parts of equal number by size, so that a part that is
 served less often than the others shows whatever the route's sizes are.
 """
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One logged request of a caller; ``path`` is that of the route or the request."""
+    """One logged request of a caller; ``path`` is the first part of its path."""
 
     path: str
     prompt_tokens: int
@@ -48,7 +48,7 @@
 
     Examples
     --------
-    >>> line = '{"event": "request_ended", "path": "/a/7", "prompt_tokens": 9, '
+    >>> line = '{"event": "request_ended", "path": "/a/7/9", "prompt_tokens": 9, '
     >>> line += '"outcome": "answered", "turn_wait_s": 0.5}'
     >>> next(read_attempts(["12.1 entry-1 " + line, "torn {"]))
     Attempt(path='/a/', prompt_tokens=9, outcome='answered', turn_wait_s=0.5)
@@ -62,7 +62,7 @@
         if fields.get("prompt_tokens") is None:
             continue
         outcome = fields.get("outcome") or fields.get("reason")
-        path = fields["path"].rpartition("/")[0] + "/"
+        path = "/" + fields["path"].split("/")[1] + "/"
         wait_s = fields.get("turn_wait_s", 0.0)
         yield Attempt(path, fields["prompt_tokens"], outcome, wait_s)
 
