Grant large debits of a bucket that small ones used to drain

Callers of the product with large requests were refused (rate_exceeded) for as long as their customer sent small ones beyond its rate: a token bucket grants what fits, and small debits take each token as it comes.

A debit that is refused for its size is remembered until its caller may be back, and until then every debit needs the level that it would have needed. Whoever comes when that level is there is served, whatever its size. Half of the bucket at most is kept, and nothing of the rate is lost, as the bucket is far from full meanwhile.

Ruled out: the sliding windows of the users' platform.

--- a/chervilgw/quota/bucket.py
+++ b/chervilgw/quota/bucket.py
@@ -16,6 +16,10 @@
 from chervilgw.quota.errors import QuotaError
 
 SHARE_UNITS = 1_000_000
+KEPT_SHARE = 0.5
+"""Part of a bucket that is kept free at most for debits that were refused."""
+RETURN_S = 1.0
+"""Time that a refused caller has to come back after the moment it was told."""
 
 DebitId = NewType("DebitId", int)
 
@@ -50,6 +54,9 @@
         # and the next one]. The smallest headroom since a start is the minimum over its
         # own and all later entries.
         self._started: dict[DebitId, list[float]] = {}
+        # Level that each debit needs until a time, as one of that size was refused.
+        self._kept = 0.0
+        self._kept_until_s = now_s
 
     @property
     def cap(self) -> float:
@@ -91,8 +98,11 @@
         self.advance(now_s)
         if amount > self.burst:
             return Failure(refuse_larger_than_burst(amount, self.burst))
-        if amount > self.level:
-            return Failure(refuse_rate(amount - self.level, self.rate_per_s))
+        needed = self._needed_level(amount, now_s)
+        if needed > self.level:
+            refusal = refuse_rate(needed - self.level, self.rate_per_s)
+            self._keep(amount, now_s + refusal.retry_after_s + RETURN_S)
+            return Failure(refusal)
         self.level -= amount
         self.outstanding += amount
         self._counter += 1
@@ -100,6 +110,19 @@
         self._waiting[debit_id] = amount
         return Success(debit_id)
 
+    def _needed_level(self, amount: float, now_s: float) -> float:
+        """Return the level at which a debit is granted.
+
+        Small debits would otherwise take each token as it comes, and a large one would
+        never find enough of them.
+        """
+        kept = self._kept if now_s < self._kept_until_s else 0.0
+        return max(amount, min(kept, KEPT_SHARE * self.cap))
+
+    def _keep(self, amount: float, until_s: float) -> None:
+        if self._kept_until_s <= self._time_s or amount >= self._kept:
+            self._kept, self._kept_until_s = amount, until_s
+
     def confirm_start(self, debit_id: DebitId, now_s: float) -> None:
         """Count a debit as run: it is no longer outstanding."""
         amount = self._waiting.pop(debit_id, None)
