Estimate the time of a request by a line, not in proportion to its size

A sidecar refuses a request whose end it expects after its deadline. It took the mean time by the token, which short requests dominate: most of their time is the same for all sizes. Long requests looked several times as long as they are and were refused (deadline_unreachable) where short ones were admitted.

A straight line is fitted through times by size, with the same weights as before, and the time of a size is never negative nor steeper than in proportion.

--- a/chervilgw/scheduling/service_rate.py
+++ b/chervilgw/scheduling/service_rate.py
@@ -13,6 +13,40 @@
 STEP = 0.05
 
 
+class _TimeFit:
+    """Straight line through times by size: a fixed part, and one for each token.
+
+    With a time for each token alone, short requests, whose time is mostly the fixed
+    part, would make long ones look several times as long as they are.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = self._time_s = 0.0
+        self._variance = self._covariance = 0.0
+        self._is_empty = True
+
+    def add(self, tokens: float, time_s: float) -> None:
+        """Count one request."""
+        if self._is_empty:
+            self._tokens, self._time_s, self._is_empty = tokens, time_s, False
+            return
+        from_mean = tokens - self._tokens
+        self._tokens += STEP * from_mean
+        self._time_s += STEP * (time_s - self._time_s)
+        self._variance += STEP * (from_mean * (tokens - self._tokens) - self._variance)
+        sample = from_mean * (time_s - self._time_s)
+        self._covariance += STEP * (sample - self._covariance)
+
+    def time_s(self, tokens: float) -> float:
+        """Return the time that a request of that size takes; 0 if unknown."""
+        if self._is_empty:
+            return 0.0
+        most = self._time_s / self._tokens
+        slope = self._covariance / self._variance if self._variance > 0.0 else most
+        slope = min(most, max(0.0, slope))
+        return self._time_s + slope * (tokens - self._tokens)
+
+
 class ServiceRate:
     """Throughput under saturation, speed of one request, and share of tokens used."""
 
@@ -20,7 +54,7 @@
         self._tokens = 0.0
         self._busy_s = 0.0
         self._saturated_from_s: float | None = None
-        self._seconds_per_token: float | None = None
+        self._fit = _TimeFit()
         self._used_share = 1.0
 
     @property
@@ -50,10 +84,7 @@
         if asked_tokens > 0:
             self._used_share += STEP * (used_tokens / asked_tokens - self._used_share)
         if used_tokens > 0:
-            sample = (now_s - started_s) / used_tokens
-            old = self._seconds_per_token
-            mean = sample if old is None else old + STEP * (sample - old)
-            self._seconds_per_token = mean
+            self._fit.add(used_tokens, now_s - started_s)
 
     def queue_s(self, tokens: float) -> float:
         """Return the expected time to serve that many queued tokens; 0 if unknown."""
@@ -62,4 +93,4 @@
 
     def service_s(self, tokens: int) -> float:
         """Return the expected time of one request in service; 0 if unknown."""
-        return tokens * self._used_share * (self._seconds_per_token or 0.0)
+        return self._fit.time_s(tokens * self._used_share)
