Bound what passes a large prompt that waits for its turn at an engine

Cause: the queue of turns let any prompt through that fits beside those being read. In an overload there is always a smaller one, so a large one waited until its caller gave up. The class is starvation by size. Three things added to it: passing moved the customers' places, so that another large request came next and was passed anew; a customer whose requests only did not fit lost its credit as if its model were missing; and the estimate of the end took long prompts for several times as long as they are.

The next request in the order is now held up once: what passes it fits into the room that was there at that moment, and room that becomes free later is its own. It has to be in time when that room comes. A more urgent request still goes first. The latest start of a request allows for reading its prompt, so large ones come to their turn earlier by that time. The wait is estimated in full and reading is no longer counted twice, so that what cannot be served is refused when it comes.

--- a/benchmarks/policy_fakes.py
+++ b/benchmarks/policy_fakes.py
@@ -75,7 +75,9 @@
         self.changes: dict[str, float] = {}
         self.running: dict[RequestId, QueuedItem] = {}
         self.alive = True
-        limits = QueueLimits(60_000, 200_000, slack=policy.slack)
+        limits = QueueLimits(
+            60_000, 200_000, wait_slack=policy.slack, service_slack=policy.slack
+        )
         self.queue = make_fair_queue(limits) if policy.queue == "ours" else FifoQueue()
         self.tracker = make_demand_tracker(policy.thresholds)
 
--- a/chervilgw/forward/turn_giver.py
+++ b/chervilgw/forward/turn_giver.py
@@ -12,11 +12,7 @@
 from chervilgw.placement.engine_orders import make_engine_orders
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.scheduling.fair_queue import QueuedItem
-from chervilgw.scheduling.turns import GivenTurn, Turn, make_turn_queue
-
-START_S = 0.1
-"""From the turn to the first token: the way to the engine and back and the prompt, of
-which an engine reads 20 tokens in a millisecond."""
+from chervilgw.scheduling.turns import GivenTurn, Turn, make_turn_queue, start_s
 
 
 class TurnGiver(BaseComponent):
@@ -57,8 +53,8 @@
             target,
             wanted.tokens,
             wanted.urgency,
-            now_s + wanted.patience_s,
-            now_s + wanted.target_in_s - START_S,
+            now_s + wanted.patience_s - start_s(wanted.tokens),
+            now_s + wanted.target_in_s - start_s(wanted.tokens),
         )
         refusal = self.turns.ask(Turn(item, wanted.address), now_s)
         if refusal is not None:
--- a/chervilgw/scheduling/fair_queue.py
+++ b/chervilgw/scheduling/fair_queue.py
@@ -49,13 +49,18 @@
         return self.on_time_s is not None and now_s > self.on_time_s
 
 
+RunCheck = Callable[[QueuedItem], bool]
+_Heads = Mapping[Urgency, tuple[CustomerId, QueuedItem] | None]
+
+
 @dataclass(frozen=True, slots=True)
 class QueueLimits:
     """Bounds and weights of a queue.
 
     ``guaranteed`` is the share of served tokens that a lower class gets while it waits.
-    ``slack`` multiplies estimates before they are compared with a deadline; below 1 it
-    makes refusals rarer, as a wrongful refusal costs more than a late answer.
+    ``wait_slack`` and ``service_slack`` multiply the estimates of the wait and of the
+    time in service before they are compared with a deadline; below 1 they make refusals
+    rarer, as a wrongful refusal costs more than a late answer.
     """
 
     customer_tokens: int
@@ -64,7 +69,8 @@
     guaranteed: Mapping[Urgency, float] = field(
         default_factory=lambda: {Urgency.STANDARD: 0.05, Urgency.OVERNIGHT: 0.05}
     )
-    slack: float = 0.25
+    wait_slack: float = 0.25
+    service_slack: float = 0.25
 
 
 @dataclass(slots=True)
@@ -154,7 +160,7 @@
             wait_s = self._clamp(self._rate.queue_s(excess))
             return Failure(make_refusal(RefusalReason.QUEUE_FULL, text, wait_s))
         due_s = _due_s(item, now_s)
-        start_s = now_s + self._limits.slack * self._expected_wait_s(item, due_s)
+        start_s = now_s + self._limits.wait_slack * self._expected_wait_s(item, due_s)
         late_s = self._lateness_s(item, start_s)
         if late_s > 0.0:
             text = "the expected end of the request is after its deadline"
@@ -167,18 +173,37 @@
         self._rate.saturated(now_s)
         return Success(None)
 
+    def peek(self, now_s: float, can_run: RunCheck) -> QueuedItem | None:
+        """Return the request that :meth:`pop` would take, or None."""
+        heads = self._heads(now_s, can_run)
+        urgency = self._select_class(heads)
+        return None if urgency is None else heads[urgency][1]
+
     def pop(
-        self, now_s: float, can_run: Callable[[QueuedItem], bool]
+        self, now_s: float, can_run: RunCheck, fits: RunCheck | None = None
     ) -> QueuedItem | None:
         """Take the next request that can run, or None.
 
         A customer none of whose requests can run earns no credit meanwhile, so that it
-        does not displace the others once its model is loaded.
+        does not displace the others once its model is loaded. One whose request only
+        does not fit yet keeps its place.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        can_run : callable
+            Whether the backend server holds what a request needs.
+        fits : callable or None
+            Whether there is room for a request now; None if there is for each.
         """
-        heads = {u: self._head(c, can_run, now_s) for u, c in self._classes.items()}
+        runnable = heads = self._heads(now_s, can_run)
+        if fits is not None:
+            heads = self._heads(now_s, lambda item: fits(item) and can_run(item))
         urgency = self._select_class(heads)
         if urgency is None:
-            self._rate.idle()
+            if self._select_class(runnable) is None:
+                self._rate.idle()
             return None
         customer, item = heads[urgency]
         chosen = self._classes[urgency]
@@ -186,7 +211,7 @@
         chosen.virtual = max(chosen.virtual, flow.tag)
         self._take(item)
         flow.tag += item.tokens / flow.weight
-        self._earn_credit(urgency, heads, item.tokens)
+        self._earn_credit(urgency, runnable, item.tokens)
         self._hold_back_blocked(chosen, can_run)
         self._started[item.request_id] = (item, now_s)
         if not self._where:
@@ -244,8 +269,11 @@
         if flow is not None and not flow.order and flow.tag <= urgency.virtual:
             del urgency.flows[item.customer]
 
+    def _heads(self, now_s: float, can_run: RunCheck) -> _Heads:
+        return {u: self._head(c, can_run, now_s) for u, c in self._classes.items()}
+
     def _head(
-        self, urgency: _Class, can_run: Callable[[QueuedItem], bool], now_s: float
+        self, urgency: _Class, can_run: RunCheck, now_s: float
     ) -> tuple[CustomerId, QueuedItem] | None:
         """Return the next request of a class that can run, or None.
 
@@ -265,16 +293,14 @@
                 return customer, late
         return None
 
-    def _select_class(self, heads: Mapping[Urgency, object]) -> Urgency | None:
+    def _select_class(self, heads: _Heads) -> Urgency | None:
         waiting = [urgency for urgency in sorted(heads) if heads[urgency] is not None]
         for urgency in waiting[1:]:
             if self._classes[urgency].credit >= heads[urgency][1].tokens:
                 return urgency
         return waiting[0] if waiting else None
 
-    def _earn_credit(
-        self, served: Urgency, heads: Mapping[Urgency, object], tokens: int
-    ) -> None:
+    def _earn_credit(self, served: Urgency, heads: _Heads, tokens: int) -> None:
         for urgency, share in self._limits.guaranteed.items():
             other = self._classes[urgency]
             if heads[urgency] is None:
@@ -284,9 +310,7 @@
             else:
                 other.credit += share * tokens
 
-    def _hold_back_blocked(
-        self, urgency: _Class, can_run: Callable[[QueuedItem], bool]
-    ) -> None:
+    def _hold_back_blocked(self, urgency: _Class, can_run: RunCheck) -> None:
         for flow in urgency.flows.values():
             if flow.tag < urgency.virtual and not any(
                 can_run(item) for item in flow.items()
@@ -319,7 +343,7 @@
     def _lateness_s(self, item: QueuedItem, start_s: float) -> float:
         if item.deadline_s is None:
             return 0.0
-        service_s = self._limits.slack * self._rate.service_s(item.tokens)
+        service_s = self._limits.service_slack * self._rate.service_s(item.tokens)
         return start_s + service_s - item.deadline_s
 
     @staticmethod
--- a/chervilgw/scheduling/tests/test_turns.py
+++ b/chervilgw/scheduling/tests/test_turns.py
@@ -58,6 +58,44 @@
     assert given(queue, can_run=lambda item: item.target == "m") == [2]
 
 
+def test_what_passes_a_held_up_prompt_is_bounded():
+    """Guards against a prompt that waits for as long as smaller ones come."""
+    queue = make_turn_queue()
+    queue.ask(turn(0, tokens=1_000), 0.0)
+    assert given(queue) == [0]
+    queue.ask(turn(1, tokens=1_500), 0.0)
+    passed = 0
+    for number in range(2, 50):
+        queue.ask(turn(number, tokens=100), 0.0)
+        for other in given(queue):
+            passed += 100
+            queue.end(RequestId(ENTRY, other), 0.0)
+    assert 0 < passed <= READING_TOKENS - 1_000
+    queue.end(RequestId(ENTRY, 0), 0.1)
+    assert given(queue, 0.1)[0] == 1
+
+
+def test_a_more_urgent_request_passes_a_held_up_one():
+    """Guards against an urgent request that waits for a large one to fit."""
+    queue = make_turn_queue()
+    queue.ask(turn(1, tokens=1_000), 0.0)
+    queue.ask(turn(2, tokens=1_500, urgency=Urgency.OVERNIGHT), 0.0)
+    assert given(queue) == [1]
+    queue.ask(turn(3, tokens=800, urgency=Urgency.INTERACTIVE), 0.0)
+    assert given(queue) == [3]
+
+
+def test_a_held_up_request_whose_adapter_is_gone_holds_up_nobody():
+    """Guards against an engine that stands idle for a request that it cannot run."""
+    queue = make_turn_queue()
+    queue.ask(turn(1), 0.0)
+    queue.ask(turn(2, target="m/a1"), 0.0)
+    assert given(queue) == [1]
+    queue.ask(turn(3), 0.0)
+    queue.end(RequestId(ENTRY, 1), 0.1)
+    assert given(queue, 0.1, can_run=lambda item: item.target == "m") == [3]
+
+
 def test_a_lost_word_of_the_end_frees_the_turn_after_a_while():
     queue = make_turn_queue()
     queue.ask(turn(1), 0.0)
--- a/chervilgw/scheduling/tests/test_turns_sizes.py
+++ b/chervilgw/scheduling/tests/test_turns_sizes.py
@@ -22,7 +22,7 @@
     always a smaller one that fits beside what is being read.
     """
     load = Load(offered, seed, mean_tokens=mean_tokens, largest_tokens=4_300)
-    prompts = play(load, make_turn_queue)
+    prompts = play(load, make_turn_queue).prompts
     least = LEAST_OF_ALL * served_share(prompts)
     largest, below = by_size(prompts)
     assert served_share(largest) >= least
--- a/chervilgw/scheduling/turns.py
+++ b/chervilgw/scheduling/turns.py
@@ -15,6 +15,7 @@
 from chervilgw.core.ids import RequestId
 from chervilgw.core.refusals import Refusal
 from chervilgw.core.states import RefusalReason
+from chervilgw.routing.dispatch import READ_TOKENS_PER_S
 from chervilgw.scheduling.fair_queue import (
     FairQueue,
     QueuedItem,
@@ -25,10 +26,21 @@
 READING_TOKENS = 1_900
 """Prompt tokens that may be read at once. An event holds three tokens, and the steps
 between them last longer than the 300 ms that a stream may pause from about 2,000 on."""
+WAIT_SLACK = 1.0
+"""The wait is estimated in full: a request that would wait longer than its caller does
+is refused when it comes, so that the caller can return in time."""
 TURN_S = 0.5
 """A turn whose end was not reported by then is taken as ended: a prompt takes 70 ms."""
 QUEUE_TOKENS = 100_000
 """Prompts that wait at one engine: about five seconds of reading."""
+START_S = 0.04
+"""From the turn to the first event of an empty prompt, as measured at the engines: the
+way there and back and the steps of the event."""
+
+
+def start_s(tokens: int) -> float:
+    """Return the time from a turn to the first event, for a prompt in tokens."""
+    return START_S + tokens / READ_TOKENS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +78,9 @@
     # In the order of arrival.
     _waiting: dict[RequestId, _Waiting] = field(default_factory=dict)
     _reading: dict[RequestId, tuple[Turn, float]] = field(default_factory=dict)
+    # The next request while it does not fit, and the tokens that may still pass it.
+    _held_up: QueuedItem | None = None
+    _passing_tokens: int = 0
 
     def ask(self, turn: Turn, now_s: float) -> Refusal | None:
         """Add a request to the queue; return a refusal if it would not be in time.
@@ -102,11 +117,66 @@
                 self.end(request_id, now_s)
         given = []
         while True:
-            item = self._queue.pop(now_s, lambda item: self._fits(item, can_run))
+            item = self._take_next(now_s, can_run)
             if item is None:
                 return given
             given.append(self._give(item.request_id, now_s))
 
+    def _take_next(
+        self, now_s: float, can_run: Callable[[QueuedItem], bool]
+    ) -> QueuedItem | None:
+        """Take the next request in the order, or a smaller one while it does not fit.
+
+        In an overload there is always a smaller one. What passes a request therefore
+        fits into the room that was there when it was held up; room that becomes free
+        later is kept for it.
+        """
+        head = self._head(now_s, can_run)
+        if head is None:
+            return self._queue.pop(now_s, can_run)
+        if self._fits(head):
+            self._held_up = None
+            return self._queue.pop(now_s, can_run, lambda item: item is head)
+        if self._held_up is not head:
+            self._held_up, self._passing_tokens = head, self._room_tokens()
+        most = min(self._room_tokens(), self._passing_tokens)
+        item = self._queue.pop(now_s, can_run, lambda item: item.tokens <= most)
+        if item is not None:
+            self._passing_tokens -= item.tokens
+        return item
+
+    def _head(
+        self, now_s: float, can_run: Callable[[QueuedItem], bool]
+    ) -> QueuedItem | None:
+        """Return the request that goes next; one that is held up stays the next.
+
+        What passes it moves the customers' places, so that another request would come
+        next and be passed anew. A more urgent request still goes first.
+        """
+        head, held_up = self._queue.peek(now_s, can_run), self._held_up
+        if held_up is not None and held_up.request_id in self._waiting:
+            is_first = head is not None and held_up.urgency <= head.urgency
+            if is_first and can_run(held_up):
+                return held_up
+        if head is None or self._fits(head):
+            return head
+        # It has to be in time when there is room for it.
+        return self._queue.peek(self._read_by_s(now_s), can_run)
+
+    def _fits(self, item: QueuedItem) -> bool:
+        return not self._reading or item.tokens <= self._room_tokens()
+
+    def _room_tokens(self) -> int:
+        return READING_TOKENS - self._reading_tokens()
+
+    def _reading_tokens(self) -> int:
+        return sum(turn.item.tokens for turn, _ in self._reading.values())
+
+    def _read_by_s(self, now_s: float) -> float:
+        """Return when the prompts that are being read will have been read."""
+        last_s = max(given_s for _, given_s in self._reading.values())
+        return max(now_s, last_s + start_s(self._reading_tokens()))
+
     def _give(self, request_id: RequestId, now_s: float) -> GivenTurn:
         for other_id, other in self._waiting.items():
             if other_id == request_id:
@@ -116,12 +186,6 @@
         self._reading[request_id] = (waiting.turn, now_s)
         return GivenTurn(waiting.turn, now_s - waiting.asked_s, waiting.passed_by)
 
-    def _fits(self, item: QueuedItem, can_run: Callable[[QueuedItem], bool]) -> bool:
-        reading = sum(turn.item.tokens for turn, _ in self._reading.values())
-        if reading and reading + item.tokens > READING_TOKENS:
-            return False
-        return can_run(item)
-
     def end(self, request_id: RequestId, now_s: float) -> None:
         """Note that a request was read, or is not wanted any more."""
         reading = self._reading.pop(request_id, None)
@@ -167,5 +231,7 @@
     >>> [each.turn.item.request_id.counter for each in queue.next_turns(0.1, bool)]
     [2]
     """
-    limits = QueueLimits(customer_tokens=QUEUE_TOKENS, total_tokens=QUEUE_TOKENS)
+    limits = QueueLimits(
+        QUEUE_TOKENS, QUEUE_TOKENS, wait_slack=WAIT_SLACK, service_slack=0.0
+    )
     return TurnQueue(make_fair_queue(limits))
