Refuse requests without a turn as what they are, before their callers leave

The agent says whether its engine could serve the request later; if so the answer is queue_full, and the caller returns when the crowd of today has been served or is gone. A load that is under way is still waited for, and so is one after an engine that leaves.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -118,12 +118,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnRefused:
-    """The engine will not read the request in time, or takes none any more."""
+    """The engine will not read the request in time, or takes none any more.
+
+    ``is_busy`` says that the engine could serve the request, but not in time.
+    """
 
     turn: RequestId
     server: str
     retry_after_s: float
     detail: str
+    is_busy: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -137,7 +137,7 @@
                     del self._watchers[address]
             self._pass_on(list(self._watchers), now_s)
         late = self.turns.expire(now_s)
-        self.refuse_turns(late, "the caller would not wait for its turn")
+        self.refuse_turns(late, "the caller would not wait for its turn", True)
         self.want_adapters(now_s)
         self.give_turns(now_s)
         self.go_on(now_s)
@@ -199,7 +199,7 @@
                 log_event("engine_silent", level="warning", detail=failed.detail)
                 self._tell_engine_is_down()
             self.orders.on_unreachable()
-            self.refuse_turns(self.turns.clear(), "the engine does not answer")
+            self.refuse_turns(self.turns.clear(), "the engine does not answer", False)
         elif failed.call == self._order_call:
             self._order_call = None
             log_event(
@@ -233,7 +233,7 @@
             )
             self._pass_on(list(self._watchers), now_s)
             if state.draining:
-                self.refuse_turns(self.turns.clear(), "the engine is leaving")
+                self.refuse_turns(self.turns.clear(), "the engine is leaving", False)
             self.give_turns(now_s)
         if state.coming:
             self.fire(alarm_set(now_s + SOON_S, report_due(), self.channel), "alarm")
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -14,12 +14,13 @@
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.exchange import Exchange, first_token_limit_s, urgency_of
 from chervilgw.forward.messages import ServerRequest
-from chervilgw.membership.fleet_view import PLAN_S, FleetView
+from chervilgw.membership.fleet_view import PLAN_S, FleetView, LoadOutlook
 from chervilgw.routing.dispatch import (
     READ_TOKENS_PER_S,
     DispatchRequest,
     ServerChoice,
     choose_server,
+    refuse_without_turn,
 )
 from chervilgw.routing.return_times import ReturnTimes, make_return_times
 from chervilgw.runtime.events import HttpCall
@@ -98,13 +99,11 @@
         """
         admitted = exchange.admitted
         opaque, service = admitted.opaque, admitted.service
-        candidates = self.fleet.candidates(
-            service,
-            opaque,
-            exchange.tried | exchange.refused_by,
-            _own_limit(deployment, service, entries),
-            now_s,
+        own_limit = _own_limit(deployment, service, entries)
+        usable = self.fleet.candidates(
+            service, opaque, exchange.tried, own_limit, now_s
         )
+        candidates = [s for s in usable if s.server.server not in exchange.refused_by]
         request = DispatchRequest(
             self.zone,
             opaque.model,
@@ -114,9 +113,16 @@
         chosen = choose_server(request, candidates)
         if is_successful(chosen):
             return self._place(exchange, chosen.unwrap(), now_s)
-        return self._without_server(
-            exchange, deployment, chosen.failure(), entries, now_s
-        )
+        refusal = chosen.failure()
+        if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
+            busy = [each for each in usable if each.server.server in exchange.busy_at]
+            if self._is_loaded_in_time(exchange, deployment, bool(busy), now_s):
+                return HoldForModel()
+            if busy:
+                refusal = refuse_without_turn(request, busy)
+            else:
+                refusal = self._with_load(exchange, deployment, refusal, now_s)
+        return self._give_up(exchange, refusal, entries, now_s)
 
     def _place(self, exchange, choice: ServerChoice, now_s: float) -> Decision:
         server = self.fleet.directory.find(choice.server)
@@ -125,22 +131,37 @@
             return AskTurn(choice.server, choice.unread_tokens)
         return SendNow(choice.server, choice.unread_tokens)
 
-    def _without_server(
-        self, exchange, deployment, refusal, entries: int, now_s: float
-    ) -> Decision:
-        if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
-            spec = _spec_of(deployment, exchange)
-            if spec is not None and exchange.may_send_again():
-                outlook = self.fleet.load_outlook(
-                    exchange.admitted.service, spec, now_s
-                )
-                if _is_in_time(exchange, outlook, now_s):
-                    return HoldForModel()
-                # Weights at hand would be loading by now: expect the weight store.
-                ready_in_s = spec.load_s + PLAN_S
-                if outlook.under_way:
-                    ready_in_s = outlook.ready_in_s
-                refusal = _with_retry(refusal, ready_in_s + LOADED_MARGIN_S)
+    def _is_loaded_in_time(
+        self, exchange, deployment, is_loaded: bool, now_s: float
+    ) -> bool:
+        """Return whether to wait for a load of the request's model.
+
+        A model that an engine holds is not planned anew for one request; only a load
+        that is under way helps it.
+        """
+        outlook = self._load_outlook(exchange, deployment, now_s)
+        if outlook is None or (is_loaded and not outlook.under_way):
+            return False
+        return _is_in_time(exchange, outlook, now_s)
+
+    def _load_outlook(self, exchange, deployment, now_s: float) -> LoadOutlook | None:
+        spec = _spec_of(deployment, exchange)
+        if spec is None or not exchange.may_send_again():
+            return None
+        return self.fleet.load_outlook(exchange.admitted.service, spec, now_s)
+
+    def _with_load(self, exchange, deployment, refusal, now_s: float) -> Refusal:
+        """Return a refusal that says when the model will be loaded, if it will be."""
+        outlook = self._load_outlook(exchange, deployment, now_s)
+        if outlook is None:
+            return refusal
+        # Weights at hand would be loading by now: expect the weight store.
+        ready_in_s = _spec_of(deployment, exchange).load_s + PLAN_S
+        if outlook.under_way:
+            ready_in_s = outlook.ready_in_s
+        return _with_retry(refusal, ready_in_s + LOADED_MARGIN_S)
+
+    def _give_up(self, exchange, refusal, entries: int, now_s: float) -> Decision:
         refusal = self._with_place(exchange, refusal, entries, now_s)
         if exchange.retry_after_s is not None:
             refusal = _with_retry(refusal, exchange.retry_after_s)
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -38,8 +38,10 @@
 
     ``tried`` holds the servers that got the request, ``may_have_run`` those of them
     that did not say that they have not run it. ``turns`` lists all turns that it asked
-    for, ``turn_wait_s`` is how long it waited for them in all. ``unread`` is what the
-    current server has to read of the prompt, until its first token.
+    for, ``turn_wait_s`` is how long it waited for them in all. ``refused_by`` holds the
+    servers that gave none, ``busy_at`` those that could have served the request later.
+    ``unread`` is what the current server has to read of the prompt, until its first
+    token.
     """
 
     number: int
@@ -68,6 +70,7 @@
     turn_asked_s: float = 0.0
     turn_wait_s: float = 0.0
     refused_by: set[ServerId] = field(default_factory=set)
+    busy_at: set[ServerId] = field(default_factory=set)
     retry_after_s: float | None = None
 
     @property
@@ -109,9 +112,11 @@
         self.answer, self.body = None, []
         self.call = f"{self.server_channel}-{self.number}-{self.sends}"
 
-    def on_turn_refused(self, retry_after_s: float) -> None:
+    def on_turn_refused(self, retry_after_s: float, is_busy: bool) -> None:
         """Note that an engine's agent does not take the request."""
         self.refused_by.add(self.server)
+        if is_busy:
+            self.busy_at.add(self.server)
         if retry_after_s > 0:
             known_s = self.retry_after_s
             soonest_s = (
--- /dev/null
+++ b/chervilgw/forward/tests/test_dispatcher.py
@@ -0,0 +1,119 @@
+"""What an entry does with a request that no engine takes."""
+
+from dataclasses import replace
+
+import pytest
+
+from chervilgw.core.deployment import (
+    CallerLimits,
+    Deployment,
+    EngineSpec,
+    ModelSpec,
+    OpaqueRequest,
+    RegisteredServer,
+    RouteKind,
+    RouteRule,
+    ServerState,
+    ServiceRule,
+)
+from chervilgw.core.messages import EngineReport
+from chervilgw.core.states import RefusalReason
+from chervilgw.forward.dispatcher import (
+    AskTurn,
+    GiveUp,
+    HoldForModel,
+    make_dispatcher,
+)
+from chervilgw.forward.exchange import make_exchange
+from chervilgw.forward.messages import Admitted
+from chervilgw.membership.fleet_view import make_fleet_view
+
+LOAD_S = 8.0
+ROUTE = RouteRule(
+    "r", "h", "/", RouteKind.STREAMING, 15.0, 0.6, 0, (), 2, False, False, 0.3
+)
+REQUEST = OpaqueRequest(
+    "POST", "/", "h", (), b"", "id", "", 15.0, "m", None, 1_400, 50, (), None
+)
+SPEC = ModelSpec("m", 70_000.0, LOAD_S, 0.3, 0.8, 0, 0.0)
+ENGINE = EngineSpec(64, 120_000, 220_000.0, 8, 1.1, {"m": SPEC})
+DEPLOYMENT = Deployment(
+    1, (ROUTE,), {"llm": ServiceRule("llm", 360, ENGINE)}, {}, None, CallerLimits()
+)
+
+
+def engine(name):
+    return RegisteredServer(name, "llm", "10.0.0.1:80", "a", 64, ServerState.READY, 1)
+
+
+def report(name, models, loading="", now_orders=0):
+    adapters = dict.fromkeys(models, ())
+    busy = bool(loading)
+    return EngineReport(name, 1, now_orders, False, busy, loading, adapters, 0, 0, 0)
+
+
+@pytest.fixture
+def dispatcher():
+    made = make_dispatcher(make_fleet_view(), None, "a")
+    made.fleet.directory.on_entry(engine("i-1"), 1)
+    made.fleet.directory.on_entry(engine("i-2"), 2)
+    made.fleet.on_report(report("i-1", ["m"]), 0.0)
+    made.fleet.on_report(report("i-2", []), 0.0)
+    return made
+
+
+@pytest.fixture
+def exchange():
+    return make_exchange(1, "http", Admitted(REQUEST, ROUTE, "llm", None, 1), "d", 0.0)
+
+
+def refuse_turn(exchange, is_busy=True):
+    exchange.server = "i-1"
+    exchange.on_turn_refused(0.0, is_busy)
+
+
+def test_a_request_without_a_turn_is_refused_at_once_as_the_queue_is_full(
+    dispatcher, exchange
+):
+    """Guards against a refusal for lack of a model that an engine holds.
+
+    It told the caller to come back after a load that nobody had ordered.
+    """
+    assert dispatcher.decide(exchange, DEPLOYMENT, 1, 0.1) == AskTurn("i-1", 1_400)
+    dispatcher.fleet.board.on_peer("e2", {"i-1": 9}, {"i-1": 60_000}, 0.1)
+    refuse_turn(exchange)
+    decision = dispatcher.decide(exchange, DEPLOYMENT, 1, 0.2)
+    assert isinstance(decision, GiveUp)
+    assert decision.refusal.reason is RefusalReason.QUEUE_FULL
+    assert decision.refusal.retry_after_s == pytest.approx(3.0)
+
+
+def test_a_request_without_a_turn_waits_for_a_copy_that_is_being_loaded(
+    dispatcher, exchange
+):
+    dispatcher.fleet.on_report(report("i-2", [], loading="m"), 0.0)
+    refuse_turn(exchange)
+    now_s = 0.5
+    decision = dispatcher.decide(exchange, DEPLOYMENT, 1, now_s)
+    assert isinstance(decision, GiveUp)
+    dispatcher.fleet.on_report(report("i-1", ["m"], now_orders=1), LOAD_S - 1.0)
+    dispatcher.fleet.on_report(report("i-2", [], loading="m"), LOAD_S - 1.0)
+    exchange.started_s = LOAD_S - 1.0
+    decision = dispatcher.decide(exchange, DEPLOYMENT, 1, LOAD_S - 0.9)
+    assert decision == HoldForModel()
+
+
+def test_a_request_for_a_model_that_nobody_holds_says_when_it_may_be_loaded(
+    dispatcher, exchange
+):
+    dispatcher.fleet.on_report(report("i-1", [], now_orders=1), 0.1)
+    decision = dispatcher.decide(exchange, DEPLOYMENT, 1, 1.2)
+    assert isinstance(decision, GiveUp)
+    assert decision.refusal.reason is RefusalReason.MODEL_NOT_LOADED
+    assert decision.refusal.retry_after_s > LOAD_S / 2
+
+
+def test_a_request_whose_engine_leaves_waits_for_its_model(dispatcher, exchange):
+    refuse_turn(exchange, is_busy=False)
+    dispatcher.fleet.on_report(replace(report("i-2", []), near=("m",)), 0.1)
+    assert dispatcher.decide(exchange, DEPLOYMENT, 1, 0.2) == HoldForModel()
--- a/chervilgw/forward/turn_giver.py
+++ b/chervilgw/forward/turn_giver.py
@@ -14,6 +14,10 @@
 from chervilgw.scheduling.fair_queue import QueuedItem
 from chervilgw.scheduling.turns import GivenTurn, Turn, make_turn_queue, start_s
 
+REFUSAL_S = 0.15
+"""From the end of a request's patience to the refusal at its caller: a tick of 0.1 s
+and the way through the entry. A caller that has left by then does not come back."""
+
 
 class TurnGiver(BaseComponent):
     """Task that owns the turns at one engine and what is known of the engine.
@@ -43,7 +47,7 @@
             return
         if wanted.server != self.server or not self._takes(wanted.model):
             detail = "the engine does not hold the model or is leaving"
-            refused = TurnRefused(wanted.turn, wanted.server, 0.0, detail)
+            refused = TurnRefused(wanted.turn, wanted.server, 0.0, detail, False)
             self._refuse(wanted.address, refused, wanted.tokens)
             return
         target = f"{wanted.model}/{wanted.adapter}" if wanted.adapter else wanted.model
@@ -53,7 +57,7 @@
             target,
             wanted.tokens,
             wanted.urgency,
-            now_s + wanted.patience_s - start_s(wanted.tokens),
+            now_s + wanted.patience_s - start_s(wanted.tokens) - REFUSAL_S,
             now_s + wanted.target_in_s - start_s(wanted.tokens),
         )
         refusal = self.turns.ask(Turn(item, wanted.address), now_s)
@@ -102,11 +106,12 @@
         self.fire(turn_counted("given", item.tokens, given.waited_s), "metrics")
         self._tell(given.turn.address, TurnGiven(item.request_id, self.server))
 
-    def refuse_turns(self, turns: list[Turn], detail: str):
+    def refuse_turns(self, turns: list[Turn], detail: str, is_busy: bool):
         """Tell the entries of requests that were taken out of the queue."""
         for turn in turns:
             server = self.server or ""
-            refused = TurnRefused(turn.item.request_id, server, 0.0, detail)
+            request_id = turn.item.request_id
+            refused = TurnRefused(request_id, server, 0.0, detail, is_busy)
             self._refuse(turn.address, refused, turn.item.tokens)
 
     def _refuse(self, address: str, refused: TurnRefused, unread_tokens: int):
--- a/chervilgw/forward/turn_keeper.py
+++ b/chervilgw/forward/turn_keeper.py
@@ -62,7 +62,7 @@
             self.send(exchange, exchange.server, exchange.unread, now_s)
             return
         log_turn_refused(exchange, answer)
-        exchange.on_turn_refused(answer.retry_after_s)
+        exchange.on_turn_refused(answer.retry_after_s, answer.is_busy)
         self.leave_queue(exchange, now_s)
         self.attempt(exchange, now_s)
 
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -115,6 +115,26 @@
     return Success(choice)
 
 
+def refuse_without_turn(
+    request: DispatchRequest, holders: Sequence[Candidate]
+) -> Refusal:
+    """Return the refusal of a request that got no turn at any holder of its model.
+
+    The crowd that waits there now has been served or is gone when each of its callers
+    has waited as long as it would.
+
+    Parameters
+    ----------
+    request : DispatchRequest
+    holders : sequence of Candidate
+        Engines that hold the model and refused the request.
+    """
+    wait_s = min(each.unread_tokens for each in holders) / READ_TOKENS_PER_S
+    text = f"no engine that holds {request.model} has a turn in time"
+    retry_s = max(wait_s, request.first_token_limit_s)
+    return make_refusal(RefusalReason.QUEUE_FULL, text, retry_s)
+
+
 def _choose_plain(
     request: DispatchRequest, candidates: Sequence[Candidate]
 ) -> Result[ServerChoice, Refusal]:
