End answers without an end: heads, bodies, interim heads and late answers

What callers would have seen: an entry that a plain service fills with a body without a length collects it until the request's time-out, and is killed for memory with all its requests; an agent whose report or a process whose store call trickles never ends that call, as only silence ended it, and goes on without reports or configuration. Heads were bounded by h11 already (16 KB); interim heads, answers to other requests in front of the own one, and collected bodies were not.

The HTTP client ends a call after 1 MB without its own answer, after 16 MB of collected body, and once a collected answer has taken the time of its head and its body together. The gateway passes a collected answer on from 1 MB (its cut at the time-out does not look whole), and gives one up that it only drops, so that another server may be asked where the route allows it.

An entry grows by less than 64 MB over three such answers.

--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -40,6 +40,7 @@
     that did not say that they have not run it. ``turns`` lists all turns that it asked
     for, ``turn_wait_s`` is how long it waited for them in all. ``refused_by`` holds the
     servers that gave none, ``busy_at`` those that could have served the request later.
+    ``held_bytes`` counts what came of an answer that is collected or dropped.
     ``unread`` is what the current server has to read of the prompt, until its first
     token.
     """
@@ -64,6 +65,7 @@
     answer: ServerAnswer | None = None
     head_passed: bool = False
     body: list[bytes] = field(default_factory=list)
+    held_bytes: int = 0
     cutter: EventCutter | None = None
     turn: RequestId | None = None
     turns: list[RequestId] = field(default_factory=list)
@@ -109,7 +111,7 @@
         self.tried.add(server)
         self.may_have_run.add(server)
         self.unread = unread
-        self.answer, self.body = None, []
+        self.answer, self.body, self.held_bytes = None, [], 0
         self.call = f"{self.server_channel}-{self.number}-{self.sends}"
 
     def on_turn_refused(self, retry_after_s: float, is_busy: bool) -> None:
@@ -139,13 +141,19 @@
 
     def on_data(self, data: bytes) -> bytes:
         """Take a part of the answer; return what goes to the caller now."""
-        if self.stage is Stage.BUFFERING:
-            self.body.append(data)
-            return b""
         if self.stage is not Stage.RELAYING:
+            self.held_bytes += len(data)
+            if self.stage is Stage.BUFFERING:
+                self.body.append(data)
             return b""
         return data if self.cutter is None else self.cutter.feed(data)
 
+    def pass_on(self) -> bytes:
+        """Go over from collecting the answer to passing it on; return what has come."""
+        self.stage, self.held_bytes = Stage.RELAYING, 0
+        collected, self.body = b"".join(self.body), []
+        return self.on_data(collected)
+
     def on_not_served(self) -> None:
         """Note an answer that is not passed on."""
         if self.answer.not_run:
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -84,7 +84,8 @@
 server that broke off is replaced or ejected in that time."""
 LONG_BODY_BYTES = 1_048_576
 """Answers of plain services are collected up to this size, so that one that breaks off
-can be replaced; longer ones are passed on as they arrive."""
+can be replaced; longer ones are passed on as they arrive. The rest of an answer that is
+not passed on is read up to this size, so that its connection can be kept."""
 TOLERATED_TOKENS = 0.25
 """Part of the tokens tolerated beyond a customer's limit that is granted. The rest, and
 the tolerated share of the limit, cover the lag of reports between entries and what
@@ -264,9 +265,12 @@
         if answer.is_own:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
         if exchange.stage is Stage.RELAYING and not exchange.head_passed:
-            exchange.head_passed = True
-            start = HttpPushStart(exchange.number, answer.status, answer.headers)
-            self.fire(http_push_start(start), exchange.server_channel)
+            self._pass_head(exchange)
+
+    def _pass_head(self, exchange: Exchange):
+        answer, exchange.head_passed = exchange.answer, True
+        start = HttpPushStart(exchange.number, answer.status, answer.headers)
+        self.fire(http_push_start(start), exchange.server_channel)
 
     @handler("call_data")
     def _on_data(self, parts):
@@ -278,12 +282,29 @@
                 continue
             self._on_token(exchange, now_s)
             data = exchange.on_data(part.data)
+            if exchange.held_bytes > LONG_BODY_BYTES:
+                data = self._on_long_body(exchange, now_s)
             if data:
                 found = HttpPart(exchange.number, data)
                 passed[exchange.server_channel].append(found)
         for server_channel, found in passed.items():
             self.fire(http_push_data(found), server_channel)
 
+    def _on_long_body(self, exchange: Exchange, now_s: float) -> bytes:
+        """Pass a long answer on, or give one up that is dropped and may have no end."""
+        if exchange.stage is Stage.BUFFERING:
+            self._pass_head(exchange)
+            return exchange.pass_on()
+        self._stop_attempt(exchange, now_s)
+        self._on_not_served(exchange, "the answer is dropped and has no end", now_s)
+        return b""
+
+    def _on_not_served(self, exchange: Exchange, detail: str, now_s: float):
+        self.fire(attempt_counted("not_served"), "metrics")
+        exchange.on_not_served()
+        log_attempt_not_served(exchange, detail)
+        self._again(exchange, detail, now_s)
+
     def _on_token(self, exchange: Exchange, now_s: float):
         exchange.note_bytes(now_s)
         if exchange.unread:
@@ -299,13 +320,11 @@
         now_s = time.monotonic()
         self._release(exchange, now_s)
         self._crashes.on_completed(exchange.digest)
-        served = exchange.stage is not Stage.DISCARDING
-        self.fire(attempt_counted("served" if served else "not_served"), "metrics")
-        if not served:
-            exchange.on_not_served()
-            log_attempt_not_served(exchange)
-            self._again(exchange, f"the server answered {done.status}", now_s)
+        if exchange.stage is Stage.DISCARDING:
+            detail = f"the server answered {done.status}"
+            self._on_not_served(exchange, detail, now_s)
             return
+        self.fire(attempt_counted("served"), "metrics")
         if exchange.stage is Stage.BUFFERING:
             reply = HttpReply(exchange.number, *exchange.whole_answer())
             self.fire(http_reply(reply), exchange.server_channel)
--- a/chervilgw/forward/journal.py
+++ b/chervilgw/forward/journal.py
@@ -54,7 +54,7 @@
     )
 
 
-def log_attempt_not_served(exchange: Exchange) -> None:
+def log_attempt_not_served(exchange: Exchange, detail: str) -> None:
     """Log an answer that is not passed to the caller."""
     log_event(
         "attempt_not_served",
@@ -62,6 +62,7 @@
         server=exchange.server,
         status=exchange.answer.status,
         not_run=exchange.answer.not_run,
+        detail=detail,
     )
 
 
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -34,7 +34,12 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 """A kept connection is given up this long before the server closes it, so that no
 request crosses the close."""
-
+MAX_BEFORE_ANSWER_BYTES = 1_048_576
+"""Bytes that may come before the head of a call's own answer: late answers to other
+requests and interim heads. What follows is no answer any more."""
+MAX_COLLECTED_BYTES = 16_777_216
+"""Longest body that is collected; the platform's longest page has 1 MB. Parts of a
+streamed answer are passed on, and their receiver bounds them."""
 
 _KEEP_ALIVE_S = re.compile(r"timeout=(\d+)", re.IGNORECASE)
 _BODYLESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
@@ -52,6 +57,8 @@
     headers: tuple = ()
     body: list[bytes] = field(default_factory=list)
     skipping: bool = False
+    before_answer_bytes: int = 0
+    collected_bytes: int = 0
 
 
 class parts_due(Event):  # noqa: N801
@@ -128,11 +135,17 @@
             self._dialer.close(sock)
             return
         call.last_data_s = time.monotonic()
+        if not call.status:
+            call.before_answer_bytes += len(data)
         try:
             call.parser.receive_data(data)
             self._parse(call)
         except h11.RemoteProtocolError as error:
             self._fail(call, sent=True, detail=f"malformed answer: {error}")
+            return
+        excess = _excess(call)
+        if excess is not None and call.spec.call in self._calls:
+            self._fail(call, sent=True, detail=excess)
 
     def _parse(self, call: _Call):
         received: list[bytes] = []
@@ -187,6 +200,7 @@
             return
         if not call.spec.stream:
             call.body.extend(received)
+            call.collected_bytes += sum(map(len, received))
             return
         if not self._parts:
             self.fire(parts_due(), self.channel)
@@ -305,6 +319,8 @@
                 self._fail(call, call.sock is not None, "no answer in time")
             elif call.status and now_s - call.last_data_s > call.spec.idle_timeout_s:
                 self._fail(call, sent=True, detail="the answer stopped")
+            elif _collects_too_long(call, now_s):
+                self._fail(call, sent=True, detail="the answer did not end in time")
         for idle in self._idle.values():
             for item in [item for item in idle if now_s >= item[2]]:
                 idle.remove(item)
@@ -325,6 +341,22 @@
     return not found or found[0] == value.encode("latin-1")
 
 
+def _excess(call: _Call) -> str | None:
+    """Return why an answer is longer than any that is expected, or None."""
+    if not call.status and call.before_answer_bytes > MAX_BEFORE_ANSWER_BYTES:
+        return f"over {MAX_BEFORE_ANSWER_BYTES} bytes came without an answer"
+    if call.collected_bytes > MAX_COLLECTED_BYTES:
+        return f"the answer is longer than {MAX_COLLECTED_BYTES} bytes"
+    return None
+
+
+def _collects_too_long(call: _Call, now_s: float) -> bool:
+    """Return whether a collected answer has taken the time of its head and its body."""
+    spec = call.spec
+    limit_s = spec.timeout_s + spec.idle_timeout_s
+    return bool(call.status) and not spec.stream and now_s - call.started_s > limit_s
+
+
 def _connects_too_long(call: _Call, now_s: float) -> bool:
     limit_s = call.spec.connect_timeout_s
     return limit_s is not None and now_s - call.started_s > limit_s
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -23,7 +23,7 @@
 
     def __init__(self, address):
         super().__init__()
-        self._address = address
+        self.address = address
         self.done = []
         self.failed = []
 
@@ -31,7 +31,7 @@
         spec = HttpCall(
             name,
             "caller",
-            self._address,
+            self.address,
             "GET",
             "/",
             (("Host", "h"),),
--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -4,6 +4,7 @@
 import threading
 
 import httpx
+import psutil
 import pytest
 
 from fleet.deployed import DeployedFleet, wait_for
@@ -18,6 +19,14 @@
         yield running
 
 
+MOST_GROWTH_BYTES = 64 * 1_048_576
+"""A fifth of an entry's memory on the deployments' sheets."""
+
+
+def rss_bytes(entry):
+    return psutil.Process(entry.program.process.pid).memory_info().rss
+
+
 def listed(entry, server):
     return lambda: f'"server_changed", "server": "{server.name}"' in (
         entry.program.log_text()
@@ -85,6 +94,30 @@
     assert len(broken.runs) >= 1
 
 
+@pytest.mark.parametrize("sealed", [True, False])
+def test_an_answer_without_end_leaves_the_entry_whole(fleet, sealed):
+    """Guards against an answer without a length that fills an entry's memory.
+
+    A signed one is passed on and cut at the time-out, so that it does not look whole;
+    one that is not the server's own is given up, and another server is asked.
+    """
+    endless = fleet.add_server(name="i-1", endless=True, sealed=sealed)
+    entry = fleet.add_entry()
+    wait_for(listed(entry, endless), "the server is known")
+    before = rss_bytes(entry)
+    for _ in range(3):
+        if sealed:
+            with pytest.raises(httpx.RemoteProtocolError):
+                entry.send("/stock/1", method="GET")
+        else:
+            assert entry.send("/stock/1", method="GET").status_code == 502
+    assert rss_bytes(entry) - before < MOST_GROWTH_BYTES
+    sound = fleet.add_server(name="i-2")
+    wait_for(listed(entry, sound), "the server is known")
+    endless.endless, endless.sealed = False, True
+    assert entry.send("/stock/1", method="GET").status_code == 200
+
+
 def test_refused_connections_are_not_run_and_tried_elsewhere(fleet):
     """Guards against a dead process that goes on getting its share of requests."""
     dead = fleet.add_server(name="i-1")
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -169,14 +169,17 @@
     """A backend server; it records what it runs.
 
     ``break_after`` closes the connection after that many events of a stream, 0 before
-    any answer. ``hold`` delays each answer until it is set. ``refuse`` answers that
-    nothing has run.
+    any answer. ``endless`` sends bodies without end. With ``sealed`` False answers do
+    not bear the server's signature. ``hold`` delays each answer until it is set.
+    ``refuse`` answers that nothing has run.
     """
 
     name: str = "i-1"
     service: str = "desk"
     models: dict[str, list[str]] = field(default_factory=dict)
     break_after: int | None = None
+    endless: bool = False
+    sealed: bool = True
     refuse: bool = False
     events: int = 5
     hold: threading.Event = field(default_factory=threading.Event)
@@ -261,11 +264,27 @@
             "X-Server-Seal": f"{self.name}.{len(self.runs)}",
             "X-Attempt-Id": headers.get("x-attempt-id", ""),
         }
-        if "x-model" in headers:
+        if not self.sealed:
+            seal = {}
+        if self.endless:
+            self._pour(handler, seal)
+        elif "x-model" in headers:
             self._stream(handler, headers, seal)
         else:
             handler.reply(200, b"answer of " + self.name.encode(), seal)
 
+    def _pour(self, handler: _Handler, seal: dict):
+        """Send a body until the other end closes the connection."""
+        handler.send_response(200)
+        for name, value in seal.items():
+            handler.send_header(name, value)
+        handler.end_headers()
+        try:
+            while True:
+                handler.wfile.write(b"x" * 65_536)
+        except OSError:
+            handler.close_connection = True
+
     def _stream(self, handler: _Handler, headers: dict, seal: dict):
         handler.send_response(200)
         for name, value in seal.items():
