--- a/chervilgw/scheduling/turns.py
+++ b/chervilgw/scheduling/turns.py
@@ -26,6 +26,10 @@
 READING_TOKENS = 1_900
 """Prompt tokens that may be read at once. An event holds three tokens, and the steps
 between them last longer than the 300 ms that a stream may pause from about 2,000 on."""
+PASSING_SHARE = 0.25
+"""Part of the room beside the prompts being read that smaller requests may take ahead
+of the next one. Callers come back after a refusal, so what small ones gain by passing
+counts twice."""
 WAIT_SLACK = 1.0
 """The wait is estimated in full: a request that would wait longer than its caller does
 is refused when it comes, so that the caller can return in time."""
@@ -80,7 +84,7 @@
     _reading: dict[RequestId, tuple[Turn, float]] = field(default_factory=dict)
     # The next request while it does not fit, and the tokens that may still pass it.
     _held_up: QueuedItem | None = None
-    _passing_tokens: int = 0
+    _passing_tokens: float = 0.0
 
     def ask(self, turn: Turn, now_s: float) -> Refusal | None:
         """Add a request to the queue; return a refusal if it would not be in time.
@@ -128,8 +132,8 @@
         """Take the next request in the order, or a smaller one while it does not fit.
 
         In an overload there is always a smaller one. What passes a request therefore
-        fits into the room that was there when it was held up; room that becomes free
-        later is kept for it.
+        takes a part of the room that was there when it was held up; room that becomes
+        free later is kept for it.
         """
         head = self._head(now_s, can_run)
         if head is None:
@@ -138,7 +142,8 @@
             self._held_up = None
             return self._queue.pop(now_s, can_run, lambda item: item is head)
         if self._held_up is not head:
-            self._held_up, self._passing_tokens = head, self._room_tokens()
+            self._held_up = head
+            self._passing_tokens = PASSING_SHARE * self._room_tokens()
         most = min(self._room_tokens(), self._passing_tokens)
         item = self._queue.pop(now_s, can_run, lambda item: item.tokens <= most)
         if item is not None:
