--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -120,8 +120,8 @@
 ) -> Refusal:
     """Return the refusal of a request that got no turn at any holder of its model.
 
-    The crowd that waits there now has been served or is gone when each of its callers
-    has waited as long as it would.
+    The requests that wait there now have been served or refused once each has waited as
+    long as its caller does.
 
     Parameters
     ----------
