Count endless answers as a reason for a cut request in the soak

The check of requests that a planned stop cuts off looked at the servers' state after the run, when none sends without end any more, and left lookups out instead.

--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -80,6 +80,7 @@
     desks: list[ServerStandIn] = field(default_factory=list)
     sent: list[Sent] = field(default_factory=list)
     stops: list[Stops] = field(default_factory=list)
+    endless: list[tuple[float, float]] = field(default_factory=list)
     began_s: float = 0.0
     version: int = CONFIGURATION["version"]
     busy: list[threading.Lock] = field(default_factory=list)
@@ -217,9 +218,12 @@
             [("break_after", 0), ("refuse", True), ("endless", True)]
         )
         sound = None if name == "break_after" else False
+        began_s = time.monotonic()
         setattr(desk, name, trouble)
         time.sleep(rng.uniform(0.2, 1.5))
         setattr(desk, name, sound)
+        if name == "endless":
+            self.endless.append((began_s, time.monotonic()))
 
     def _store_outage(self, rng: random.Random) -> None:
         self.fleet.store.down = True
@@ -272,11 +276,13 @@
             yield f"{label}: a wrong body of {len(sent.body)} bytes"
 
     def _is_cut_by_stop(self, sent: Sent) -> bool:
-        """Return whether only a planned stop was under way at the request's entry."""
+        """Return whether a planned stop is the only reason for a request's end.
+
+        An answer without an end is cut at the time-out of its route.
+        """
         stops = self.stops[sent.entry]
-        if any(_overlap(sent, stop) for stop in stops.unplanned):
-            return False
-        if any(desk.endless for desk in self.desks) or sent.kind is Kind.LOOKUP:
+        others = [*stops.unplanned, *self.endless]
+        if any(_overlap(sent, other) for other in others):
             return False
         return any(
             sent.began_s < began_s + STOP_SLACK_S and _overlap(sent, (began_s, ended_s))
