--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -27,6 +27,8 @@
 
 SECONDS = 12.0
 CALLERS = 6
+WORK_S = 0.15
+"""Time of a run, so that most callers have a request in progress when a fault comes."""
 SERIES = 3
 """Series of faults that run at the same time."""
 RECOVER_S = 12.0
@@ -87,11 +89,17 @@
 
     def set_up(self) -> None:
         """Start two entries, three desks and two engines with their agents."""
-        self.desks = [self.fleet.add_server(name=f"i-{n}") for n in range(3)]
+        self.desks = [
+            self.fleet.add_server(name=f"i-{n}", work_s=WORK_S) for n in range(3)
+        ]
         for number in range(2):
             ip = f"127.0.0.{number + 2}"
             engine = self.fleet.add_server(
-                name=f"e-{number}", service="llm", ip=ip, models={"m1": [], "m2": []}
+                name=f"e-{number}",
+                service="llm",
+                ip=ip,
+                models={"m1": [], "m2": []},
+                work_s=WORK_S,
             )
             self.fleet.add_agent(engine)
         for number in range(2):
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -170,8 +170,8 @@
 
     ``break_after`` closes the connection after that many events of a stream, 0 before
     any answer. ``endless`` sends bodies without end. With ``sealed`` False answers do
-    not bear the server's signature. ``hold`` delays each answer until it is set.
-    ``refuse`` answers that nothing has run.
+    not bear the server's signature. ``work_s`` is the time of a run; ``hold`` delays
+    each answer until it is set. ``refuse`` answers that nothing has run.
     """
 
     name: str = "i-1"
@@ -181,6 +181,7 @@
     endless: bool = False
     sealed: bool = True
     refuse: bool = False
+    work_s: float = 0.0
     events: int = 5
     hold: threading.Event = field(default_factory=threading.Event)
     runs: list[dict[str, Any]] = field(default_factory=list)
@@ -256,6 +257,7 @@
             return
         run = {"method": method, "path": path, "headers": headers, "body": body}
         self.runs.append(run)
+        threading.Event().wait(self.work_s)
         self.hold.wait(30)
         if self.break_after == 0:
             handler.drop()
