Test that a customer keeps its place while its requests do not fit

The rule came with the bounded passing of large prompts, without a test of its own. With the former rule, that a customer whose requests cannot start earns no credit, the test fails (one turn of three).

--- a/chervilgw/scheduling/tests/test_fair_queue.py
+++ b/chervilgw/scheduling/tests/test_fair_queue.py
@@ -254,3 +254,20 @@
     next_early = make_item(101, tokens=700, deadline_s=26.0)
     refusal = queue.push(next_early, 20.0).failure()
     assert refusal.reason is RefusalReason.DEADLINE_UNREACHABLE
+
+
+def test_a_customer_whose_requests_do_not_fit_yet_keeps_its_place():
+    """Guards against large requests that lose their turn while smaller ones pass.
+
+    A customer whose model is missing earns no credit; one that waits for room does.
+    """
+    queue = make_fair_queue(QueueLimits(10_000, 100_000))
+    for number in range(40):
+        assert isinstance(queue.push(make_item(number, "b", 10), 0.0), Success)
+    for number in range(40, 44):
+        assert isinstance(queue.push(make_item(number, "z", 100), 0.0), Success)
+    for _ in range(30):
+        item = queue.pop(0.0, runs_all, lambda item: item.tokens <= 10)
+        assert item.customer == "b"
+    after = [queue.pop(0.0, runs_all).customer for _ in range(3)]
+    assert after == ["z", "z", "z"]
