Report what fails in a thread of the soak, and name a figure of the engine model

An entry that was not ready again in time, or did not end after SIGTERM, raised in the thread of its fault and was lost; only the recovery at the end could show it. Each thread's result is read now, and such an error is a finding of the seed. The model of an engine had its constant and its figure side by side, with other values; it has one.

--- a/chervilgw/scheduling/tests/reading.py
+++ b/chervilgw/scheduling/tests/reading.py
@@ -25,7 +25,8 @@
 ONE_WAY_S = 0.002
 STEPS_OF_EVENT = 3
 """Tokens of an event; a step makes one."""
-START_S = 0.1
+START_S = 0.04
+"""From the turn to the first event of an empty prompt."""
 TICK_S = 0.1
 MEAN_TOKENS, SPREAD, LARGEST_TOKENS = 491.0, 0.96, 2_660
 """Sizes of the shortest kind on the deployments' sheets."""
@@ -71,7 +72,7 @@
     while (now_s := now_s + rng.expovariate(rate)) < load.seconds:
         drawn = rng.lognormvariate(location, SPREAD)
         tokens = max(20, min(load.largest_tokens, int(drawn)))
-        start_s = 0.04 + tokens / READ_TOKENS_PER_S
+        start_s = START_S + tokens / READ_TOKENS_PER_S
         item = QueuedItem(
             RequestId(ENTRY, len(prompts)),
             CustomerId(f"c{rng.randrange(load.customers)}"),
--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -12,10 +12,12 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -114,18 +116,17 @@
         self.began_s = time.monotonic()
         until_s = self.began_s + self.seconds
         seeds = [self.rng.random() for _ in range(CALLERS + SERIES)]
-        threads = [
-            threading.Thread(target=self._call, args=(random.Random(seed), until_s))
-            for seed in seeds[:CALLERS]
-        ]
-        threads += [
-            threading.Thread(target=self._disturb, args=(random.Random(seed), until_s))
-            for seed in seeds[CALLERS:]
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        with ThreadPoolExecutor(CALLERS + SERIES) as pool:
+            running = [
+                pool.submit(self._call, random.Random(seed), until_s)
+                for seed in seeds[:CALLERS]
+            ]
+            running += [
+                pool.submit(self._disturb, random.Random(seed), until_s)
+                for seed in seeds[CALLERS:]
+            ]
+        for each in running:
+            each.result()
         for number in range(len(self.entries)):
             for kind in Kind:
                 wait_for(
@@ -317,7 +318,7 @@
         soak.set_up()
         try:
             soak.run()
-        except TimeoutError as error:
+        except (TimeoutError, subprocess.TimeoutExpired) as error:
             return [f"seed {seed}: {error}, logs in {fleet.folder}"]
         served = sum(sent.status == 200 for sent in soak.sent)
         print(f"seed {seed}: {len(soak.sent)} requests, {served} served", flush=True)
