Bound what other writers leave in the platform's records

Cause: the decoders caught ValueError, KeyError and TypeError only. A value nested 100,000 deep raised RecursionError in the handler of the store's answer, so that the list was read again and again or the rest of its page was lost. Numbers such as a start at 10^300, 10^30 slots, port 99999 or a time of 1e999 were accepted and failed later, in msgpack, sendto or connect.

Change: servers, engines' reports and the configuration are validated by pydantic models (chervilgw/platform/records.py) that bound depth, size and range at the boundary; items of a listing are decoded one by one; an odd entry is logged once for each version. Counts and deadlines of callers are bounded too. Addresses have one parser (core/addresses.py); the dialer and the datagram task no longer let an invalid one out of their handlers.

--- a/chervilgw/platform/boot.py
+++ b/chervilgw/platform/boot.py
@@ -9,6 +9,7 @@
 from pydantic import ValidationError
 
 from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.records import describe
 from chervilgw.settings.vm import Bounds, StoreSettings, VmSettings
 
 BOOT_VARIABLE = "CHERVILGW_BOOT"
@@ -87,7 +88,9 @@
         )
     except KeyError as error:
         raise DecodeError(f"settings: {error.args[0]}: missing") from None
-    except (ValueError, ValidationError) as error:
+    except ValidationError as error:
+        raise DecodeError(f"settings: {describe(error)}") from None
+    except ValueError as error:
         raise DecodeError(f"settings: {error}") from None
 
 
--- a/chervilgw/platform/configuration.py
+++ b/chervilgw/platform/configuration.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
-from collections.abc import Mapping
-from typing import Any
+from typing import Annotated
+
+from pydantic import Field, model_validator
 
 from chervilgw.core.deployment import (
     CallerLimits,
@@ -19,13 +19,105 @@
     ServiceRule,
 )
 from chervilgw.core.ids import CustomerId, ModelName, ServiceName
-from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.records import (
+    MAX_CONFIGURATION_BYTES,
+    MAX_SLOTS,
+    MAX_TIME_MS,
+    Amount,
+    Count,
+    Record,
+    TimeMs,
+    parse_record,
+)
 
 _S_PER_MS = 0.001
 # Tokens charged for a request without token counts, unless the record sets another
 # number.
 DEFAULT_REQUEST_TOKENS = 200
 UNLIMITED_CONNECTIONS = 1_000_000
+MAX_VERSION = 2**63 - 1
+
+Slots = Annotated[int, Field(ge=0, le=MAX_SLOTS)]
+
+
+class _Destination(Record):
+    service: str
+    weight: Amount
+
+
+class _Route(Record):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_kind: RouteKind
+    timeout_ms: Annotated[float, Field(gt=0, le=MAX_TIME_MS)]
+    target_latency_ms: TimeMs | None = None
+    priority: Count | None = None
+    service: str | None = None
+    traffic_split: tuple[_Destination, ...] | None = None
+    max_attempts: Slots | None = None
+    allow_anonymous: bool | None = None
+    resumable: bool | None = None
+    # Longest pause between events of a stream that is on time.
+    gap_aim_ms: TimeMs | None = None
+
+    @model_validator(mode="after")
+    def _has_destination(self):
+        if self.service is None and not self.traffic_split:
+            raise ValueError("the route has no service")
+        return self
+
+
+class _Model(Record):
+    name: str
+    weights_mb: Amount
+    load_time_s: Amount | None = None
+    # Load times from the VM's memory and disk.
+    warm_s: Amount | None = None
+    disk_s: Amount | None = None
+    adapters: Count | None = None
+    adapter_mb: Amount | None = None
+
+
+class _Engine(Record):
+    slots: Slots | None = None
+    # Memory for the prompts and outputs of running requests and for cached prompts.
+    kv_tokens: Count | None = None
+    weights_mb: Amount | None = None
+    adapter_slots: Slots | None = None
+    loads_per_s: Amount | None = None
+    models: tuple[_Model, ...] | None = None
+
+
+class _Service(Record):
+    name: str
+    max_connections: Slots | None = None
+    engine: _Engine | None = None
+
+
+class _Customer(Record):
+    name: str
+    api_keys: tuple[str, ...] | None = None
+    priority: Count | None = None
+    rate_per_s: Amount | None = None
+    burst: Amount | None = None
+    unit: str | None = None
+    plain_tokens: Count | None = None
+
+
+class _Limits(Record):
+    max_header_bytes: Count | None = None
+    max_body_bytes: Count | None = None
+    header_timeout_ms: TimeMs | None = None
+    idle_timeout_ms: TimeMs | None = None
+
+
+class _Configuration(Record):
+    version: Annotated[int, Field(ge=0, le=MAX_VERSION)]
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    tenants: tuple[_Customer, ...] | None = None
+    limits: _Limits | None = None
 
 
 def decode_configuration(value: bytes) -> Deployment:
@@ -36,110 +128,107 @@
     DecodeError
         If the record is not a valid configuration.
     """
-    try:
-        record = json.loads(value)
-        tenants = record.get("tenants")
-        return Deployment(
-            version=int(record["version"]),
-            routes=tuple(_decode_route(item) for item in record["routes"]),
-            services={
-                ServiceName(item["name"]): _decode_service(item)
-                for item in record["services"]
-            },
-            customers={
-                CustomerId(item["name"]): _decode_customer(item)
-                for item in tenants or ()
-            },
-            customer_of_key=None if tenants is None else _decode_keys(tenants),
-            limits=_decode_limits(record.get("limits") or {}),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise DecodeError(f"configuration: {type(error).__name__}: {error}") from error
-
-
-def _decode_route(entry: Mapping[str, Any]) -> RouteRule:
-    split = entry.get("traffic_split") or ()
+    record = parse_record(
+        _Configuration, value, MAX_CONFIGURATION_BYTES, "configuration"
+    )
+    customers = record.tenants
+    return Deployment(
+        version=record.version,
+        routes=tuple(map(_to_route, record.routes)),
+        services={
+            ServiceName(item.name): _to_service(item) for item in record.services
+        },
+        customers={
+            CustomerId(item.name): _to_customer(item) for item in customers or ()
+        },
+        customer_of_key=None if customers is None else _customers_by_key(customers),
+        limits=_to_limits(record.limits or _Limits()),
+    )
+
+
+def _to_route(entry: _Route) -> RouteRule:
     destinations = tuple(
-        Destination(ServiceName(item["service"]), float(item["weight"]))
-        for item in split
-    ) or (Destination(ServiceName(entry["service"]), 1.0),)
+        Destination(ServiceName(item.service), item.weight)
+        for item in entry.traffic_split or ()
+    ) or (Destination(ServiceName(entry.service), 1.0),)
     return RouteRule(
-        name=RouteName(entry["name"]),
-        host=entry["hostname"].lower(),
-        path_prefix=entry["path_prefix"],
-        kind=RouteKind(entry["route_kind"]),
-        timeout_s=entry["timeout_ms"] * _S_PER_MS,
-        target_s=(entry.get("target_latency_ms") or entry["timeout_ms"]) * _S_PER_MS,
-        rank=int(entry.get("priority") or 0),
+        name=RouteName(entry.name),
+        host=entry.hostname.lower(),
+        path_prefix=entry.path_prefix,
+        kind=entry.route_kind,
+        timeout_s=entry.timeout_ms * _S_PER_MS,
+        target_s=(entry.target_latency_ms or entry.timeout_ms) * _S_PER_MS,
+        rank=entry.priority or 0,
         destinations=destinations,
-        max_attempts=max(1, int(entry.get("max_attempts") or 1)),
-        anonymous=bool(entry.get("allow_anonymous")),
-        resumable=bool(entry.get("resumable")),
-        max_pause_s=(entry.get("gap_aim_ms") or 0) * _S_PER_MS,
+        max_attempts=max(1, entry.max_attempts or 1),
+        anonymous=bool(entry.allow_anonymous),
+        resumable=bool(entry.resumable),
+        max_pause_s=(entry.gap_aim_ms or 0) * _S_PER_MS,
     )
 
 
-def _decode_service(entry: Mapping[str, Any]) -> ServiceRule:
-    engine = entry.get("engine")
+def _to_service(entry: _Service) -> ServiceRule:
     return ServiceRule(
-        name=ServiceName(entry["name"]),
-        max_connections=int(entry.get("max_connections") or UNLIMITED_CONNECTIONS),
-        engine=None if not engine else _decode_engine(engine),
+        name=ServiceName(entry.name),
+        max_connections=entry.max_connections or UNLIMITED_CONNECTIONS,
+        engine=_to_engine(entry.engine) if _is_stated(entry.engine) else None,
     )
 
 
-def _decode_engine(entry: Mapping[str, Any]) -> EngineSpec:
-    models = [_decode_model(item) for item in entry.get("models") or ()]
+def _is_stated(engine: _Engine | None) -> bool:
+    """Return whether a service has engines; an empty table states none."""
+    return engine is not None and bool(engine.model_fields_set)
+
+
+def _to_engine(entry: _Engine) -> EngineSpec:
+    models = map(_to_model, entry.models or ())
     return EngineSpec(
-        slots=int(entry.get("slots") or 1),
-        cache_tokens=int(entry.get("kv_tokens") or 0),
-        capacity_mb=float(entry.get("weights_mb") or 0.0),
-        adapter_slots=int(entry.get("adapter_slots") or 0),
-        loads_per_s=float(entry.get("loads_per_s") or 0.0),
+        slots=entry.slots or 1,
+        cache_tokens=entry.kv_tokens or 0,
+        capacity_mb=entry.weights_mb or 0.0,
+        adapter_slots=entry.adapter_slots or 0,
+        loads_per_s=entry.loads_per_s or 0.0,
         models={model.name: model for model in models},
     )
 
 
-def _decode_model(entry: Mapping[str, Any]) -> ModelSpec:
-    load_s = float(entry.get("load_time_s") or 0.0)
+def _to_model(entry: _Model) -> ModelSpec:
+    load_s = entry.load_time_s or 0.0
     return ModelSpec(
-        name=ModelName(entry["name"]),
-        weights_mb=float(entry["weights_mb"]),
+        name=ModelName(entry.name),
+        weights_mb=entry.weights_mb,
         load_s=load_s,
-        memory_load_s=float(entry.get("warm_s") or load_s),
-        disk_load_s=float(entry.get("disk_s") or load_s),
-        adapters=int(entry.get("adapters") or 0),
-        adapter_mb=float(entry.get("adapter_mb") or 0.0),
+        memory_load_s=entry.warm_s or load_s,
+        disk_load_s=entry.disk_s or load_s,
+        adapters=entry.adapters or 0,
+        adapter_mb=entry.adapter_mb or 0.0,
     )
 
 
-def _decode_customer(entry: Mapping[str, Any]) -> CustomerRule:
-    priority = entry.get("priority")
+def _to_customer(entry: _Customer) -> CustomerRule:
     return CustomerRule(
-        customer=CustomerId(entry["name"]),
-        rank=None if priority is None else int(priority),
-        rate_per_s=float(entry.get("rate_per_s") or 0.0),
-        burst=float(entry.get("burst") or 0.0),
-        counts_tokens=entry.get("unit") == "token_rate",
-        default_request_tokens=int(entry.get("plain_tokens") or DEFAULT_REQUEST_TOKENS),
+        customer=CustomerId(entry.name),
+        rank=entry.priority,
+        rate_per_s=entry.rate_per_s or 0.0,
+        burst=entry.burst or 0.0,
+        counts_tokens=entry.unit == "token_rate",
+        default_request_tokens=entry.plain_tokens or DEFAULT_REQUEST_TOKENS,
     )
 
 
-def _decode_keys(tenants) -> dict[str, CustomerId]:
+def _customers_by_key(customers: tuple[_Customer, ...]) -> dict[str, CustomerId]:
     return {
-        key: CustomerId(tenant["name"])
-        for tenant in tenants
-        for key in tenant.get("api_keys") or ()
+        key: CustomerId(customer.name)
+        for customer in customers
+        for key in customer.api_keys or ()
     }
 
 
-def _decode_limits(entry: Mapping[str, Any]) -> CallerLimits:
+def _to_limits(entry: _Limits) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        int(entry.get("max_header_bytes") or defaults.max_header_bytes),
-        int(entry.get("max_body_bytes") or defaults.max_body_bytes),
-        (entry.get("header_timeout_ms") or defaults.header_timeout_s / _S_PER_MS)
-        * _S_PER_MS,
-        (entry.get("idle_timeout_ms") or defaults.idle_timeout_s / _S_PER_MS)
-        * _S_PER_MS,
+        entry.max_header_bytes or defaults.max_header_bytes,
+        entry.max_body_bytes or defaults.max_body_bytes,
+        (entry.header_timeout_ms or defaults.header_timeout_s / _S_PER_MS) * _S_PER_MS,
+        (entry.idle_timeout_ms or defaults.idle_timeout_s / _S_PER_MS) * _S_PER_MS,
     )
--- a/chervilgw/platform/engines.py
+++ b/chervilgw/platform/engines.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any
 
-from chervilgw.core.deployment import ServerId
+from pydantic import Field
+
+from chervilgw.core.deployment import ServerId, ServerState
 from chervilgw.placement.engine_orders import (
     EngineState,
     Order,
     OrderKind,
     OrderReply,
 )
-from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.records import (
+    MAX_ITEMS,
+    MAX_SERVER_RECORD_BYTES,
+    Amount,
+    Count,
+    Name,
+    Record,
+    TimeMs,
+    parse_record,
+)
 from chervilgw.platform.requests import encode_refusal
-from chervilgw.platform.servers import decode_models
+from chervilgw.platform.servers import LoadedModel, adapters_by_model, to_seconds
 from chervilgw.runtime.events import Headers
 
 REPORT_PATH = "/report"
@@ -31,6 +41,33 @@
 }
 
 
+Names = Annotated[tuple[Name, ...], Field(max_length=MAX_ITEMS)]
+
+
+class _LocalWeights(Record):
+    in_memory: Names | None = None
+    on_disk: Names | None = None
+
+
+class _Report(Record):
+    # Unix time at which the engine started.
+    born: Count | None = None
+    # Number of orders that the engine accepted.
+    sequence: Count
+    busy: bool
+    # Omitted while the engine takes requests.
+    state: str | None = None
+    time_left_ms: TimeMs | None = None
+    models: Annotated[tuple[LoadedModel, ...], Field(max_length=MAX_ITEMS)]
+    # Adapters in transit, each as MODEL/NAME@VERSION.
+    coming: Names | None = None
+    # Models whose weights are in the VM's memory or on its disk.
+    at_hand: _LocalWeights | None = None
+    waiting: Amount | None = None
+    running: Amount | None = None
+    kv_used: Amount | None = None
+
+
 def decode_report(body: bytes) -> EngineState:
     """Decode an engine's report of its state.
 
@@ -39,32 +76,22 @@
     DecodeError
         If the body is not a valid report.
     """
-    try:
-        report = json.loads(body)
-        local_weights: Mapping[str, Any] = report.get("at_hand") or {}
-        return EngineState(
-            started_ms=int(report.get("born") or 0),
-            orders=int(report["sequence"]),
-            busy=bool(report["busy"]),
-            # "state" is omitted while the engine takes requests.
-            draining=report.get("state") not in (None, "ready"),
-            remaining_s=_to_seconds(report.get("time_left_ms")),
-            adapters=decode_models(report["models"]),
-            adapters_in_transit=tuple(
-                _decode_adapter_in_transit(item) for item in report.get("coming") or ()
-            ),
-            local_models=frozenset(local_weights.get("in_memory") or ())
-            | frozenset(local_weights.get("on_disk") or ()),
-            waiting=int(report.get("waiting") or 0),
-            running=int(report.get("running") or 0),
-            used_tokens=int(report.get("kv_used") or 0),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise DecodeError(f"report: {type(error).__name__}: {error}") from error
-
-
-def _to_seconds(duration_ms: Any) -> float | None:
-    return None if duration_ms is None else float(duration_ms) / 1000
+    report = parse_record(_Report, body, MAX_SERVER_RECORD_BYTES, "report")
+    weights = report.at_hand or _LocalWeights()
+    return EngineState(
+        started_ms=report.born or 0,
+        orders=report.sequence,
+        busy=report.busy,
+        draining=report.state not in (None, ServerState.READY.value),
+        remaining_s=to_seconds(report.time_left_ms),
+        adapters=adapters_by_model(report.models),
+        adapters_in_transit=tuple(map(_decode_adapter_in_transit, report.coming or ())),
+        local_models=frozenset(weights.in_memory or ())
+        | frozenset(weights.on_disk or ()),
+        waiting=int(report.waiting or 0),
+        running=int(report.running or 0),
+        used_tokens=int(report.kv_used or 0),
+    )
 
 
 def _decode_adapter_in_transit(text: str) -> tuple[str, str]:
--- a/chervilgw/platform/log_format.py
+++ b/chervilgw/platform/log_format.py
@@ -7,13 +7,18 @@
 from __future__ import annotations
 
 import base64
+import binascii
 import json
 import struct
 from dataclasses import dataclass
+from typing import Annotated, Any
 from urllib.parse import urlencode
 
+from pydantic import Field
+
 from chervilgw.core.ids import Offset
 from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.records import Record, parse_record
 
 CONFIGURATION_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
@@ -25,6 +30,8 @@
 _READ_HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _MAX_KEY_BYTES = 255
+MAX_OFFSET = 2**63 - 1
+MAX_APPEND_ANSWER_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +77,8 @@
     query = {"topic": topic, "part": 0}
     if after is not None:
         query["after"] = after
-    return "/log-newest?" + urlencode(query)
+    # A key of another writer may hold what is no valid text; it is sent back as it is.
+    return "/log-newest?" + urlencode(query, errors="surrogatepass")
 
 
 def append_path(topic: str) -> str:
@@ -130,29 +138,55 @@
 
 
 def decode_listing(body: bytes) -> Listing:
-    """Decode one page of a listing.
+    """Decode one page of a listing; items that are no keyed records are left out.
 
     Raises
     ------
     DecodeError
-        If the body does not have the expected form.
+        If the page as a whole does not have the expected form.
     """
     try:
         answer = json.loads(body)
-        records = tuple(
-            KeyedRecord(
-                Offset(int(item["offset"])),
-                item["key"],
-                base64.b64decode(item["value"]),
-            )
-            for item in answer["items"]
-        )
-        continue_after = (
-            records[-1].key if answer.get("truncated") and records else None
-        )
-        return Listing(records, continue_after, Offset(int(answer["end"])))
-    except (ValueError, KeyError, TypeError) as error:
+        items, end = answer["items"], answer["end"]
+        continue_after = items[-1]["key"] if answer.get("truncated") and items else None
+        if not isinstance(continue_after, str | None):
+            raise TypeError("the last key is not a string")
+        records = tuple(map(_decode_item, items))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise DecodeError(f"log listing: {type(error).__name__}: {error}") from error
+    except RecursionError:
+        raise DecodeError("log listing: nested too deeply") from None
+    if not _is_offset(end):
+        raise DecodeError("log listing: the end is no offset")
+    kept = tuple(record for record in records if record is not None)
+    return Listing(kept, continue_after, Offset(end))
+
+
+def _decode_item(item: dict[str, Any]) -> KeyedRecord | None:
+    """Return the record of a listing's item, or None if its content is malformed.
+
+    Raises
+    ------
+    KeyError, TypeError
+        If the item does not have the form that the store gives to all items.
+    """
+    key, value, offset = item["key"], item["value"], item["offset"]
+    if not isinstance(key, str) or not isinstance(value, str):
+        raise TypeError("an item is not a key and a value in text")
+    try:
+        key.encode()
+        content = base64.b64decode(value, validate=True)
+    except (UnicodeEncodeError, binascii.Error):
+        return None
+    return KeyedRecord(Offset(offset), key, content) if _is_offset(offset) else None
+
+
+def _is_offset(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_OFFSET
+
+
+class _Appended(Record):
+    offset: Annotated[int, Field(ge=0, le=MAX_OFFSET)]
 
 
 def decode_appended(body: bytes) -> Offset:
@@ -163,7 +197,5 @@
     DecodeError
         If the body does not have the expected form.
     """
-    try:
-        return Offset(int(json.loads(body)["offset"]))
-    except (ValueError, KeyError, TypeError) as error:
-        raise DecodeError(f"log append: {type(error).__name__}: {error}") from error
+    answer = parse_record(_Appended, body, MAX_APPEND_ANSWER_BYTES, "log append")
+    return Offset(answer.offset)
--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import json
+import math
+import re
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -78,6 +80,13 @@
     RefusalReason.UNKNOWN_ROUTE: 404,
     RefusalReason.RATE_EXCEEDED: 429,
 }
+# A caller waits no longer than this, whatever its deadline says.
+MAX_WAIT_S = 86_400.0
+# Longer prompts fit into no engine. The counts of all requests of an entry are summed
+# and sent to the others, so that none may be huge or negative.
+MAX_TOKENS = 100_000_000
+_COUNT = re.compile(r"[0-9]{1,12}")
+
 # Statuses that promise that the request has not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
 
@@ -126,29 +135,35 @@
     if text is None:
         return None, None
     prompt, _, output = text.partition(",")
-    try:
-        return int(prompt), int(output or 0)
-    except ValueError:
-        raise DecodeError("the token counts are not two integers") from None
+    return _decode_count(prompt), _decode_count(output or "0")
+
+
+def _decode_count(text: str) -> int:
+    text = text.strip()
+    if not _COUNT.fullmatch(text) or int(text) > MAX_TOKENS:
+        raise DecodeError(f"a token count is not an integer from 0 to {MAX_TOKENS}")
+    return int(text)
 
 
 def _decode_deadline_s(text: str | None) -> float | None:
     if text is None:
         return None
     try:
-        return max(0.0, float(text)) / 1000
+        deadline_ms = float(text)
     except ValueError:
-        raise DecodeError("the deadline is not a number") from None
+        deadline_ms = math.nan
+    if math.isnan(deadline_ms):
+        raise DecodeError("the deadline is not a number")
+    return min(MAX_WAIT_S, max(0.0, deadline_ms / 1000))
 
 
 def _decode_prompt_parts(text: str | None) -> tuple[tuple[PromptPartId, int], ...]:
     if not text:
         return ()
-    try:
-        pairs = (part.rpartition(":") for part in text.split(","))
-        return tuple((PromptPartId(name.strip()), int(size)) for name, _, size in pairs)
-    except ValueError:
-        raise DecodeError("a part of the prompt has no token count") from None
+    pairs = (part.rpartition(":") for part in text.split(","))
+    return tuple(
+        (PromptPartId(name.strip()), _decode_count(size)) for name, _, size in pairs
+    )
 
 
 def encode_request(request: ServerRequest) -> Headers:
--- a/chervilgw/platform/servers.py
+++ b/chervilgw/platform/servers.py
@@ -2,16 +2,54 @@
 
 from __future__ import annotations
 
-import json
 import re
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Iterable
+from typing import Annotated
+
+from pydantic import Field
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServerState
 from chervilgw.core.ids import ModelName, ServiceName, ZoneId
 from chervilgw.platform.errors import DecodeError
-
-_ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}")
+from chervilgw.platform.records import (
+    MAX_ITEMS,
+    MAX_NAME_LENGTH,
+    MAX_SERVER_RECORD_BYTES,
+    MAX_SLOTS,
+    Count,
+    Name,
+    Record,
+    ServerAddress,
+    StrictRecord,
+    TimeMs,
+    parse_record,
+)
+
+# A server's id is sent in a header of each request to it.
+_SERVER_ID = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
+
+
+class LoadedModel(Record):
+    """A model that an engine holds, and its loaded adapters."""
+
+    name: Name
+    adapters: Annotated[tuple[Name, ...] | None, Field(max_length=MAX_ITEMS)] = None
+
+
+class _ServerEntry(StrictRecord):
+    service: Name
+    address: ServerAddress
+    zone: Name
+    slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)]
+    state: ServerState
+    # Unix time at which the server started.
+    born: Count
+    models: Annotated[tuple[LoadedModel, ...] | None, Field(max_length=MAX_ITEMS)] = (
+        None
+    )
+    # Number of orders that the server accepted.
+    sequence: Count
+    time_left_ms: TimeMs | None = None
 
 
 def decode_server(key: str, value: bytes) -> RegisteredServer:
@@ -27,70 +65,33 @@
     Raises
     ------
     DecodeError
-        If a field is missing or has another type, for instance because another
-        program wrote the record.
-    """
-    try:
-        entry = json.loads(value)
-        if not isinstance(entry, dict):
-            raise TypeError("not an object")
-        return RegisteredServer(
-            server=ServerId(key),
-            service=ServiceName(_text(entry, "service")),
-            address=_address(entry),
-            zone=ZoneId(_text(entry, "zone")),
-            slots=_non_negative_int(entry, "slots"),
-            state=ServerState(entry["state"]),
-            started_ms=_non_negative_int(entry, "born"),
-            adapters=decode_models(entry.get("models") or ()),
-            orders=_non_negative_int(entry, "sequence"),
-            remaining_s=_remaining_s(entry),
-        )
-    except (ValueError, KeyError, TypeError) as error:
-        raise DecodeError(f"server {key}: {type(error).__name__}: {error}") from error
-
-
-def decode_models(entries: Any) -> dict[ModelName, frozenset[str]]:
-    """Return the loaded adapters of each loaded model.
-
-    Raises
-    ------
-    TypeError, KeyError
-        If the list does not have the expected form.
+        If a field is missing, has another type or is out of bounds, for instance
+        because another program wrote the record.
     """
-    return {
-        ModelName(_text(entry, "name")): frozenset(
-            map(str, entry.get("adapters") or ())
-        )
-        for entry in entries
-    }
-
-
-def _text(entry: Mapping[str, Any], name: str) -> str:
-    value = entry[name]
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{name} is not a non-empty string")
-    return value
-
-
-def _non_negative_int(entry: Mapping[str, Any], name: str) -> int:
-    value = entry[name]
-    if type(value) is not int or value < 0:
-        raise TypeError(f"{name} is not a non-negative integer")
-    return value
-
-
-def _address(entry: Mapping[str, Any]) -> str:
-    value = _text(entry, "address")
-    if not _ADDRESS.fullmatch(value):
-        raise ValueError("address is not IP:PORT")
-    return value
-
-
-def _remaining_s(entry: Mapping[str, Any]) -> float | None:
-    remaining_ms = entry.get("time_left_ms")
-    if remaining_ms is None:
-        return None
-    if not isinstance(remaining_ms, (int, float)):
-        raise TypeError("time_left_ms is not a number")
-    return remaining_ms / 1000
+    if not _SERVER_ID.fullmatch(key):
+        raise DecodeError(f"server {key[:MAX_NAME_LENGTH]!a}: the id is not printable")
+    entry = parse_record(_ServerEntry, value, MAX_SERVER_RECORD_BYTES, f"server {key}")
+    return RegisteredServer(
+        server=ServerId(key),
+        service=ServiceName(entry.service),
+        address=entry.address,
+        zone=ZoneId(entry.zone),
+        slots=entry.slots,
+        state=entry.state,
+        started_ms=entry.born,
+        adapters=adapters_by_model(entry.models or ()),
+        orders=entry.sequence,
+        remaining_s=to_seconds(entry.time_left_ms),
+    )
+
+
+def adapters_by_model(
+    models: Iterable[LoadedModel],
+) -> dict[ModelName, frozenset[str]]:
+    """Return the loaded adapters of each loaded model."""
+    return {ModelName(model.name): frozenset(model.adapters or ()) for model in models}
+
+
+def to_seconds(duration_ms: float | None) -> float | None:
+    """Return a duration in s, or None without one."""
+    return None if duration_ms is None else duration_ms / 1000
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -14,6 +14,7 @@
 
 from circuits import BaseComponent, handler
 
+from chervilgw.core.addresses import is_address
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import NO_OFFSET, Offset
 from chervilgw.forward.events import (
@@ -49,6 +50,8 @@
 # The servers together write several heartbeats a second, so a waiting read would return
 # at once. A draining server must get no new requests 2 s after it reported its state.
 SERVERS_POLL_INTERVAL_S = 0.8
+# Malformed entries whose versions are remembered, so that each is logged once.
+MAX_IGNORED_KEYS = 1_000
 
 
 class FollowerStep(Enum):
@@ -97,6 +100,7 @@
         self._config_offset = NO_OFFSET
         self._is_store_lost = False
         self._writes: list[_Write] = []
+        self._ignored_offsets: dict[str, Offset] = {}
         self._fencing_token_reply_to = ""
         topic = log_format.CONFIGURATION_TOPIC
         wait_s = CONFIGURATION_WAIT_S if follow_servers else MODEL_SIZES_WAIT_S
@@ -250,7 +254,8 @@
             listed = tuple(map(ServerId, follower.listed_keys))
             self.fire(server_list_read(listed, follower.listed_end), "*")
         elif follower.topic == log_format.ENTRIES_TOPIC:
-            self.fire(entry_list_read(tuple(follower.listed_keys)), "*")
+            addresses = tuple(filter(is_address, follower.listed_keys))
+            self.fire(entry_list_read(addresses), "*")
             self._followers.remove(follower)
 
     def _apply_record(self, topic: str, record: log_format.KeyedRecord):
@@ -266,10 +271,25 @@
         try:
             entry = decode_server(record.key, record.value)
         except DecodeError as error:
-            log_event("server_entry_ignored", level="warning", detail=str(error))
+            self._log_ignored(record, str(error))
             return
         self.fire(server_registered(entry, record.offset), "*")
 
+    def _log_ignored(self, record: log_format.KeyedRecord, detail: str):
+        """Log a malformed record once, although each listing returns it again."""
+        if self._ignored_offsets.get(record.key) == record.offset:
+            return
+        if len(self._ignored_offsets) >= MAX_IGNORED_KEYS:
+            self._ignored_offsets.clear()
+        self._ignored_offsets[record.key] = record.offset
+        log_event(
+            "server_entry_ignored",
+            level="warning",
+            server=record.key,
+            offset=record.offset,
+            detail=detail,
+        )
+
     def _apply_configuration_record(self, record: log_format.KeyedRecord):
         is_old = record.offset <= self._config_offset
         if record.key != log_format.CONFIGURATION_KEY or is_old:
--- a/chervilgw/runtime/datagrams.py
+++ b/chervilgw/runtime/datagrams.py
@@ -13,6 +13,7 @@
 from circuits.core.utils import findcmp
 
 from chervilgw.codec.frames import FrameError, encode, make_decoder
+from chervilgw.core.addresses import split_address
 from chervilgw.telemetry import log_event
 
 # Below the 64 KiB limit of UDP.
@@ -68,18 +69,21 @@
 
     @handler("datagram_send")
     def _on_send(self, message, addresses):
-        data = encode(message)
+        try:
+            data = encode(message)
+        except FrameError as error:
+            log_event("datagram_not_encoded", level="error", detail=str(error))
+            return
         if len(data) > MAX_DATAGRAM_BYTES:
             name = type(message).__name__
             log_event("datagram_too_large", level="error", message_type=name)
             return
         for address in addresses:
-            host, _, port = address.rpartition(":")
             try:
-                self._sock.sendto(data, (host, int(port)))
-            except OSError as error:
-                # The buffer is full or the host unreachable. The next datagram replaces
-                # the lost one.
+                self._sock.sendto(data, split_address(address))
+            except (OSError, ValueError) as error:
+                # The buffer is full, the host unreachable or the address of a peer
+                # malformed. The next datagram replaces the lost one.
                 log_event(
                     "datagram_not_sent",
                     level="debug",
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -251,7 +251,13 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._silence_timeout_s is not None:
             detect_silence(sock, self._silence_timeout_s)
-        code = sock.connect_ex((host, port))
+        try:
+            code = sock.connect_ex((host, port))
+        except (OSError, OverflowError) as error:
+            # The address is no IPv4 address, or its port is out of range.
+            sock.close()
+            self.fire(dialed(token, None, f"connect failed: {error}"))
+            return
         if code not in (0, EINPROGRESS):
             sock.close()
             self.fire(dialed(token, None, f"connect failed: errno {code}"))
--- a/chervilgw/settings/vm.py
+++ b/chervilgw/settings/vm.py
@@ -2,9 +2,32 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict, Field
+from typing import Annotated
 
-Address = str
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+from chervilgw.core.addresses import MAX_PORT, is_address, is_ip
+
+# Bounds that operators set lie far below; larger numbers are mistakes.
+MAX_BOUND = 1e9
+
+
+def _check_address(text: str) -> str:
+    if not is_address(text):
+        raise ValueError("must be IP:PORT with a port from 1 to 65535")
+    return text
+
+
+def _check_ip(text: str) -> str:
+    if not is_ip(text):
+        raise ValueError("must be an IPv4 address")
+    return text
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+Port = Annotated[int, Field(ge=1, le=MAX_PORT)]
+Amount = Annotated[float, Field(ge=0, le=MAX_BOUND)]
+PositiveAmount = Annotated[float, Field(gt=0, le=MAX_BOUND)]
 
 
 class StoreSettings(BaseModel):
@@ -12,8 +35,8 @@
 
     model_config = ConfigDict(frozen=True)
 
-    address: Address = Field(pattern=r"^[0-9.]+:\d{1,5}$")
-    record_bytes: int = Field(262_144, ge=1)
+    address: Address
+    record_bytes: int = Field(262_144, ge=1, le=2**40)
 
 
 class Bounds(BaseModel):
@@ -26,15 +49,15 @@
 
     model_config = ConfigDict(frozen=True)
 
-    grace_s: float = Field(8.0, gt=0)
-    drain_s: float = Field(2.0, ge=0)
-    quota_window_s: float = Field(8.0, gt=0)
-    quota_over_tokens: float = Field(0.0, ge=0)
-    retry_ratio: float = Field(0.2, ge=0)
-    retry_window_s: float = Field(10.0, gt=0)
-    retry_slack: float = Field(50.0, ge=0)
-    load_window_s: float = Field(5.0, gt=0)
-    load_excess: float = Field(1.1, ge=1)
+    grace_s: PositiveAmount = 8.0
+    drain_s: Amount = 2.0
+    quota_window_s: PositiveAmount = 8.0
+    quota_over_tokens: Amount = 0.0
+    retry_ratio: Amount = 0.2
+    retry_window_s: PositiveAmount = 10.0
+    retry_slack: Amount = 50.0
+    load_window_s: PositiveAmount = 5.0
+    load_excess: float = Field(1.1, ge=1, le=MAX_BOUND)
 
 
 class VmSettings(BaseModel):
@@ -50,14 +73,14 @@
     model_config = ConfigDict(frozen=True)
 
     vm: str = Field(min_length=1)
-    ip: str = Field(pattern=r"^[0-9.]+$")
+    ip: Annotated[str, AfterValidator(_check_ip)]
     zone: str
     front_listen: Address | None = None
     ready_listen: Address | None = None
     app: Address | None = None
     app_service: str = ""
-    peer_ports: tuple[int, int]
+    peer_ports: tuple[Port, Port]
     first_start: bool = False
-    max_descriptors: int = Field(4096, ge=256)
+    max_descriptors: int = Field(4096, ge=256, le=2**31)
     store: StoreSettings
     bounds: Bounds
--- /dev/null
+++ b/fleet/tests/test_odd_entries.py
@@ -0,0 +1,85 @@
+"""Odd entries of another writer in the platform's list, against running processes."""
+
+import json
+
+import pytest
+
+from fleet.deployed import DeployedFleet, wait_for
+from fleet.tests.test_deployed import listed
+from standins.opaque_platform import ServerStandIn
+
+DEEP = b"[" * 100_000
+
+
+@pytest.fixture
+def fleet():
+    with DeployedFleet() as running:
+        yield running
+
+
+def put_odd_entries(fleet, number):
+    """Write one odd entry of each kind; the keys differ by ``number``."""
+    entry = ServerStandIn(name="i-odd")
+    entry.address = "127.0.0.1:9"
+    sound = entry.entry()
+    odd = {
+        "nested": DEEP,
+        "huge": json.dumps(sound | {"slots": 10**30}).encode(),
+        "future": json.dumps(sound | {"born": 10**300}).encode(),
+        "port": json.dumps(sound | {"address": "127.0.0.1:99999"}).encode(),
+        "surrogate": json.dumps(sound | {"service": "\ud800"}).encode(),
+    }
+    for name, value in odd.items():
+        fleet.store.put_bytes("keyed.servers", f"odd-{name}-{number}", value)
+
+
+def odd_lines(program):
+    lines = program.log_text().splitlines()
+    return [line for line in lines if '"server_entry_ignored"' in line]
+
+
+def test_odd_entries_neither_end_an_entry_nor_hide_the_servers_beside_them(fleet):
+    """Guards against entries that end, or stop following the list, at an odd record."""
+    put_odd_entries(fleet, 1)
+    fleet.store.put("keyed.entries", "127.0.0.1:99999", "front-odd")
+    fleet.store.put("keyed.entries", "no address", "front-odd")
+    first = fleet.add_server(name="i-1")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, first), "the server beside odd entries is known")
+    assert entry.send("/reserve/1").status_code == 200
+    put_odd_entries(fleet, 2)
+    fleet.store.put_bytes("keyed.servers", "i-1", DEEP)
+    second = fleet.add_server(name="i-2")
+    wait_for(listed(entry, second), "a server after odd entries is known")
+    # An odd entry of a server that is known leaves its sound one in force.
+    fleet.register(second, state="draining")
+    wait_for(lambda: '"state": "draining"' in entry.program.log_text(), "it drains")
+    assert entry.send("/reserve/1").content == b"answer of i-1"
+    fleet.store.down = True
+    wait_for(lambda: "store_lost" in entry.program.log_text(), "the outage is seen")
+    put_odd_entries(fleet, 3)
+    third = fleet.add_server(name="i-3")
+    fleet.store.down = False
+    wait_for(listed(entry, third), "a server is known after the outage")
+    assert entry.program.process.poll() is None
+    assert "handler_failed" not in entry.program.log_text()
+    # One line for each of the 16 odd entries, however often they are read.
+    assert len(odd_lines(entry.program)) == 16
+
+
+def test_entry_that_starts_again_beside_odd_entries_serves(fleet):
+    put_odd_entries(fleet, 1)
+    server = fleet.add_server(name="i-1")
+    put_odd_entries(fleet, 2)
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    assert entry.program.stop() == 0
+    entry.program.start()
+    wait_for(entry.is_ready, "the entry is ready again")
+    wait_for(
+        lambda: entry.program.log_text().count('"server_changed", "server": "i-1"')
+        == 2,
+        "the server is known again",
+    )
+    assert entry.send("/reserve/1").status_code == 200
+    assert "handler_failed" not in entry.program.log_text()
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -113,8 +113,11 @@
 
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a record as an operator or a backend server does."""
-        data = b"" if value is None else json.dumps(value).encode()
-        self.topics[topic].append((key, data))
+        self.put_bytes(topic, key, b"" if value is None else json.dumps(value).encode())
+
+    def put_bytes(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record with a value that need not be JSON."""
+        self.topics[topic].append((key, value))
 
     def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
         """Serve appends, reads and listings."""
