Relay only what is proven to be the request's own answer

Cause: (1) The HTTP client took an answer without the echoed id for the call's, also on a connection that had carried an earlier request. An earlier refusal, written once more, made a request "not run": its caller was told so, or the request went to a second server while the first one ran it. (2) After a stream had broken off, Exchange.on_head relayed any signed answer of the next server, so that the text of an error came into the stream and its end made the stream look complete. Ids of a continuation were not looked at. (3) A signed 503 or 429 without the statement "not run" was relayed and promised its caller that nothing had run.

Change: core/answers.py decides, without a socket, whose an answer is and what it means. On a reused connection an answer without the id is skipped; if the connection then closes, the outcome is unknown and the request is not blamed. A continuation must be a 200 event stream whose ids follow the last one relayed; anything else leads to another try or a stream that ends broken. A stream without a length that ends inside an event is broken off.

--- a/chervilgw/codec/event_stream.py
+++ b/chervilgw/codec/event_stream.py
@@ -4,10 +4,20 @@
 
 import re
 
+from chervilgw.core.errors import ChervilError
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+# A block without a field holds comments only, which servers send to keep a connection.
+_HAS_FIELD = re.compile(rb"(?:^|\n)[^:\r\n]")
 # A longer event is forwarded in pieces, and its stream cannot be resumed.
 MAX_PARTIAL_BYTES = 1_048_576
+# Ids with more digits are not compared, and their stream cannot be resumed.
+MAX_ID_DIGITS = 18
+
+
+class EventOrderError(ChervilError):
+    """A continued stream repeats, skips or omits the id of an event."""
 
 
 class EventSplitter:
@@ -16,11 +26,34 @@
     def __init__(self):
         self._partial = b""
         self.last_event_id: str | None = None
-        self.only_whole_events = True
+        self._is_resumable = True
+        self._step = 1
+        self._is_continuation = False
+
+    @property
+    def ends_inside_event(self) -> bool:
+        """Return whether bytes of an incomplete event have arrived."""
+        return bool(self._partial)
+
+    @property
+    def can_resume(self) -> bool:
+        """Return whether a server can go on behind the last event.
+
+        The first id of a continuation is checked against the last one, so that the ids
+        have to be numbers.
+        """
+        last = self.last_event_id
+        return self._is_resumable and last is not None and _is_number(last)
 
     def feed(self, data: bytes) -> bytes:
         r"""Return the bytes of the events that the data completes.
 
+        Raises
+        ------
+        EventOrderError
+            If the stream is a continuation, and an event does not follow the one before
+            it. None of the data is to be relayed.
+
         Examples
         --------
         >>> splitter = EventSplitter()
@@ -32,24 +65,55 @@
         data = self._partial + data
         end = 0
         for match in _EVENT_END.finditer(data):
+            if self._is_continuation:
+                self._check_event(data[end : match.end()])
             end = match.end()
         events, self._partial = data[:end], data[end:]
-        ids = _ID.findall(events)
-        if ids:
-            self.last_event_id = ids[-1].decode("latin-1")
+        if not self._is_continuation:
+            self._record_ids(events)
         if len(self._partial) > MAX_PARTIAL_BYTES:
+            if self._is_continuation:
+                raise EventOrderError("an event exceeds the size limit")
             events, self._partial = events + self._partial, b""
-            self.only_whole_events = False
+            self._is_resumable = False
         return events
 
+    def _record_ids(self, events: bytes) -> None:
+        ids = [found.decode("latin-1") for found in _ID.findall(events)]
+        if not ids:
+            return
+        former = ids[-2] if len(ids) > 1 else self.last_event_id
+        self.last_event_id = ids[-1]
+        if former is not None and _is_number(former) and _is_number(ids[-1]):
+            self._step = int(ids[-1]) - int(former)
+            self._is_resumable = self._is_resumable and self._step > 0
+
+    def _check_event(self, event: bytes) -> None:
+        ids = _ID.findall(event)
+        if not ids and not _HAS_FIELD.search(event):
+            return
+        found = ids[0].decode("latin-1") if len(ids) == 1 else ""
+        expected = int(self.last_event_id) + self._step
+        if not _is_number(found) or int(found) != expected:
+            raise EventOrderError(f"event {found[:20]!r} came in place of {expected}")
+        self.last_event_id = found
+
     def take_partial(self) -> bytes:
         """Return and clear the bytes after the last whole event."""
         partial, self._partial = self._partial, b""
         return partial
 
-    def drop_partial(self) -> None:
-        """Discard an incomplete event before another server resumes the stream."""
+    def begin_continuation(self) -> None:
+        """Prepare for the answer of another server, which resumes the stream.
+
+        The bytes of an incomplete event are discarded: the server sends it again.
+        """
         self._partial = b""
+        self._is_continuation = self.last_event_id is not None
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_ID_DIGITS
 
 
 def make_event_splitter() -> EventSplitter:
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from chervilgw.codec.event_stream import EventSplitter, make_event_splitter
+from chervilgw.core.answers import AnswerKind, classify_answer
 from chervilgw.core.deployment import RouteKind, ServerId
 from chervilgw.core.ids import Digest, RequestId
 from chervilgw.core.states import RunState, Urgency
@@ -63,6 +64,7 @@
     may_have_run: set[ServerId] = field(default_factory=set)
     unread_tokens: int = 0
     answer: ServerAnswer | None = None
+    answer_kind: AnswerKind | None = None
     head_forwarded: bool = False
     body: list[bytes] = field(default_factory=list)
     unrelayed_bytes: int = 0
@@ -117,7 +119,8 @@
         self.tried.add(server)
         self.may_have_run.add(server)
         self.unread_tokens = unread_tokens
-        self.answer, self.body, self.unrelayed_bytes = None, [], 0
+        self.answer, self.answer_kind = None, None
+        self.body, self.unrelayed_bytes = [], 0
         self.call = f"{self.server_channel}-{self.number}-{self.sends}"
 
     def on_turn_refused(self, retry_after_s: float, is_busy: bool) -> None:
@@ -135,10 +138,14 @@
     def on_head(self, answer: ServerAnswer, max_buffered_bytes: int) -> None:
         """Decide what to do with an answer when its head has arrived."""
         self.answer = answer
-        if not answer.is_from_server:
-            # Not run, or not an answer of the server itself.
+        self.answer_kind = classify_answer(answer.head, self.head_forwarded)
+        if self.answer_kind in (AnswerKind.REFUSAL, AnswerKind.UNUSABLE):
             self.stage = Stage.DISCARDING
-        elif answer.status >= 500 and not self.head_forwarded and self.may_retry():
+            return
+        is_whole = self.answer_kind is AnswerKind.WHOLE
+        if is_whole and not answer.is_event_stream:
+            self.cutter = None
+        if is_whole and answer.status >= 500 and self.may_retry():
             self.stage = Stage.DISCARDING
         elif self.is_stream or (answer.length_bytes or 0) > max_buffered_bytes:
             self.stage = Stage.RELAYING
@@ -146,7 +153,13 @@
             self.stage = Stage.BUFFERING
 
     def on_data(self, data: bytes) -> bytes:
-        """Process a part of the answer; return the bytes to relay now."""
+        """Process a part of the answer; return the bytes to relay now.
+
+        Raises
+        ------
+        EventOrderError
+            If the answer does not continue the stream behind the last event.
+        """
         if self.stage is not Stage.RELAYING:
             self.unrelayed_bytes += len(data)
             if self.stage is Stage.BUFFERING:
@@ -162,9 +175,20 @@
 
     def on_not_served(self) -> None:
         """Record an answer that was discarded."""
-        if self.answer.not_run:
+        if self.answer_kind is AnswerKind.REFUSAL:
             self.may_have_run.discard(self.server)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether an answer that has ended lacks its last event.
+
+        A body without a length ends with its connection, also where its server stopped
+        in the middle of an event. A continuation holds whole events only.
+        """
+        if self.cutter is None or not self.cutter.ends_inside_event:
+            return False
+        return self.answer_kind is AnswerKind.CONTINUATION or not self.answer.framed
+
     def buffered_answer(self) -> tuple[int, Headers, bytes]:
         """Return status, headers and body of an answer that was buffered."""
         headers = tuple(
@@ -201,13 +225,9 @@
         """Return whether another server may continue an interrupted stream."""
         if not self.head_forwarded:
             return self.may_retry()
-        cutter = self.cutter
-        resumable = (
-            cutter is not None
-            and cutter.only_whole_events
-            and cutter.last_event_id is not None
-        )
-        return resumable and self.may_retry()
+        if not self.admitted.route.resumable or self.cutter is None:
+            return False
+        return self.cutter.can_resume and self.may_retry()
 
 
 def max_first_token_wait_s(admitted: AdmittedRequest) -> float:
@@ -256,8 +276,7 @@
         Monotonic time.
     """
     route = admitted.route
-    is_resumable = route.kind is RouteKind.STREAMING and route.resumable
-    cutter = make_event_splitter() if is_resumable else None
+    cutter = make_event_splitter() if route.kind is RouteKind.STREAMING else None
     return Exchange(
         number,
         server_channel,
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -14,6 +14,8 @@
 from circuits import handler
 from returns.pipeline import is_successful
 
+from chervilgw.codec.event_stream import EventOrderError
+from chervilgw.core.answers import AnswerKind
 from chervilgw.core.deployment import Deployment, OpaqueRequest, ServerId
 from chervilgw.core.errors import ChervilError
 from chervilgw.core.ids import Incarnation, ZoneId
@@ -263,7 +265,7 @@
             return
         answer = self._codec.decode_answer(head.status, head.headers)
         exchange.on_head(answer, MAX_BUFFERED_BODY_BYTES)
-        if answer.is_from_server:
+        if answer.head.from_server and not answer.not_run:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
         if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
             self._forward_head(exchange)
@@ -282,7 +284,12 @@
             if exchange is None:
                 continue
             self._on_answer_bytes(exchange, now_s)
-            data = exchange.on_data(part.data)
+            try:
+                data = exchange.on_data(part.data)
+            except EventOrderError as error:
+                self._stop_attempt(exchange, now_s)
+                self._on_not_served(exchange, str(error), now_s)
+                continue
             if exchange.unrelayed_bytes > MAX_BUFFERED_BODY_BYTES:
                 data = self._on_long_body(exchange, now_s)
             if data:
@@ -327,6 +334,10 @@
             detail = f"the server answered {done.status}"
             self._on_not_served(exchange, detail, now_s)
             return
+        if exchange.is_cut_off:
+            detail = "the stream ended in the middle of an event"
+            self._on_not_served(exchange, detail, now_s)
+            return
         self.fire(attempt_counted("served"), "metrics")
         if exchange.stage is Stage.BUFFERING:
             reply = HttpReply(exchange.number, *exchange.buffered_answer())
@@ -371,11 +382,11 @@
             entries = self._quota.count_entries(now_s)
             if never_arrived or self._retries.try_retry(service, entries, now_s):
                 if exchange.cutter is not None:
-                    exchange.cutter.drop_partial()
+                    exchange.cutter.begin_continuation()
                 self.attempt(exchange, now_s)
                 return
         reason = RefusalReason.BACKEND_LOST
-        if exchange.answer is not None and exchange.answer.not_run:
+        if exchange.answer_kind is AnswerKind.REFUSAL:
             reason = RefusalReason.QUEUE_FULL
         refusal = Refusal(reason, exchange.run_state, detail, TRANSIENT_RETRY_AFTER_S)
         self._fail(exchange, refusal, now_s)
--- a/chervilgw/forward/messages.py
+++ b/chervilgw/forward/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from chervilgw.core.answers import AnswerHead
 from chervilgw.core.deployment import (
     CustomerRule,
     Deployment,
@@ -74,7 +75,8 @@
 
     ``not_run`` is true if the server certainly did not run the request, ``sealed`` if
     the answer carries the server's signature, and ``encoded`` if its body has a content
-    encoding, which no backend server uses.
+    encoding, which no backend server uses. ``is_event_stream`` is true if the body is a
+    series of events, ``framed`` if its end is marked by a length or a last chunk.
     """
 
     status: int
@@ -83,8 +85,11 @@
     sealed: bool
     encoded: bool
     length_bytes: int | None
+    is_event_stream: bool = False
+    framed: bool = True
 
     @property
-    def is_from_server(self) -> bool:
-        """Return whether the server itself answered the request."""
-        return self.sealed and not self.encoded and not self.not_run
+    def head(self) -> AnswerHead:
+        """Return the properties that decide on the use of the answer."""
+        from_server = self.sealed and not self.encoded
+        return AnswerHead(self.status, self.not_run, from_server, self.is_event_stream)
--- a/chervilgw/forward/tests/test_exchange.py
+++ b/chervilgw/forward/tests/test_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chervilgw.codec.event_stream import EventOrderError
 from chervilgw.core.deployment import OpaqueRequest, RouteKind, RouteRule
 from chervilgw.core.states import RunState
 from chervilgw.forward.exchange import (
@@ -98,7 +99,7 @@
     """Guards against a partial event in the middle of a resumed stream."""
     stream = {"kind": RouteKind.STREAMING, "resumable": True}
     made = sent(exchange(**stream), "x")
-    made.on_head(OWN, 1000)
+    made.on_head(replace(OWN, is_event_stream=True), 1000)
     made.head_forwarded = True
     assert made.on_data(b"id: 1\nda") == b""
     assert not made.may_resume()
@@ -116,6 +117,107 @@
     assert not made.may_resume()
 
 
+STREAM = {"kind": RouteKind.STREAMING, "resumable": True, "max_attempts": 3}
+EVENTS = ServerAnswer(200, (), False, True, False, None, is_event_stream=True)
+
+
+def resumed(answer):
+    """Return a stream that broke off after event 2, with a second server's answer."""
+    made = sent(exchange(**STREAM), "x")
+    made.on_head(EVENTS, 1000)
+    made.head_forwarded = True
+    made.on_data(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3")
+    made.cutter.begin_continuation()
+    sent(made, "y")
+    made.on_head(answer, 1000)
+    return made
+
+
+NO_CONTINUATION = {
+    "error": replace(EVENTS, status=500),
+    "refusal without proof": replace(EVENTS, status=503),
+    "too many requests": replace(EVENTS, status=429),
+    "not found": replace(EVENTS, status=404),
+    "no event stream": replace(EVENTS, is_event_stream=False),
+    "empty": replace(EVENTS, status=204),
+    "refusal": NOT_RUN,
+    "not signed": replace(EVENTS, sealed=False),
+    "encoded": replace(EVENTS, encoded=True),
+}
+
+
+@pytest.mark.parametrize("name", NO_CONTINUATION)
+def test_nothing_of_an_error_is_relayed_into_a_stream(name):
+    """Guards against the text of an error in the middle of a caller's stream."""
+    made = resumed(NO_CONTINUATION[name])
+    assert made.stage is Stage.DISCARDING
+    assert made.on_data(b'{"error": "no"}\n\n') == b""
+    made.on_not_served()
+    assert made.may_resume()
+    assert made.run_state is RunState.UNKNOWN
+
+
+def test_continuation_behind_the_last_event_is_relayed():
+    made = resumed(EVENTS)
+    assert made.stage is Stage.RELAYING
+    events = b": alive\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+    assert made.on_data(events) == events
+    assert not made.is_cut_off
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        b"id: 1\ndata: a\n\n",
+        b"id: 2\ndata: b\n\n",
+        b"id: 4\ndata: d\n\n",
+        b"id: 3\ndata: c\n\nid: 3\ndata: c\n\n",
+        b"id: 3\ndata: c\n\nid: 5\ndata: e\n\n",
+        b"data: without an id\n\n",
+        b"id: 3\ndata: c\n\nid: x\ndata: d\n\n",
+        b"HTTP/1.1 500 Internal Server Error\r\n\r\n",
+    ],
+)
+def test_continuation_that_repeats_or_skips_events_is_refused(events):
+    """Guards against events that are missing, come twice or belong to another run."""
+    with pytest.raises(EventOrderError):
+        resumed(EVENTS).on_data(events)
+
+
+@pytest.mark.parametrize("is_framed", [True, False])
+def test_continuation_that_ends_inside_an_event_is_not_complete(is_framed):
+    made = resumed(replace(EVENTS, framed=is_framed))
+    assert made.on_data(b"id: 3\ndata: c\n\nid: 4\nda") == b"id: 3\ndata: c\n\n"
+    assert made.is_cut_off
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_stream_without_a_length_that_ends_inside_an_event_is_not_complete(resumable):
+    """Guards against a stream that ends as complete before its last event."""
+    made = sent(exchange(kind=RouteKind.STREAMING, resumable=resumable), "x")
+    made.on_head(replace(EVENTS, framed=False), 1000)
+    made.on_data(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert made.is_cut_off
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_that_promises_no_run_is_not_relayed_without_proof(status):
+    """Guards against telling a caller "not run" of a request that a server has run."""
+    made = sent(exchange(), "x")
+    made.on_head(replace(OWN, status=status), 1000)
+    made.on_not_served()
+    assert made.stage is Stage.DISCARDING
+    assert made.run_state is RunState.UNKNOWN
+    assert not made.may_retry()
+
+
+def test_success_that_claims_not_to_have_run_proves_nothing():
+    made = sent(exchange(), "x")
+    made.on_head(replace(OWN, not_run=True), 1000)
+    made.on_not_served()
+    assert made.run_state is RunState.UNKNOWN
+
+
 def test_deadline_is_the_earlier_of_caller_deadline_and_route_timeout():
     """Guards against requests that outlive their caller or the route's timeout."""
     assert exchange().deadline_s == 1.5
--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
+from chervilgw.core.answers import NOT_RUN_STATUSES
 from chervilgw.core.deployment import AttemptId, OpaqueRequest, PromptPartId
 from chervilgw.core.ids import ModelName
 from chervilgw.core.refusals import Refusal
@@ -30,6 +31,7 @@
 _LAST_EVENT_HEADER = "last-event-id"
 _SEAL_HEADER = "x-server-seal"
 _NOT_RUN_HEADER = "x-not-executed"
+_EVENT_STREAM_TYPE = "text/event-stream"
 
 # Headers that concern one connection only; the framing is written anew.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -87,9 +89,6 @@
 MAX_TOKENS = 100_000_000
 _COUNT = re.compile(r"[0-9]{1,12}")
 
-# Statuses that promise that the request has not run and never will.
-_NOT_RUN_STATUSES = frozenset({408, 429, 503})
-
 
 def decode_request(http: HttpRequest) -> OpaqueRequest:
     """Decode a caller's request.
@@ -202,6 +201,10 @@
         sealed=_SEAL_HEADER in headers,
         encoded="content-encoding" in headers,
         length_bytes=int(length) if length is not None and length.isdigit() else None,
+        is_event_stream=headers.get("content-type", "")
+        .lower()
+        .startswith(_EVENT_STREAM_TYPE),
+        framed=length is not None or "transfer-encoding" in headers,
     )
 
 
@@ -214,13 +217,13 @@
     status = _STATUS_BY_REASON.get(refusal.reason, 503)
     if refusal.reason is RefusalReason.DEADLINE_UNREACHABLE:
         status = 504
-    elif refusal.run is not RunState.NOT_RUN and status in _NOT_RUN_STATUSES:
+    elif refusal.run is not RunState.NOT_RUN and status in NOT_RUN_STATUSES:
         status = 502
     body = json.dumps(
         {"error": refusal.reason.value, "detail": refusal.detail}
     ).encode()
     headers = [("Content-Type", "application/json")]
-    if refusal.retry_after_s is not None and status in _NOT_RUN_STATUSES:
+    if refusal.retry_after_s is not None and status in NOT_RUN_STATUSES:
         headers.append(("Retry-After", f"{refusal.retry_after_s:.2f}"))
     return status, tuple(headers), body
 
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -15,6 +15,7 @@
 import h11
 from circuits import BaseComponent, Event, handler
 
+from chervilgw.core.answers import AnswerOwner, owner_of_answer
 from chervilgw.runtime.events import (
     CallData,
     CallDone,
@@ -28,6 +29,7 @@
     call_sent,
 )
 from chervilgw.runtime.sockets import Dialer
+from chervilgw.telemetry import log_event
 
 MAX_IDLE_PER_ADDRESS = 8
 MAX_IDLE_CONNECTION_S = 10.0
@@ -57,6 +59,8 @@
     headers: tuple = ()
     body: list[bytes] = field(default_factory=list)
     skipping: bool = False
+    is_connection_reused: bool = False
+    has_unproven_answer: bool = False
     before_answer_bytes: int = 0
     collected_bytes: int = 0
 
@@ -88,6 +92,7 @@
             sock, parser, expires_s = self._idle[spec.address].pop()
             self._idle_address.pop(sock)
             if now_s < expires_s:
+                call.is_connection_reused = True
                 self._send(call, sock, parser)
                 return
             self._dialer.close(sock)
@@ -154,8 +159,11 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
             if isinstance(event, h11.Response):
-                call.skipping = not _is_answer_to(call.spec, event)
-                if not call.skipping:
+                owner = _owner_of(call, event)
+                call.skipping = owner is not AnswerOwner.THIS_CALL
+                if call.skipping:
+                    self._on_foreign_answer(call, owner, event.status_code)
+                else:
                     self._on_head(call, event)
             elif isinstance(event, h11.Data):
                 if not call.skipping:
@@ -170,6 +178,18 @@
                 break
         self._deliver(call, received)
 
+    def _on_foreign_answer(self, call: _Call, owner: AnswerOwner, status: int):
+        """Record an answer that is skipped; the call goes on waiting for its own."""
+        if owner is AnswerOwner.UNPROVEN:
+            call.has_unproven_answer = True
+        log_event(
+            "answer_skipped",
+            level="warning",
+            owner=owner,
+            status=status,
+            call=call.spec.call,
+        )
+
     def _skip_answer(self, call: _Call):
         """Prepare to parse the call's answer after one to another request.
 
@@ -291,6 +311,10 @@
         except h11.RemoteProtocolError:
             pass
         if call.spec.call in self._calls:
+            if call.has_unproven_answer:
+                detail = "connection closed after an answer without the request's id"
+                self._fail(call, sent=True, detail=detail)
+                return
             detail = "connection closed before the answer"
             self._fail(call, sent=True, detail=detail, connection_lost=True)
 
@@ -336,17 +360,17 @@
                 self._dialer.close(item[0])
 
 
-def _is_answer_to(spec: HttpCall, head) -> bool:
-    """Return whether an answer may belong to this call, by its echo header.
-
-    An answer without the header is accepted: a failing server may omit it, and nothing
-    shows that the answer belongs to another request.
-    """
-    if spec.echo_header is None:
-        return True
-    name, value = spec.echo_header
-    found = [echoed for key, echoed in head.headers if key == name.encode()]
-    return not found or found[0] == value.encode("latin-1")
+def _owner_of(call: _Call, head) -> AnswerOwner:
+    """Return whose an answer is, by its echo header."""
+    if call.spec.echo_header is None:
+        return AnswerOwner.THIS_CALL
+    name, expected = call.spec.echo_header
+    found = [
+        value.decode("latin-1") for key, value in head.headers if key == name.encode()
+    ]
+    return owner_of_answer(
+        expected, found[0] if found else None, call.is_connection_reused
+    )
 
 
 def _describe_excess(call: _Call) -> str | None:
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -27,14 +27,16 @@
         self.done = []
         self.failed = []
 
-    def call(self, name):
+    def call(self, name, body=b""):
         spec = HttpCall(
             name,
             "caller",
             self.address,
-            "GET",
+            "POST" if body else "GET",
             "/",
             (("Host", "h"),),
+            body,
+            timeout_s=30.0,
             forwarded=True,
             echo_header=("x-id", "own"),
         )
@@ -87,6 +89,101 @@
     assert caller.done == [("c1", b"own"), ("c2", b"own")]
 
 
+REFUSED = b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+STALE = {
+    "earlier id": REFUSED + b"X-Id: other\r\n\r\n",
+    "no id": REFUSED + b"\r\n",
+    "signed, no id": REFUSED + b"X-Server-Seal: 1\r\n\r\n",
+    "signed, earlier id": REFUSED + b"X-Server-Seal: 1\r\nX-Id: other\r\n\r\n",
+    "429": REFUSED.replace(b"503 No", b"429 No") + b"\r\n",
+    "421": REFUSED.replace(b"503 No", b"421 No") + b"\r\n",
+}
+
+
+def reused(listener, caller):
+    """Return a connection on which one call has ended and that is kept open."""
+    caller.call("c1")
+    connection = accept(listener)
+    connection.sendall(OWN)
+    wait_until(lambda: caller.done)
+    return connection
+
+
+@pytest.mark.parametrize("name", STALE)
+def test_repeated_refusal_on_a_kept_connection_is_not_the_answer(pair, name):
+    """Guards against "not run" for a request that the server runs."""
+    listener, caller = pair
+    with reused(listener, caller) as connection:
+        caller.call("c2")
+        connection.recv(65536)
+        connection.sendall(STALE[name])
+        connection.sendall(OWN)
+        wait_until(lambda: len(caller.done) == 2)
+    assert caller.done[1] == ("c2", b"own")
+
+
+@pytest.mark.parametrize("name", STALE)
+def test_repeated_refusal_while_the_body_is_sent_is_not_the_answer(pair, name):
+    listener, caller = pair
+    with reused(listener, caller) as connection:
+        caller.call("c2", body=b"x" * 7_000_000)
+        connection.recv(1)
+        connection.sendall(STALE[name])
+        left = 7_000_000
+        while left > 0:
+            left -= len(connection.recv(1_048_576))
+        connection.sendall(OWN)
+        wait_until(lambda: len(caller.done) == 2)
+    assert caller.done[1] == ("c2", b"own")
+
+
+@pytest.mark.parametrize("name", STALE)
+def test_repeated_refusal_on_an_idle_connection_closes_it(pair, name):
+    listener, caller = pair
+    with reused(listener, caller) as connection:
+        connection.sendall(STALE[name])
+        assert connection.recv(65536) == b""
+        caller.call("c2")
+        with accept(listener) as second:
+            second.sendall(OWN)
+            wait_until(lambda: len(caller.done) == 2)
+
+
+@pytest.mark.parametrize("name", STALE)
+def test_refusal_behind_the_answer_is_not_the_next_answer(pair, name):
+    listener, caller = pair
+    with reused(listener, caller) as connection:
+        caller.call("c2")
+        connection.recv(65536)
+        connection.sendall(OWN + STALE[name])
+        wait_until(lambda: len(caller.done) == 2)
+        caller.call("c3")
+        with accept(listener) as second:
+            second.sendall(OWN)
+            wait_until(lambda: len(caller.done) == 3)
+
+
+def test_connection_that_ends_after_a_repeated_refusal_leaves_the_outcome_open(pair):
+    """Guards against a retry of what may have run, and against blaming the request."""
+    listener, caller = pair
+    with reused(listener, caller) as connection:
+        caller.call("c2")
+        connection.recv(65536)
+        connection.sendall(STALE["no id"])
+    wait_until(lambda: caller.failed)
+    assert caller.failed[0].sent
+    assert not caller.failed[0].connection_lost
+
+
+def test_refusal_without_an_id_on_a_new_connection_is_the_answer(pair):
+    """The connection has carried no earlier request to which it could belong."""
+    listener, caller = pair
+    caller.call("c1")
+    with accept(listener) as connection:
+        connection.sendall(STALE["no id"])
+        wait_until(lambda: caller.done)
+
+
 def test_an_answer_without_length_ends_with_its_connection(pair):
     listener, caller = pair
     caller.call("c1")
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -16,6 +16,7 @@
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
+from enum import Enum
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -167,6 +168,26 @@
         handler.reply(200, body)
 
 
+class OnResume(Enum):
+    """Answer of a faulty server to a request that resumes a stream."""
+
+    CONTINUE = "continue"
+    RESTART = "restart"
+    SKIP = "skip"
+    ERROR = "error"
+    REFUSE_UNPROVEN = "refuse_unproven"
+    NO_EVENTS = "no_events"
+    STOP_INSIDE_EVENT = "stop_inside_event"
+
+
+# Status and content type of a signed answer that does not continue the stream.
+_RESUME_ERRORS = {
+    OnResume.ERROR: (500, "text/event-stream"),
+    OnResume.REFUSE_UNPROVEN: (503, "text/event-stream"),
+    OnResume.NO_EVENTS: (200, "text/plain"),
+}
+
+
 @dataclass
 class ServerStandIn(StandIn):
     """A backend server; it records what it runs.
@@ -175,6 +196,9 @@
     any answer. ``endless`` sends bodies without end. With ``sealed`` False answers do
     not bear the server's signature. ``work_s`` is the time of a run; ``hold`` delays
     each answer until it is set. ``refuse`` answers that nothing has run.
+    ``stale_answer`` is written before each answer on a kept connection, as if it were
+    the answer to an earlier request. ``on_resume`` says how a request that resumes a
+    stream is answered.
     """
 
     name: str = "i-1"
@@ -184,6 +208,8 @@
     endless: bool = False
     sealed: bool = True
     refuse: bool = False
+    stale_answer: bytes = b""
+    on_resume: OnResume = OnResume.CONTINUE
     work_s: float = 0.0
     events: int = 5
     hold: threading.Event = field(default_factory=threading.Event)
@@ -260,6 +286,10 @@
             return
         run = {"method": method, "path": path, "headers": headers, "body": body}
         self.runs.append(run)
+        is_kept, handler.answered = getattr(handler, "answered", False), True
+        if is_kept and self.stale_answer:
+            handler.wfile.write(self.stale_answer)
+            handler.wfile.flush()
         threading.Event().wait(self.work_s)
         self.hold.wait(30)
         if self.break_after == 0:
@@ -273,6 +303,10 @@
             seal = {}
         if self.endless:
             self._pour(handler, seal)
+        elif "last-event-id" in headers and self.on_resume in _RESUME_ERRORS:
+            status, content_type = _RESUME_ERRORS[self.on_resume]
+            seal["Content-Type"] = content_type
+            handler.reply(status, b"id: 3\ndata: no answer\n\n", seal)
         elif "x-model" in headers:
             self._stream(handler, headers, seal)
         else:
@@ -298,6 +332,13 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         first = int(headers.get("last-event-id", 0)) + 1
+        if first > 1 and self.on_resume is OnResume.RESTART:
+            first = 1
+        elif first > 1 and self.on_resume is OnResume.SKIP:
+            first += 1
+        elif first > 1 and self.on_resume is OnResume.STOP_INSIDE_EVENT:
+            self._chunk(handler, b"id: %d\ndata: to" % first)
+            first = self.events + 1
         for number in range(first, self.events + 1):
             if self.break_after is not None and number > self.break_after:
                 self._chunk(handler, b"id: %d\ndata: cu" % number)
