Obey servers that give notice or ask for a pause in their answers

Cause: an engine that leaves says so in all its answers (Server-Leaving), and one that turns a request away may say for how long it wants nothing (Retry-After with 503). Neither header was read, so that requests went to a leaving engine until the list said so, and again and again to a full one.

Change: a notice makes the server draining in this incarnation at once, also against later ready entries; entries pass it on in their reports, agents give no turn and no order. A pause is kept for each server and incarnation (routing/back_off.py); meanwhile requests go elsewhere, wait if they are still in time, or are refused with the true time. Turns granted before the notice are given back. fleet.process.free_port takes ports below the range of the kernel's outgoing connections: two test workers had picked the same one (a log of test_a_request_that_may_run_twice_goes_to_another_server that failed once shows "address in use"; the test talked to another entry).

--- a/chervilgw/core/answers.py
+++ b/chervilgw/core/answers.py
@@ -53,6 +53,18 @@
     is_event_stream: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ServerSignals:
+    """What a server says of itself beside an answer.
+
+    ``leaving`` means that it drains. ``retry_after_s`` is how long it wants nothing
+    from this process, or None if it does not say.
+    """
+
+    leaving: bool = False
+    retry_after_s: float | None = None
+
+
 def owner_of_answer(
     expected: str | None, echoed: str | None, is_connection_reused: bool
 ) -> AnswerOwner:
--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chervilgw.core.ids import CustomerId, Incarnation, RequestId
 from chervilgw.core.states import Urgency
@@ -20,7 +20,8 @@
     ``running`` maps a server to the requests at it, and ``unread_tokens`` to the prompt
     tokens of those that have not produced anything yet. ``address`` is where datagrams
     reach the sender. ``grants_complete`` is False while grants of the sender's previous
-    process may be missing, ``accepts_requests`` while it starts or drains.
+    process may be missing, ``accepts_requests`` while it starts or drains. ``leaving``
+    maps a server that gave notice lately to the start time of its incarnation.
     """
 
     sender: Incarnation
@@ -30,6 +31,7 @@
     unread_tokens: dict[str, int]
     grants_complete: bool = True
     accepts_requests: bool = True
+    leaving: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 
 from circuits import Event, handler
@@ -31,6 +31,7 @@
 from chervilgw.placement.engine_orders import (
     Order,
 )
+from chervilgw.routing.back_off import make_back_offs
 from chervilgw.runtime.alarm import alarm_set
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.runtime.events import HttpCall, http_call
@@ -46,6 +47,9 @@
 SUBSCRIPTION_TIMEOUT_S = 3.0
 # The engine is on the same VM and answers within a few milliseconds.
 CALL_TIMEOUT_S = 1.0
+# Names the engine in the record of its pauses; the agent has one engine, whose id it
+# learns only with the first subscription.
+_OWN_ENGINE = ServerId("own engine")
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,9 @@
         self._report_call: str | None = None
         self._order_call: str | None = None
         self._order: Order | None = None
+        self._back_offs = make_back_offs()
+        # Incarnation of the engine that gave notice in one of its answers.
+        self._leaving_started_ms: int | None = None
         self._report_requested_s = float("-inf")
         self._forwarded_s = float("-inf")
 
@@ -148,12 +155,30 @@
         self._request_report()
 
     def _request_report(self):
-        if self._report_call is not None:
+        now_s = time.monotonic()
+        if self._report_call is not None or self._is_paused(now_s):
             return
-        self._report_requested_s = time.monotonic()
+        self._report_requested_s = now_s
         self._report_call = f"report-{next(self._call_numbers)}"
         self._call(self._report_call, "GET", self._codec.report_path)
 
+    def _is_paused(self, now_s: float) -> bool:
+        """Return whether the engine has asked this VM to send nothing for now."""
+        started_ms = self.server_started_ms
+        return self._back_offs.remaining_s(_OWN_ENGINE, started_ms, now_s) > 0
+
+    def _on_signals(self, done, now_s: float):
+        """Apply what the engine says of itself beside a report or an order's answer."""
+        signals = self._codec.decode_signals(done.status, done.headers)
+        state = self.orders.state
+        if signals.leaving and state is not None:
+            self._leaving_started_ms = state.started_ms
+        if signals.retry_after_s is not None:
+            pause_s = self._back_offs.on_refused(
+                _OWN_ENGINE, self.server_started_ms, signals.retry_after_s, now_s
+            )
+            log_event("server_pauses", server=self.server, pause_s=round(pause_s, 3))
+
     def _call(self, call: str, method: str, path: str, headers=(), body=b""):
         spec = HttpCall(
             call,
@@ -172,6 +197,7 @@
     @handler("call_done")
     def _on_done(self, done):
         now_s = time.monotonic()
+        self._on_signals(done, now_s)
         if done.call == self._report_call:
             self._report_call = None
             self._on_report(done, now_s)
@@ -222,6 +248,10 @@
         except ChervilError as error:
             log_event("report_malformed", level="warning", detail=str(error))
             return
+        signals = self._codec.decode_signals(done.status, done.headers)
+        if signals.leaving or state.started_ms == self._leaving_started_ms:
+            self._leaving_started_ms = state.started_ms
+            state = replace(state, draining=True)
         if self.orders.on_state(state):
             log_event(
                 "engine_changed",
@@ -252,6 +282,8 @@
         ready = self._fencing_token is not None and self._order_call is None
         if not ready or self.stopping or not self.is_registered():
             return
+        if self._is_paused(now_s):
+            return
         order = self.orders.next_order(now_s)
         if order is None:
             return
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -9,7 +9,7 @@
 from chervilgw.core.deployment import Deployment, ModelSpec, ServerId
 from chervilgw.core.ids import CustomerId, ServiceName, ZoneId
 from chervilgw.core.messages import TurnRequest
-from chervilgw.core.refusals import Refusal
+from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.exchange import Exchange, max_first_token_wait_s, urgency_of
@@ -41,6 +41,8 @@
 # The gateway ends an attempt at its deadline; the HTTP client's timeout is a backstop.
 HTTP_TIMEOUT_MARGIN_S = 1.0
 
+_NO_SERVER_REASONS = (RefusalReason.NO_BACKEND_SERVER, RefusalReason.MODEL_NOT_LOADED)
+
 
 @dataclass(frozen=True, slots=True)
 class SendNow:
@@ -63,6 +65,11 @@
     """Hold the request: its model will be loaded while the caller still waits."""
 
 
+@dataclass(frozen=True, slots=True)
+class WaitForServer:
+    """Hold the request: a server that asked for a pause takes it in time."""
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Refuse the request."""
@@ -70,7 +77,7 @@
     refusal: Refusal
 
 
-Decision = SendNow | RequestTurn | WaitForModel | Refuse
+Decision = SendNow | RequestTurn | WaitForModel | WaitForServer | Refuse
 
 
 @dataclass(slots=True)
@@ -118,6 +125,10 @@
         if is_successful(chosen):
             return self._send_or_request_turn(exchange, chosen.unwrap(), now_s)
         refusal = chosen.failure()
+        if refusal.reason in _NO_SERVER_REASONS:
+            paused = self._wait_or_refuse(exchange, entries, now_s)
+            if paused is not None:
+                return paused
         if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
             busy = [
                 candidate
@@ -143,6 +154,28 @@
             return RequestTurn(choice.server, choice.unread_tokens)
         return SendNow(choice.server, choice.unread_tokens)
 
+    def _wait_or_refuse(self, exchange, entries: int, now_s: float) -> Decision | None:
+        """Decide on a request whose servers asked for a pause, or return None.
+
+        A server that refused the request may get it from its caller after the pause,
+        but not from this entry.
+        """
+        admitted = exchange.admitted
+        service, opaque = admitted.service, admitted.opaque
+        pause_s = self.fleet.shortest_back_off_s(service, opaque, exchange.tried, now_s)
+        service_s = (opaque.prompt_tokens or 0) / PREFILL_TOKENS_PER_S
+        in_time_s = exchange.started_s + admitted.route.target_s - now_s - service_s
+        if pause_s is not None and not exchange.head_forwarded and pause_s < in_time_s:
+            return WaitForServer()
+        back_off_s = self.fleet.shortest_back_off_s(
+            service, opaque, exchange.may_have_run, now_s
+        )
+        if back_off_s is None:
+            return None
+        text = f"all backend servers asked for a pause of {back_off_s:.2f} s or more"
+        refusal = make_refusal(RefusalReason.QUEUE_FULL, text, back_off_s)
+        return self._refuse(exchange, refusal, entries, now_s)
+
     def _is_loaded_in_time(
         self, exchange, deployment, is_loaded: bool, now_s: float
     ) -> bool:
--- a/chervilgw/forward/engine_codec.py
+++ b/chervilgw/forward/engine_codec.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from chervilgw.core.answers import ServerSignals
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.refusals import Refusal
 from chervilgw.placement.engine_orders import EngineState, Order, OrderReply
@@ -32,6 +33,10 @@
         """Return the engine's reply to an order."""
         ...
 
+    def decode_signals(self, status: int, headers: Headers) -> ServerSignals:
+        """Return what the engine says of itself beside an answer."""
+        ...
+
     def encode_refusal(self, refusal: Refusal) -> tuple[int, Headers, bytes]:
         """Return status, headers and body for a refused caller."""
         ...
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -26,6 +26,7 @@
 
     WAITING_FOR_TURN = "waiting_for_turn"
     WAITING_FOR_MODEL = "waiting_for_model"
+    WAITING_FOR_SERVER = "waiting_for_server"
     SENT = "sent"
     DISCARDING = "discarding"
     BUFFERING = "buffering"
--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -6,6 +6,7 @@
 
 from circuits import BaseComponent, handler
 
+from chervilgw.core.answers import ServerSignals
 from chervilgw.core.deployment import RegisteredServer, ServerId
 from chervilgw.forward.events import servers_updated
 from chervilgw.membership.fleet_view import make_fleet_view
@@ -53,6 +54,25 @@
     def _on_store_recovered(self):
         self.fleet.directory.on_store_recovered(time.monotonic())
 
+    def on_signals(
+        self, server: ServerId, started_ms: int, signals: ServerSignals, now_s: float
+    ):
+        """Apply what a server said of itself beside an answer."""
+        if signals.leaving:
+            self.on_leaving(server, started_ms, "answer", now_s)
+        if signals.retry_after_s is not None:
+            pause_s = self.fleet.back_offs.on_refused(
+                server, started_ms, signals.retry_after_s, now_s
+            )
+            log_event("server_pauses", server=server, pause_s=round(pause_s, 3))
+
+    def on_leaving(self, server: ServerId, started_ms: int, source: str, now_s: float):
+        """Apply a server's notice that it leaves, from an answer or another entry."""
+        if self.fleet.directory.on_leaving(server, started_ms, now_s):
+            log_event(
+                "server_leaving", server=server, started_ms=started_ms, source=source
+            )
+
     def publish_servers(self, now_s: float):
         """Send the list of present servers to the gossip and planner tasks."""
         servers = self.fleet.directory.present(now_s)
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -154,6 +154,8 @@
         now_s = time.monotonic()
         sender = report.sender
         self._quota.on_report(sender, report.granted, now_s, report.grants_complete)
+        for server, started_ms in report.leaving.items():
+            self.on_leaving(ServerId(server), started_ms, str(sender.vm), now_s)
         self._drain_policy.peers.on_report(sender.vm, report.accepts_requests, now_s)
         self.fleet.board.on_peer_report(
             sender.vm, report.running, report.unread_tokens, now_s
@@ -242,6 +244,8 @@
             case decisions.WaitForModel():
                 exchange.stage, exchange.server = Stage.WAITING_FOR_MODEL, None
                 self._demand_report_urgent = True
+            case decisions.WaitForServer():
+                exchange.stage, exchange.server = Stage.WAITING_FOR_SERVER, None
             case decisions.Refuse(refusal):
                 if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
                     self._demand_report_urgent = True
@@ -265,6 +269,12 @@
             return
         answer = self._codec.decode_answer(head.status, head.headers)
         exchange.on_head(answer, MAX_BUFFERED_BODY_BYTES)
+        self.on_signals(
+            exchange.server,
+            exchange.server_started_ms,
+            answer.signals,
+            time.monotonic(),
+        )
         if answer.head.from_server and not answer.not_run:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
         if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
@@ -448,7 +458,7 @@
                 self._time_out(exchange, now_s)
             elif exchange.stage is Stage.WAITING_FOR_TURN:
                 self.repeat_turn_request(exchange, now_s)
-            elif exchange.stage is Stage.WAITING_FOR_MODEL:
+            elif exchange.stage in (Stage.WAITING_FOR_MODEL, Stage.WAITING_FOR_SERVER):
                 self.attempt(exchange, now_s)
         self._ticks += 1
         if self._ticks % REPORT_INTERVAL_TICKS == 0:
@@ -462,6 +472,7 @@
         if self._ticks % CLEANUP_INTERVAL_TICKS == 0:
             self.fire(in_progress_counted(len(self._exchanges)), "metrics")
             self.fleet.directory.drop_gone(now_s)
+            self.fleet.back_offs.drop_past(now_s)
             self.dispatcher.retry_times.drop_past(now_s)
 
     def _time_out(self, exchange: Exchange, now_s: float):
@@ -480,6 +491,7 @@
             unread_tokens,
             self._quota.has_complete_window(now_s),
             self._deployment is not None and self._drain_policy.accepts_all(now_s),
+            self.fleet.directory.leaving(now_s),
         )
         self.fire(entry_report_due(report), "gossip")
         self.publish_servers(now_s)
--- a/chervilgw/forward/messages.py
+++ b/chervilgw/forward/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from chervilgw.core.answers import AnswerHead
+from chervilgw.core.answers import AnswerHead, ServerSignals
 from chervilgw.core.deployment import (
     CustomerRule,
     Deployment,
@@ -77,6 +77,7 @@
     the answer carries the server's signature, and ``encoded`` if its body has a content
     encoding, which no backend server uses. ``is_event_stream`` is true if the body is a
     series of events, ``framed`` if its end is marked by a length or a last chunk.
+    ``signals`` is what the server says of itself.
     """
 
     status: int
@@ -87,6 +88,7 @@
     length_bytes: int | None
     is_event_stream: bool = False
     framed: bool = True
+    signals: ServerSignals = ServerSignals()
 
     @property
     def head(self) -> AnswerHead:
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -11,7 +11,12 @@
 
 from circuits import BaseComponent, handler
 
-from chervilgw.core.deployment import Deployment, RegisteredServer, ServerId
+from chervilgw.core.deployment import (
+    Deployment,
+    RegisteredServer,
+    ServerId,
+    ServerState,
+)
 from chervilgw.core.ids import ModelName
 from chervilgw.core.messages import DemandReport, EngineReport, ModelLoadRequest
 from chervilgw.forward.events import agent_send
@@ -121,6 +126,8 @@
             engine = self._engines.get(server.server)
             if engine is None or server.service != service or engine.report.draining:
                 continue
+            if server.state is not ServerState.READY:
+                continue
             report = engine.report
             views.append(
                 EngineView(
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -58,6 +58,13 @@
             return
         if exchange.stage is not Stage.WAITING_FOR_TURN:
             return
+        if isinstance(answer, TurnGranted) and not self.fleet.accepts(
+            exchange.server, now_s
+        ):
+            # The engine gave notice or asked for a pause since the turn was requested.
+            self.leave_queue(exchange, now_s)
+            self.attempt(exchange, now_s)
+            return
         if isinstance(answer, TurnGranted):
             self.fleet.board.on_ended(exchange.server, exchange.unread_tokens)
             exchange.end_turn_wait(now_s)
@@ -71,7 +78,8 @@
     def repeat_turn_request(self, exchange: Exchange, now_s: float):
         """Repeat the request, as a datagram may be lost, or choose another engine."""
         server = self.fleet.directory.find(exchange.server)
-        if self.fleet.fresh_report(server, now_s) is None:
+        is_silent = self.fleet.fresh_report(server, now_s) is None
+        if is_silent or not self.fleet.accepts(exchange.server, now_s):
             self.leave_queue(exchange, now_s)
             self.attempt(exchange, now_s)
         else:
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -18,6 +18,9 @@
 # Servers that are gone are retained for this long, so that a late registration of the
 # same incarnation does not make a draining server ready again.
 GONE_RETENTION_S = 60.0
+# How long a server's notice is passed on to other entries. Within it the platform's
+# list names the server as draining.
+LEAVING_REPORT_S = 10.0
 
 
 @dataclass(slots=True)
@@ -28,12 +31,19 @@
     missing_after_outage: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Leaving:
+    started_ms: int
+    since_s: float
+
+
 class ServerDirectory:
     """Registered servers; see :func:`make_server_directory`."""
 
     def __init__(self):
         self._records: dict[ServerId, _ServerRecord] = {}
         self._newest_start_ms: dict[str, int] = {}
+        self._leaving: dict[ServerId, _Leaving] = {}
         self._store_lost = False
         self._store_recovered_s = float("-inf")
 
@@ -66,6 +76,9 @@
             Whether the server is new, or its state, address or models changed.
         """
         record = self._records.get(entry.server)
+        leaving = self._leaving.get(entry.server)
+        if leaving is not None and leaving.started_ms == entry.started_ms:
+            entry = replace(entry, state=ServerState.DRAINING)
         newest_ms = self._newest_start_ms.get(entry.address, entry.started_ms)
         self._newest_start_ms[entry.address] = max(newest_ms, entry.started_ms)
         if record is None:
@@ -136,14 +149,42 @@
         record.entry = replace(record.entry, state=ServerState.DRAINING)
         return True
 
+    def on_leaving(self, server: ServerId, started_ms: int, now_s: float) -> bool:
+        """Apply a server's own notice that it leaves; return whether that is new.
+
+        The notice may arrive before the entry of this incarnation, and binds also while
+        the store does not answer.
+        """
+        known = self._leaving.get(server)
+        if known is not None and known.started_ms >= started_ms:
+            return False
+        self._leaving[server] = _Leaving(started_ms, now_s)
+        self.on_draining_reported(server, started_ms)
+        return True
+
+    def leaving(self, now_s: float) -> dict[str, int]:
+        """Return the servers that gave notice lately, and their incarnations."""
+        return {
+            server: notice.started_ms
+            for server, notice in self._leaving.items()
+            if now_s - notice.since_s < LEAVING_REPORT_S
+        }
+
+    def is_usable(self, server: ServerId, now_s: float) -> bool:
+        """Return whether a server may get new requests."""
+        record = self._records.get(server)
+        return (
+            record is not None
+            and record.entry.state is ServerState.READY
+            and self._is_present(record, now_s)
+        )
+
     def usable(self, service: ServiceName, now_s: float) -> list[RegisteredServer]:
         """Return the servers of a service that may get new requests."""
         return [
             record.entry
-            for record in self._records.values()
-            if record.entry.service == service
-            and record.entry.state is ServerState.READY
-            and self._is_present(record, now_s)
+            for server, record in self._records.items()
+            if record.entry.service == service and self.is_usable(server, now_s)
         ]
 
     def find(self, server: ServerId) -> RegisteredServer | None:
@@ -175,6 +216,11 @@
 
     def drop_gone(self, now_s: float) -> None:
         """Drop servers that have been gone for :data:`GONE_RETENTION_S`."""
+        for server, notice in list(self._leaving.items()):
+            if server not in self._records and (
+                now_s - notice.since_s > GONE_RETENTION_S
+            ):
+                del self._leaving[server]
         for server, record in list(self._records.items()):
             since_s = record.missing_since_s
             if since_s is not None and now_s - since_s > GONE_RETENTION_S:
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -17,6 +17,7 @@
 from chervilgw.core.ids import Digest, ModelName, ServiceName, VmId
 from chervilgw.core.messages import EngineReport
 from chervilgw.membership.directory import ServerDirectory, make_server_directory
+from chervilgw.routing.back_off import BackOffs, make_back_offs
 from chervilgw.routing.board import LoadBoard, make_load_board
 from chervilgw.routing.dispatch import Candidate
 from chervilgw.routing.prefixes import make_prefix_index
@@ -51,6 +52,7 @@
     def __init__(self):
         self.directory: ServerDirectory = make_server_directory()
         self.board: LoadBoard = make_load_board()
+        self.back_offs: BackOffs = make_back_offs()
         self._reports: dict[ServerId, _ReceivedReport] = {}
         self._prefixes = make_prefix_index()
         self._loading_since: dict[tuple[ServerId, ModelName], float] = {}
@@ -132,11 +134,49 @@
             for server in self.directory.usable(service, now_s)
             if server.server not in excluded
             and not self.board.is_ejected(server.server, now_s)
+            and not self._back_off_s(server, now_s)
             and self.board.local_running(server.server) < local_limit
         ]
         cached = self._cached_tokens(servers, request, now_s)
         return [self._candidate(server, request, cached, now_s) for server in servers]
 
+    def _back_off_s(self, server: RegisteredServer, now_s: float) -> float:
+        return self.back_offs.remaining_s(server.server, server.started_ms, now_s)
+
+    def accepts(self, server: ServerId, now_s: float) -> bool:
+        """Return whether a server that was chosen earlier may still get a request."""
+        registered = self.directory.find(server)
+        return self.directory.is_usable(server, now_s) and not self._back_off_s(
+            registered, now_s
+        )
+
+    def shortest_back_off_s(
+        self,
+        service: ServiceName,
+        request: OpaqueRequest,
+        excluded: Container[ServerId],
+        now_s: float,
+    ) -> float | None:
+        """Return when the first server that asked for a pause may get the request.
+
+        None is returned if no server that holds its model asked for a pause.
+        """
+        return min(
+            (
+                back_off_s
+                for server in self.directory.usable(service, now_s)
+                if server.server not in excluded
+                and (back_off_s := self._back_off_s(server, now_s)) > 0
+                and self._holds_model(server, request, now_s)
+            ),
+            default=None,
+        )
+
+    def _holds_model(self, server, request: OpaqueRequest, now_s: float) -> bool:
+        return request.model is None or request.model in self.loaded_models(
+            server, now_s
+        )
+
     def _candidate(self, server, request, cached, now_s) -> Candidate:
         name, board = server.server, self.board
         models = self.loaded_models(server, now_s) if request.model else {}
--- a/chervilgw/platform/engines.py
+++ b/chervilgw/platform/engines.py
@@ -24,7 +24,7 @@
     TimeMs,
     parse_record,
 )
-from chervilgw.platform.requests import encode_refusal
+from chervilgw.platform.requests import decode_signals, encode_refusal
 from chervilgw.platform.servers import LoadedModel, adapters_by_model, to_seconds
 from chervilgw.runtime.events import Headers
 
@@ -134,3 +134,4 @@
     order_headers = staticmethod(order_headers)
     decode_reply = staticmethod(decode_reply)
     encode_refusal = staticmethod(encode_refusal)
+    decode_signals = staticmethod(decode_signals)
--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -11,9 +11,10 @@
 import math
 import re
 from collections.abc import Iterable
+from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 
-from chervilgw.core.answers import NOT_RUN_STATUSES
+from chervilgw.core.answers import NOT_RUN_STATUSES, ServerSignals
 from chervilgw.core.deployment import AttemptId, OpaqueRequest, PromptPartId
 from chervilgw.core.ids import ModelName
 from chervilgw.core.refusals import Refusal
@@ -31,6 +32,7 @@
 _LAST_EVENT_HEADER = "last-event-id"
 _SEAL_HEADER = "x-server-seal"
 _NOT_RUN_HEADER = "x-not-executed"
+_LEAVING_HEADER = "server-leaving"
 _EVENT_STREAM_TYPE = "text/event-stream"
 
 # Headers that concern one connection only; the framing is written anew.
@@ -88,6 +90,7 @@
 # and sent to the others, so that none may be huge or negative.
 MAX_TOKENS = 100_000_000
 _COUNT = re.compile(r"[0-9]{1,12}")
+_DECIMAL = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
 
 
 def decode_request(http: HttpRequest) -> OpaqueRequest:
@@ -205,9 +208,41 @@
         .lower()
         .startswith(_EVENT_STREAM_TYPE),
         framed=length is not None or "transfer-encoding" in headers,
+        signals=decode_signals(status, pairs),
     )
 
 
+def decode_signals(status: int, pairs: Headers) -> ServerSignals:
+    """Decode what a server says of itself beside an answer.
+
+    A time to retry counts only with 503. One that is negative, no number or a date
+    without the date of the answer is ignored.
+    """
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        # Another server answered, at the address of the one that was asked.
+        return ServerSignals()
+    headers = {name.lower(): value for name, value in pairs}
+    retry_after_s = None
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        retry_after_s = _decode_retry_after_s(
+            headers.get("retry-after"), headers.get("date")
+        )
+    return ServerSignals(headers.get(_LEAVING_HEADER) == "1", retry_after_s)
+
+
+def _decode_retry_after_s(text: str | None, answered_at: str | None) -> float | None:
+    if text is None:
+        return None
+    text = text.strip()
+    if _DECIMAL.fullmatch(text):
+        return float(text)
+    try:
+        until = parsedate_to_datetime(text)
+        return max(0.0, (until - parsedate_to_datetime(answered_at)).total_seconds())
+    except (ValueError, TypeError, OverflowError):
+        return None
+
+
 def encode_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
     """Return status, headers and body of a refusal.
 
--- a/chervilgw/platform/tests/test_requests.py
+++ b/chervilgw/platform/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chervilgw.core.answers import ServerSignals
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.forward.messages import ServerRequest
@@ -127,3 +128,39 @@
     status, headers, _ = encode_refusal(refusal)
     assert status == 429
     assert dict(headers)["Retry-After"] == "1.25"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "retry_after_s"),
+    [
+        (503, {"Retry-After": "3"}, 3.0),
+        (503, {"Retry-After": "0.25"}, 0.25),
+        (503, {"Retry-After": " 2 "}, 2.0),
+        (503, {}, None),
+        (503, {"Retry-After": "-1"}, None),
+        (503, {"Retry-After": "nan"}, None),
+        (503, {"Retry-After": "1e9"}, None),
+        (503, {"Retry-After": "soon"}, None),
+        (503, {"Retry-After": "9" * 18}, 999999999999999999.0),
+        (503, {"Retry-After": "Sat, 05 Dec 2026 04:00:07 GMT"}, None),
+        (
+            503,
+            {
+                "Retry-After": "Sat, 05 Dec 2026 04:00:07 GMT",
+                "Date": "Sat, 05 Dec 2026 04:00:03 GMT",
+            },
+            4.0,
+        ),
+        (429, {"Retry-After": "3"}, None),
+        (421, {"Retry-After": "3", "Server-Leaving": "1"}, None),
+    ],
+)
+def test_time_to_retry_of_a_server(status, headers, retry_after_s):
+    """Guards against a pause that a malformed or foreign answer asks for."""
+    answer = decode_answer(status, tuple(headers.items()))
+    assert answer.signals == ServerSignals(False, retry_after_s)
+
+
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_notice_of_a_server_counts_in_each_of_its_answers(status):
+    assert decode_answer(status, (("Server-Leaving", "1"),)).signals.leaving
--- a/fleet/deployed.py
+++ b/fleet/deployed.py
@@ -15,6 +15,7 @@
 
 import httpx
 
+from fleet.process import free_port
 from standins.opaque_platform import ServerStandIn, StoreStandIn
 
 START_S = 20.0
@@ -104,13 +105,6 @@
 }
 
 
-def free_port(ip: str, kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that the kernel considers free."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
-
-
 @dataclass
 class Program:
     """One process of the system, started as the platform starts it."""
--- a/fleet/process.py
+++ b/fleet/process.py
@@ -11,12 +11,16 @@
 import sys
 import time
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 
 from fleet.interrupts import interrupts_held
 
 READY_S = 20.0
 STOP_S = 30.0
+_PORTS = range(20_000, 32_000)
+_PORTS_PER_PROCESS = 149
+_port_numbers = count()
 
 
 class StartFailed(Exception):
@@ -142,8 +146,20 @@
     return [sys.executable, "-m", module, *flags]
 
 
-def free_port() -> int:
-    """Return a loopback port that no process listens on at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(ip: str = "127.0.0.1", kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that is free now and that the kernel assigns to nobody else.
+
+    The ports lie below the range from which the kernel takes those of outgoing
+    connections. Each process begins at another one, so that test workers beside each
+    other do not choose the same port before it is bound.
+    """
+    for _ in range(len(_PORTS)):
+        number = os.getpid() * _PORTS_PER_PROCESS + next(_port_numbers)
+        port = _PORTS[number % len(_PORTS)]
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        return port
+    raise OSError(f"no free port at {ip}")
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -198,7 +198,7 @@
     each answer until it is set. ``refuse`` answers that nothing has run.
     ``stale_answer`` is written before each answer on a kept connection, as if it were
     the answer to an earlier request. ``on_resume`` says how a request that resumes a
-    stream is answered.
+    stream is answered. ``signals`` are headers that all answers bear.
     """
 
     name: str = "i-1"
@@ -208,6 +208,7 @@
     endless: bool = False
     sealed: bool = True
     refuse: bool = False
+    signals: dict[str, str] = field(default_factory=dict)
     stale_answer: bytes = b""
     on_resume: OnResume = OnResume.CONTINUE
     work_s: float = 0.0
@@ -215,6 +216,7 @@
     hold: threading.Event = field(default_factory=threading.Event)
     runs: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    refused_s: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.born = next(_BORN)
@@ -261,7 +263,7 @@
             "kv_total": 1000,
             "born": self.born,
         }
-        handler.reply(200, json.dumps(report).encode())
+        handler.reply(200, json.dumps(report).encode(), self.signals)
 
     def _order(self, handler: _Handler, order: dict[str, Any]):
         if handler.headers.get("X-Expect-Instance") != self.name:
@@ -282,7 +284,9 @@
         headers = {name.lower(): value for name, value in handler.headers.items()}
         wrong = headers.get("x-expect-instance", self.name) != self.name
         if wrong or self.refuse:
-            handler.reply(421 if wrong else 503, b"", {"X-Not-Executed": "1"})
+            self.refused_s.append(time.monotonic())
+            refusal = {"X-Not-Executed": "1"} | self.signals
+            handler.reply(421 if wrong else 503, b"", refusal)
             return
         run = {"method": method, "path": path, "headers": headers, "body": body}
         self.runs.append(run)
@@ -301,6 +305,7 @@
         }
         if not self.sealed:
             seal = {}
+        seal |= self.signals
         if self.endless:
             self._pour(handler, seal)
         elif "last-event-id" in headers and self.on_resume in _RESUME_ERRORS:
