Bound the documents of the log, the VM list and engines in the OpenAI front

Cause: as in the platform's records, RecursionError and OverflowError were not caught, a record that is no object made its whole page malformed, so that the log was never followed beyond it, and one odd VM hid all others.

VMs are parsed one by one, and malformed ones logged when they change. Token counts of an engine's events have a bound.

--- a/chervilgw/clients/engine.py
+++ b/chervilgw/clients/engine.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from chervilgw.clients.errors import PlatformError
+from chervilgw.codec.documents import load_document, to_integer
 from chervilgw.core.ids import ModelName
 from chervilgw.core.states import CopyState
 from chervilgw.placement.orders import (
@@ -132,30 +133,30 @@
         text = f"the engine answered with status {answer.status}"
         return Failure(PlatformError(text, may_have_run=False))
     try:
-        body = json.loads(answer.body)
+        body = load_document(answer.body)
         resident, orders = body["resident"], body.get("orders", {})
         copies = tuple(
             EngineCopy(
                 ModelName(item["name"]),
                 str(item["version"]),
-                int(item["size_bytes"]),
+                to_integer(item["size_bytes"]),
                 CopyState(item["state"]),
                 str(item["order_id"]),
             )
             for item in resident
         )
         adapters = {item["name"] for item in resident if item["kind"] == "adapter"}
-        report = EngineReport(copies, int(body.get("highest_fencing") or 0))
+        report = EngineReport(copies, to_integer(body.get("highest_fencing") or 0))
         return Success(
             EngineState(
-                int(body["capacity_bytes"]),
+                to_integer(body["capacity_bytes"]),
                 report,
                 frozenset(adapters),
                 {name: OrderProgress(p) for name, p in orders.items()},
-                int(body.get("crashes", 0)),
+                to_integer(body.get("crashes", 0)),
             )
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         text = f"malformed answer of the engine: {error}"
         return Failure(PlatformError(text, may_have_run=False))
 
--- a/chervilgw/clients/log.py
+++ b/chervilgw/clients/log.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from chervilgw.clients.errors import PlatformError, RecordsExpired
+from chervilgw.codec.documents import load_document, to_integer
 from chervilgw.runtime.events import CallDone, CallFailed, HttpCall
 
 READ_LIMIT_RECORDS = 1000
@@ -135,20 +136,26 @@
     <Success: LogPage(oldest_offset=0, next_offset=0, records=())>
     """
     try:
-        body = json.loads(answer.body)
+        body = load_document(answer.body)
         if answer.status == 410:
-            return Failure(RecordsExpired(int(body["oldest"])))
+            return Failure(RecordsExpired(to_integer(body["oldest"])))
         if answer.status != 200:
             return Failure(_status_error(answer, may_have_run=False))
         records = tuple(
-            (int(offset), int(time_ms), dict(record))
+            (to_integer(offset), to_integer(time_ms), _to_record(record))
             for offset, time_ms, record in body["records"]
         )
-        return Success(LogPage(int(body["oldest"]), int(body["next"]), records))
+        oldest, following = to_integer(body["oldest"]), to_integer(body["next"])
+        return Success(LogPage(oldest, following, records))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(PlatformError(f"malformed answer of the log: {error}", False))
 
 
+def _to_record(record: Any) -> dict[str, Any]:
+    """Return a record; one that is no object is empty, which each fold rejects."""
+    return record if isinstance(record, dict) else {}
+
+
 def parse_append(answer: CallDone) -> Result[tuple[int, int], PlatformError]:
     """Parse the answer to an append.
 
@@ -172,8 +179,8 @@
         not_appended = answer.status in (400, 413, 429, 503)
         return Failure(_status_error(answer, may_have_run=not not_appended))
     try:
-        body = json.loads(answer.body)
-        return Success((int(body["first"]), int(body["next"])))
+        body = load_document(answer.body)
+        return Success((to_integer(body["first"]), to_integer(body["next"])))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(PlatformError(f"malformed answer of the log: {error}", True))
 
--- a/chervilgw/codec/openai_answers.py
+++ b/chervilgw/codec/openai_answers.py
@@ -14,6 +14,9 @@
 from chervilgw.core.refusals import Refusal
 from chervilgw.core.states import RefusalReason, RunState
 
+# An engine that reports more counts wrongly; larger numbers fit into no frame.
+MAX_TOKEN_COUNT = 2**53
+
 _INVALID = "invalid_request_error"
 _AUTHENTICATION = "authentication_error"
 _SERVER = "server_error"
@@ -347,6 +350,10 @@
     if type(event.text) is not str or type(event.finish_reason) is not str:
         raise sse.SseError("engine event has a field of the wrong type")
     counts = (event.prompt_tokens, event.completion_tokens)
-    if any(type(count) not in (int, type(None)) for count in counts):
+    if not all(count is None or _is_token_count(count) for count in counts):
         raise sse.SseError("engine event has an invalid token count")
     return event
+
+
+def _is_token_count(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_TOKEN_COUNT
--- a/chervilgw/membership/task.py
+++ b/chervilgw/membership/task.py
@@ -18,6 +18,7 @@
 from chervilgw.runtime.control_events import fleet_changed, peer_heartbeat
 from chervilgw.runtime.events import http_call, peer_dial, peer_send, peer_undial
 from chervilgw.runtime.links import Peer
+from chervilgw.telemetry import log_event
 
 HEARTBEAT_INTERVAL_S = 0.5
 LIST_READ_INTERVAL_S = 1.0
@@ -62,6 +63,7 @@
         self._sequences = count(1)
         self._list_call = ""
         self._list_read = False
+        self._malformed_vms: tuple[str, ...] = ()
         self._next_list_s = self._next_heartbeat_s = 0.0
         self._config = (NO_OFFSET, float("-inf"))
         self._ledger_offset = NO_OFFSET
@@ -158,7 +160,20 @@
         result = parse_list(answer)
         if is_successful(result):
             self._list_read = True
-            self._view.on_list(result.unwrap(), time.monotonic())
+            listing = result.unwrap()
+            self._log_malformed(listing.malformed)
+            self._view.on_list(listing.vms, time.monotonic())
+
+    def _log_malformed(self, malformed: tuple[str, ...]):
+        """Log the malformed entries of the list when they change."""
+        if malformed != self._malformed_vms:
+            self._malformed_vms = malformed
+            log_event(
+                "vm_entries_ignored",
+                level="warning",
+                count=len(malformed),
+                detail="; ".join(malformed[:5]),
+            )
 
     @handler("call_failed")
     def _on_call_failed(self, failed):
