Measure the speed at which engines read prompts

Cause: the planner, the choice of a server and the turns assumed 20,000 prompt tokens a second, the speed of the first two deployments.

Change: the agent fits a line through the reading times of prompts that were read alone; the slope is the engine's speed, sent with its reports.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -73,7 +73,8 @@
     ``loading`` which model it loads or is to load. ``local_models`` lists models whose
     weights are in the VM's memory or on its disk, where a load is short and does not
     count as a load from the weight store. ``responding`` is False if the engine does
-    not answer its agent.
+    not answer its agent. ``prefill_tokens_per_s`` is the measured speed at which the
+    engine reads prompts, 0 if the agent does not measure it.
     """
 
     server: str
@@ -88,6 +89,7 @@
     used_tokens: int
     local_models: tuple[str, ...] = ()
     responding: bool = True
+    prefill_tokens_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -313,6 +313,7 @@
             state.running,
             state.used_tokens,
             tuple(sorted(state.local_models)),
+            prefill_tokens_per_s=round(self.turns.speed.tokens_per_s),
         )
         self.fire(datagram_send(report, addresses), "datagrams")
 
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -16,7 +16,6 @@
 from chervilgw.forward.messages import ServerRequest
 from chervilgw.membership.fleet_view import PLANNING_DELAY_S, FleetView, LoadEstimate
 from chervilgw.routing.dispatch import (
-    PREFILL_TOKENS_PER_S,
     DispatchRequest,
     ServerChoice,
     choose_server,
@@ -24,6 +23,7 @@
 )
 from chervilgw.routing.return_times import RetryTimes, make_retry_times
 from chervilgw.runtime.events import HttpCall
+from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 
 # Fraction of the caller's wait that may go to loading the model; the rest is for the
 # queue and the prompt.
@@ -163,7 +163,7 @@
         admitted = exchange.admitted
         service, opaque = admitted.service, admitted.opaque
         pause_s = self.fleet.shortest_back_off_s(service, opaque, exchange.tried, now_s)
-        service_s = (opaque.prompt_tokens or 0) / PREFILL_TOKENS_PER_S
+        service_s = (opaque.prompt_tokens or 0) / DEFAULT_TOKENS_PER_S
         in_time_s = exchange.started_s + admitted.route.target_s - now_s - service_s
         if pause_s is not None and not exchange.head_forwarded and pause_s < in_time_s:
             return WaitForServer()
@@ -224,7 +224,7 @@
         opaque = exchange.admitted.opaque
         if opaque.model is None or refusal.retry_after_s is None:
             return refusal
-        gap_s = entries * (opaque.prompt_tokens or 0) / PREFILL_TOKENS_PER_S
+        gap_s = entries * (opaque.prompt_tokens or 0) / DEFAULT_TOKENS_PER_S
         remaining_s = exchange.deadline_s - now_s
         retry_after_s = self.retry_times.retry_after_s(
             opaque.model, refusal.retry_after_s, gap_s, remaining_s, now_s
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -22,6 +22,7 @@
 from chervilgw.forward.events import agent_send
 from chervilgw.placement.demand_rate import make_fleet_demand
 from chervilgw.placement.planner import EngineView, make_planner
+from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 from chervilgw.telemetry import log_event
 
 # An entry that has missed two reports does not plan, and its demand is dropped.
@@ -138,6 +139,7 @@
                     report.busy,
                     frozenset(report.local_models),
                     report.running,
+                    report.prefill_tokens_per_s or DEFAULT_TOKENS_PER_S,
                 )
             )
         return views
--- a/chervilgw/forward/turn_granter.py
+++ b/chervilgw/forward/turn_granter.py
@@ -12,7 +12,7 @@
 from chervilgw.placement.engine_orders import make_engine_orders
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.scheduling.fair_queue import QueuedItem
-from chervilgw.scheduling.turns import GrantedTurn, Turn, first_event_s, make_turn_queue
+from chervilgw.scheduling.turns import GrantedTurn, Turn, make_turn_queue
 
 # From the end of a request's wait to the refusal at its caller: a tick of 0.1 s and the
 # way through the entry. A caller that has given up by then does not retry.
@@ -63,9 +63,11 @@
             request.urgency,
             now_s
             + request.max_wait_s
-            - first_event_s(request.tokens)
+            - self.turns.first_event_s(request.tokens)
             - REFUSAL_DELAY_S,
-            now_s + request.target_remaining_s - first_event_s(request.tokens),
+            now_s
+            + request.target_remaining_s
+            - self.turns.first_event_s(request.tokens),
         )
         refusal = self.turns.request(Turn(item, request.address), now_s)
         if refusal is not None:
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -21,6 +21,7 @@
 from chervilgw.routing.board import LoadBoard, make_load_board
 from chervilgw.routing.dispatch import Candidate
 from chervilgw.routing.prefixes import make_prefix_index
+from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 
 # An older report is ignored. Agents send at least one report per second.
 MAX_REPORT_AGE_S = 3.0
@@ -193,6 +194,7 @@
             report is not None and report.busy,
             report is not None
             and now_s - self._reports[name].received_s > REPORT_OVERDUE_S,
+            (report.prefill_tokens_per_s if report else 0.0) or DEFAULT_TOKENS_PER_S,
         )
 
     def _cached_tokens(
--- a/chervilgw/placement/engine_load.py
+++ b/chervilgw/placement/engine_load.py
@@ -13,10 +13,14 @@
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import ModelName
 from chervilgw.placement.demand_rate import Demand
+from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 
-# Requests in progress that one engine serves within the target: at about 6 requests per
-# second that last 1.7 s each, it reads prompts for less than half of the time.
+# Requests in progress that an engine of the default speed serves within the target: at
+# about 6 requests per second that last 1.7 s each, it reads prompts for less than half
+# of the time.
 MAX_RUNNING_PER_ENGINE = 10.0
+# Fraction of an engine's slots that a plan uses; the rest covers uneven arrivals.
+PLANNED_SLOT_FRACTION = 0.7
 # Duration of a request on an engine that is not overloaded; the work of refused and
 # unserved requests is estimated with it.
 TYPICAL_REQUEST_S = 1.6
@@ -32,6 +36,11 @@
     _held: dict[ServerId, set[ModelName]]
     _holders: defaultdict[ModelName, set[ServerId]]
     _demand: Mapping[ModelName, Demand]
+    _capacity: Mapping[ServerId, float]
+
+    def capacity(self, server: ServerId) -> float:
+        """Return the requests in progress that an engine serves within the target."""
+        return self._capacity.get(server, MAX_RUNNING_PER_ENGINE)
 
     def copies(self, model: ModelName) -> int:
         """Return how many engines hold a model."""
@@ -55,7 +64,7 @@
 
     def headroom(self, server: ServerId, without: Iterable[ModelName] = ()) -> float:
         """Return the work that an engine can take beside the models that it keeps."""
-        return max(0.0, MAX_RUNNING_PER_ENGINE - self.engine_work(server, without))
+        return max(0.0, self.capacity(server) - self.engine_work(server, without))
 
     def unmet_demand(self, model: ModelName) -> float:
         """Return the work of a model that its engines do not serve in time.
@@ -66,16 +75,18 @@
             return self.work(model)
         work_per_copy, total = self._work_per_copy(model), 0.0
         for server in self._holders[model]:
-            engine_work = self.engine_work(server)
-            if engine_work > MAX_RUNNING_PER_ENGINE:
-                excess = engine_work - MAX_RUNNING_PER_ENGINE
+            engine_work, capacity = self.engine_work(server), self.capacity(server)
+            if engine_work > capacity:
+                excess = engine_work - capacity
                 total += excess * work_per_copy / engine_work
         return total
 
     def displaced_work(self, model: ModelName) -> float:
         """Return the work that the remaining copies cannot take if one is unloaded."""
-        served = MAX_RUNNING_PER_ENGINE * (self.copies(model) - 1)
-        return max(0.0, self.work(model) - served)
+        holders = self._holders.get(model, ())
+        # The copy on the engine with the largest capacity counts as the unloaded one.
+        capacities = sorted(map(self.capacity, holders))
+        return max(0.0, self.work(model) - sum(capacities[:-1]))
 
     def apply_move(
         self, server: ServerId, model: ModelName, unload: Iterable[ModelName]
@@ -89,8 +100,26 @@
         self._holders[model].add(server)
 
 
+def engine_capacity(prefill_tokens_per_s: float, slots: int) -> float:
+    """Return the requests in progress that an engine serves within the target.
+
+    Examples
+    --------
+    >>> engine_capacity(20_000.0, slots=64), engine_capacity(40_000.0, slots=64)
+    (10.0, 20.0)
+    >>> engine_capacity(40_000.0, slots=20)
+    14.0
+    """
+    by_speed = MAX_RUNNING_PER_ENGINE * prefill_tokens_per_s / DEFAULT_TOKENS_PER_S
+    # An engine with few slots keeps the capacity of the default speed.
+    by_slots = max(MAX_RUNNING_PER_ENGINE, PLANNED_SLOT_FRACTION * slots)
+    return min(by_speed, by_slots)
+
+
 def make_engine_load(
-    held: Mapping[ServerId, Iterable[ModelName]], demand: Mapping[ModelName, Demand]
+    held: Mapping[ServerId, Iterable[ModelName]],
+    demand: Mapping[ModelName, Demand],
+    capacity: Mapping[ServerId, float] | None = None,
 ) -> EngineLoad:
     """Return the work of engines that hold these models.
 
@@ -100,6 +129,9 @@
         What each engine holds and loads.
     demand : mapping of ModelName to Demand
         Demand of all entries together.
+    capacity : mapping of ServerId to float, optional
+        Requests in progress that each engine serves within the target; by default
+        :data:`MAX_RUNNING_PER_ENGINE`.
 
     Examples
     --------
@@ -117,4 +149,4 @@
     for server, models in sets.items():
         for model in models:
             holders[model].add(server)
-    return EngineLoad(sets, holders, demand)
+    return EngineLoad(sets, holders, demand, capacity or {})
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -14,7 +14,12 @@
 from chervilgw.core.deployment import EngineSpec, ServerId
 from chervilgw.core.ids import ModelName, ZoneId
 from chervilgw.placement.demand_rate import Demand
-from chervilgw.placement.engine_load import EngineLoad, make_engine_load
+from chervilgw.placement.engine_load import (
+    EngineLoad,
+    engine_capacity,
+    make_engine_load,
+)
+from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 
 # A load from the weight store takes 4 to 8 s, blocks the engine's adapter loads
 # meanwhile and evicts other weights from the VM, so it needs three requests in ten
@@ -68,6 +73,7 @@
 
     ``local_models`` holds models whose weights are on the engine's VM; ``loading`` is
     the model that it loads or is about to load, or an empty string.
+    ``prefill_tokens_per_s`` is the speed at which it reads prompts.
     """
 
     server: ServerId
@@ -77,6 +83,7 @@
     busy: bool
     local_models: frozenset[str]
     running: int
+    prefill_tokens_per_s: float = DEFAULT_TOKENS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +131,11 @@
         if self._started_s is None:
             self._started_s = now_s
         self._observe(engines, now_s)
-        load = make_engine_load(self._expected_models(engines), demand)
+        capacity = {
+            engine.server: engine_capacity(engine.prefill_tokens_per_s, spec.slots)
+            for engine in engines
+        }
+        load = make_engine_load(self._expected_models(engines), demand, capacity)
         free = [engine for engine in engines if self._is_free(engine)]
         self._record_shortages(demand, load, now_s)
         moves = []
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -11,9 +11,8 @@
 from chervilgw.core.ids import ModelName, ZoneId
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason
+from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 
-# Prefill speed of an engine; the deployments' sheets say 19,000 to 22,000.
-PREFILL_TOKENS_PER_S = 20_000.0
 # Added wait per running request: its tokens are decoded between chunks of a prefill.
 RUNNING_REQUEST_COST_S = 0.004
 # Traffic between zones is charged, so a server in the same zone is chosen unless it is
@@ -43,7 +42,8 @@
     ``failure_fraction`` is the fraction of recent requests that failed.
     ``cached_tokens`` is the part of the prompt that the server probably has cached.
     ``is_busy`` means that it carries out an order and loads no adapter meanwhile,
-    ``is_silent`` that its agent has missed a report.
+    ``is_silent`` that its agent has missed a report. ``prefill_tokens_per_s`` is the
+    speed at which it reads prompts.
     """
 
     server: RegisteredServer
@@ -55,6 +55,7 @@
     cached_tokens: int = 0
     is_busy: bool = False
     is_silent: bool = False
+    prefill_tokens_per_s: float = DEFAULT_TOKENS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +107,7 @@
         return _refuse(RefusalReason.MODEL_NOT_LOADED, text, None)
     best = min(holders, key=lambda candidate: _engine_cost_s(request, candidate))
     wait_s = (
-        best.unread_tokens / PREFILL_TOKENS_PER_S
+        best.unread_tokens / best.prefill_tokens_per_s
         + RUNNING_REQUEST_COST_S * best.running
     )
     if wait_s > request.first_token_limit_s:
@@ -132,8 +133,9 @@
     holders : sequence of Candidate
         Engines that hold the model and refused the request.
     """
-    wait_s = (
-        min(candidate.unread_tokens for candidate in holders) / PREFILL_TOKENS_PER_S
+    wait_s = min(
+        candidate.unread_tokens / candidate.prefill_tokens_per_s
+        for candidate in holders
     )
     text = f"no engine that holds {request.model} can grant a turn in time"
     retry_s = max(wait_s, request.first_token_limit_s)
@@ -161,7 +163,8 @@
 
 def _engine_cost_s(request: DispatchRequest, candidate: Candidate) -> float:
     unread = candidate.unread_tokens + request.prompt_tokens - candidate.cached_tokens
-    cost_s = unread / PREFILL_TOKENS_PER_S + RUNNING_REQUEST_COST_S * candidate.running
+    cost_s = unread / candidate.prefill_tokens_per_s
+    cost_s += RUNNING_REQUEST_COST_S * candidate.running
     if not candidate.has_adapter:
         cost_s += ADAPTER_WAIT_COST_S if candidate.is_busy else ADAPTER_COST_S
     if candidate.is_silent:
--- a/chervilgw/scheduling/turns.py
+++ b/chervilgw/scheduling/turns.py
@@ -16,17 +16,21 @@
 from chervilgw.core.ids import RequestId
 from chervilgw.core.refusals import Refusal
 from chervilgw.core.states import RefusalReason
-from chervilgw.routing.dispatch import PREFILL_TOKENS_PER_S
 from chervilgw.scheduling.fair_queue import (
     FairQueue,
     QueuedItem,
     QueueLimits,
     make_fair_queue,
 )
+from chervilgw.scheduling.prefill_speed import (
+    PrefillSpeed,
+    first_event_s,
+    make_prefill_speed,
+)
 
-# Prompt tokens that may be read at once. An event holds three tokens, and above about
-# 2,000 prompt tokens the steps between them last longer than the 300 ms for which a
-# stream may pause.
+# Prompt tokens that an engine of the default speed may read at once. An event holds
+# three tokens, and above about 2,000 prompt tokens the steps between them last longer
+# than the 300 ms for which a stream may pause. A faster engine may read more.
 MAX_READING_TOKENS = 1_900
 # Fraction of the free tokens that smaller requests may take ahead of the blocked head
 # of the queue. Refused callers come back, so small requests that bypass it gain twice.
@@ -38,14 +42,6 @@
 TURN_TIMEOUT_S = 0.5
 # About five seconds of reading at one engine.
 MAX_QUEUED_TOKENS = 100_000
-# Time from a granted turn to the first event of an empty prompt: the network round trip
-# and the engine steps of the event.
-FIRST_EVENT_OVERHEAD_S = 0.04
-
-
-def first_event_s(tokens: int) -> float:
-    """Return the time from a granted turn to the first event of a prompt."""
-    return FIRST_EVENT_OVERHEAD_S + tokens / PREFILL_TOKENS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +76,15 @@
     """Turns at one engine; see :func:`make_turn_queue`."""
 
     _queue: FairQueue
+    speed: PrefillSpeed
     # In the order of arrival.
     _waiting: dict[RequestId, _Waiting] = field(default_factory=dict)
     _reading: dict[RequestId, tuple[Turn, float]] = field(default_factory=dict)
     # The head of the queue while it does not fit, and the tokens that may bypass it.
     _blocked_head: QueuedItem | None = None
     _bypass_tokens: float = 0.0
+    # The request that the engine has read alone since its turn, if any.
+    _read_alone: RequestId | None = None
 
     def request(self, turn: Turn, now_s: float) -> Refusal | None:
         """Add a request to the queue; return a refusal if it would not be in time.
@@ -174,7 +173,7 @@
         return not self._reading or item.tokens <= self._free_tokens()
 
     def _free_tokens(self) -> int:
-        return MAX_READING_TOKENS - self._reading_tokens()
+        return int(MAX_READING_TOKENS * self.speed.factor) - self._reading_tokens()
 
     def _reading_tokens(self) -> int:
         return sum(turn.item.tokens for turn, _ in self._reading.values())
@@ -182,7 +181,11 @@
     def _reading_end_s(self, now_s: float) -> float:
         """Return when the engine will have read the current prompts."""
         last_s = max(granted_s for _, granted_s in self._reading.values())
-        return max(now_s, last_s + first_event_s(self._reading_tokens()))
+        return max(now_s, last_s + self.first_event_s(self._reading_tokens()))
+
+    def first_event_s(self, tokens: int) -> float:
+        """Return the time from a granted turn to the first event of a prompt."""
+        return first_event_s(tokens, self.speed.tokens_per_s)
 
     def _grant(self, request_id: RequestId, now_s: float) -> GrantedTurn:
         for other_id, other in self._waiting.items():
@@ -190,6 +193,7 @@
                 break
             other.passed_by += 1
         waiting = self._waiting.pop(request_id)
+        self._read_alone = None if self._reading else request_id
         self._reading[request_id] = (waiting.turn, now_s)
         return GrantedTurn(waiting.turn, now_s - waiting.requested_s, waiting.passed_by)
 
@@ -197,7 +201,9 @@
         """Release the turn of a request that was read or withdrawn."""
         reading = self._reading.pop(request_id, None)
         if reading is not None:
-            item = reading[0].item
+            item, took_s = reading[0].item, now_s - reading[1]
+            if request_id == self._read_alone and took_s < TURN_TIMEOUT_S:
+                self.speed.on_read(item.tokens, took_s)
             self._queue.settle(item, item.tokens, now_s)
         elif self._waiting.pop(request_id, None) is not None:
             self._queue.remove(request_id)
@@ -244,4 +250,4 @@
         wait_factor=WAIT_FACTOR,
         service_factor=0.0,
     )
-    return TurnQueue(make_fair_queue(limits))
+    return TurnQueue(make_fair_queue(limits), make_prefill_speed())
