Exchange reports between availability zones through relays

Cause: at 27 entries and 59 engines each entry sent its report five times a second to 26 others, each agent to 27 entries, and each entry its demand to all others again after each refusal for lack of a model.

Change: membership/relays.py decides who gets what. Up to 12 entries nothing changes. In a larger fleet reports go round in a zone, two relays a zone pass them on in batches, an engine's reports reach one entry of each zone, and the demand goes to the planner and the next in line. Relays follow from the live members by rendezvous hashing.

--- a/chervilgw/codec/frames.py
+++ b/chervilgw/codec/frames.py
@@ -57,6 +57,7 @@
     messages.TurnRefused: 29,
     messages.TurnReleased: 30,
     messages.DemandReport: 31,
+    messages.EntryReportBatch: 32,
 }
 
 _LENGTH = struct.Struct(">I")
--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -21,7 +21,8 @@
     tokens of those that have not produced anything yet. ``address`` is where datagrams
     reach the sender. ``grants_complete`` is False while grants of the sender's previous
     process may be missing, ``accepts_requests`` while it starts or drains. ``leaving``
-    maps a server that gave notice lately to the start time of its incarnation.
+    maps a server that gave notice lately to the start time of its incarnation. ``zone``
+    is the sender's availability zone.
     """
 
     sender: Incarnation
@@ -32,6 +33,14 @@
     grants_complete: bool = True
     accepts_requests: bool = True
     leaving: dict[str, int] = field(default_factory=dict)
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryReportBatch:
+    """Reports of the entries of one availability zone, from one of its relays."""
+
+    reports: tuple[EntryReport, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -13,6 +13,7 @@
     DemandReport,
     EngineReport,
     EntryReport,
+    EntryReportBatch,
     ModelLoadRequest,
     ReportSubscription,
     TurnGranted,
@@ -373,6 +374,7 @@
     | CrashReport
     | DrainNotice
     | EntryReport
+    | EntryReportBatch
     | DemandReport
     | ReportSubscription
     | EngineReport
--- a/chervilgw/forward/entry_app.py
+++ b/chervilgw/forward/entry_app.py
@@ -65,6 +65,9 @@
     gateway = GatewayOptions(
         incarnation, ZoneId(settings.zone), settings.bounds, settings.first_start
     )
+    gossip = GossipOptions(
+        incarnation, address, ZoneId(settings.zone), agent_port(settings)
+    )
     return make_app(
         make_clock(),
         *platform_tasks,
@@ -73,7 +76,7 @@
             "server-client", MAX_KEPT_CONNECTIONS, SERVER_SILENCE_TIMEOUT_S
         ),
         make_datagrams(settings.ip, port, "gossip"),
-        make_gossip(GossipOptions(incarnation, address, agent_port(settings))),
+        make_gossip(gossip),
         make_gateway(gateway, codec),
         make_planner_task(address),
         make_opaque_server(front),
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -1,7 +1,8 @@
 """Gossip task of an entry: datagrams to the other entries and to the engines' agents.
 
 An entry reads its peers from the store once, at its start. Each report carries the
-address of its sender, so that entries that started earlier discover it.
+address of its sender, so that entries that started earlier discover it. Which peer gets
+which message follows from :mod:`chervilgw.membership.relays`.
 """
 
 from __future__ import annotations
@@ -12,12 +13,13 @@
 from circuits import BaseComponent, handler
 
 from chervilgw.core.deployment import RegisteredServer, ServerId
-from chervilgw.core.ids import Incarnation
+from chervilgw.core.ids import Incarnation, ZoneId
 from chervilgw.core.messages import (
     CrashReport,
     DemandReport,
     EngineReport,
     EntryReport,
+    EntryReportBatch,
     ReportSubscription,
     TurnGranted,
     TurnRefused,
@@ -31,24 +33,24 @@
     entry_reported,
     turn_answered,
 )
+from chervilgw.membership.relays import PEER_SILENCE_TIMEOUT_S, make_relay_table
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.telemetry import log_event
 
-# A silent peer gets no more reports; a restarted process announces itself.
-PEER_SILENCE_TIMEOUT_S = 30.0
 # After each subscription, agents send reports for three times this long.
 SUBSCRIPTION_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class GossipOptions:
-    """Identity and datagram address of the entry, and the port of the agents.
+    """Identity, datagram address and zone of the entry, and the port of the agents.
 
     ``agent_port`` is the same on all VMs.
     """
 
     incarnation: Incarnation
     address: str
+    zone: ZoneId
     agent_port: int
 
 
@@ -58,10 +60,13 @@
     def __init__(self, options: GossipOptions, channel):
         super().__init__(channel=channel)
         self._options = options
-        self._peers: dict[str, float] = {}
+        self._relays = make_relay_table(
+            options.address, options.zone, options.incarnation
+        )
+        self._reports = 0
         self._engines: dict[ServerId, RegisteredServer] = {}
         self._engine_services: frozenset = frozenset()
-        self._last_subscription_s = float("-inf")
+        self._subscribed_s: dict[ServerId, float] = {}
 
     @handler("started", channel="*")
     def _on_started(self, *args):
@@ -76,50 +81,68 @@
 
     @handler("entry_list_read", channel="*")
     def _on_entry_list_read(self, addresses):
-        now_s = time.monotonic()
-        for address in addresses:
-            if address != self._options.address:
-                self._peers.setdefault(address, now_s)
+        self._relays.on_listed(addresses, time.monotonic())
         log_event("entries_listed", count=len(addresses))
 
     @handler("datagram_received")
     def _on_datagram(self, message, sender: str):
         match message:
             case EntryReport():
-                if message.address not in self._peers:
-                    log_event("entry_found", entry=str(message.sender))
-                self._peers[message.address] = time.monotonic()
-                self.fire(entry_reported(message), "gateway")
+                self._on_entry_report(message)
+            case EntryReportBatch():
+                for report in message.reports:
+                    self._on_entry_report(report)
+                if not self._relays.is_in_zone(sender):
+                    self._send(message, self._relays.zone_members())
             case DemandReport():
                 self.fire(demand_reported(message), "planner")
             case EngineReport():
                 self.fire(engine_reported(message), "gateway", "planner")
+                self._forward_engine_report(message, sender)
             case TurnGranted() | TurnRefused():
                 self.fire(turn_answered(message), "gateway")
             case CrashReport():
                 self.fire(crash_reported(message), "gateway")
 
+    def _on_entry_report(self, report: EntryReport):
+        if report.address == self._options.address:
+            return
+        if self._relays.on_report(report, time.monotonic()):
+            log_event("entry_found", entry=str(report.sender))
+        self.fire(entry_reported(report), "gateway", "planner")
+
+    def _forward_engine_report(self, report: EngineReport, sender: str):
+        """Pass a report on in this zone if it came from the agent itself."""
+        server = self._engines.get(ServerId(report.server))
+        if server is None or sender != self._agent_address(server):
+            return
+        if self._relays.uses_relays() and self._relays.follows_engine(
+            server.server, time.monotonic()
+        ):
+            self._send(report, self._relays.zone_members())
+
     @handler("entry_report_due")
     def _on_entry_report_due(self, report: EntryReport):
-        now_s = time.monotonic()
-        for address, last_seen_s in list(self._peers.items()):
-            if now_s - last_seen_s > PEER_SILENCE_TIMEOUT_S:
-                del self._peers[address]
-                log_event(
-                    "entry_silent", address=address, silent_s=PEER_SILENCE_TIMEOUT_S
-                )
-        report = replace(report, address=self._options.address)
-        self._send(report, list(self._peers))
+        now_s, options = time.monotonic(), self._options
+        for address in self._relays.drop_silent(now_s):
+            log_event("entry_silent", address=address, silent_s=PEER_SILENCE_TIMEOUT_S)
+        report = replace(report, address=options.address, zone=options.zone)
+        self._relays.on_own_report(report)
+        self._reports += 1
+        self._send(report, self._relays.report_targets(self._reports))
+        targets = self._relays.batch_targets(self._reports, now_s)
+        if targets:
+            self._send(EntryReportBatch(self._relays.take_batch()), targets)
 
     @handler("demand_report_due")
     def _on_demand_report_due(self, report: DemandReport):
         report = replace(report, address=self._options.address)
         self.fire(demand_reported(report), "planner")
-        self._send(report, list(self._peers))
+        self._send(report, self._relays.demand_targets(time.monotonic()))
 
     @handler("crash_report_due")
     def _on_crash_report_due(self, report: CrashReport):
-        self._send(report, list(self._peers))
+        self._send(report, self._relays.peers())
 
     @handler("servers_updated")
     def _on_servers(self, servers: list[RegisteredServer]):
@@ -129,10 +152,15 @@
             if server.service in self._engine_services
         }
         now_s = time.monotonic()
-        if now_s - self._last_subscription_s < SUBSCRIPTION_INTERVAL_S:
-            return
-        self._last_subscription_s = now_s
-        for server in self._engines.values():
+        for name in self._subscribed_s.keys() - self._engines.keys():
+            del self._subscribed_s[name]
+        for name, server in self._engines.items():
+            since_s = now_s - self._subscribed_s.get(name, float("-inf"))
+            if since_s < SUBSCRIPTION_INTERVAL_S:
+                continue
+            if not self._relays.follows_engine(name, now_s):
+                continue
+            self._subscribed_s[name] = now_s
             subscription = ReportSubscription(
                 self._options.incarnation,
                 self._options.address,
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -18,7 +18,12 @@
     ServerState,
 )
 from chervilgw.core.ids import ModelName
-from chervilgw.core.messages import DemandReport, EngineReport, ModelLoadRequest
+from chervilgw.core.messages import (
+    DemandReport,
+    EngineReport,
+    EntryReport,
+    ModelLoadRequest,
+)
 from chervilgw.forward.events import agent_send
 from chervilgw.placement.demand_rate import make_fleet_demand
 from chervilgw.placement.planner import EngineView, make_planner
@@ -47,6 +52,7 @@
         self._demand = make_fleet_demand()
         self._deployment: Deployment | None = None
         self._entries: dict[str, tuple[DemandReport, float]] = {}
+        self._peers: dict[str, tuple[EntryReport, float]] = {}
         self._engines: dict[str, _Engine] = {}
         self._servers: list[RegisteredServer] = []
         self._is_planning = False
@@ -59,6 +65,10 @@
     def _on_demand(self, report: DemandReport):
         self._entries[report.address] = (report, time.monotonic())
 
+    @handler("entry_reported")
+    def _on_entry(self, report: EntryReport):
+        self._peers[report.address] = (report, time.monotonic())
+
     @handler("engine_reported")
     def _on_engine(self, report: EngineReport):
         if report.responding:
@@ -75,11 +85,7 @@
         if self._deployment is None or paused:
             return
         self._drop_silent(now_s)
-        live = [
-            (report.sender.start_ms, report.address)
-            for report, _ in self._entries.values()
-            if not report.draining
-        ]
+        live = self._live_entries()
         # The process that has run longest has recorded most of the demand.
         is_planner = bool(live) and min(live)[1] == self._address
         if is_planner != self._is_planning:
@@ -88,10 +94,23 @@
         if is_planner:
             self._plan(now_s)
 
+    def _live_entries(self) -> set[tuple[int, str]]:
+        """Return start time and address of the entries that may plan.
+
+        Demand comes from few entries in a large fleet, the other reports from all.
+        """
+        demands = (report for report, _ in self._entries.values())
+        peers = (report for report, _ in self._peers.values())
+        live = {(r.sender.start_ms, r.address) for r in demands if not r.draining}
+        return live | {
+            (r.sender.start_ms, r.address) for r in peers if r.accepts_requests
+        }
+
     def _drop_silent(self, now_s: float):
-        for address, (_, last_seen_s) in list(self._entries.items()):
-            if now_s - last_seen_s > ENTRY_SILENCE_TIMEOUT_S:
-                del self._entries[address]
+        for reports in (self._entries, self._peers):
+            for address, (_, last_seen_s) in list(reports.items()):
+                if now_s - last_seen_s > ENTRY_SILENCE_TIMEOUT_S:
+                    del reports[address]
         for server, engine in list(self._engines.items()):
             if now_s - engine.last_seen_s > ENGINE_REPORT_TIMEOUT_S:
                 del self._engines[server]
