Derive the calls to the store from the deployment's bounds

Cause: the list of servers was read each 0.8 s and a read of the configuration waited 2 s, which follows from bounds of 2 s.

Change: the interval is two fifths of drain_s (0.8, 1.2 and 1.6 s), the wait the bound of the configuration.

--- a/chervilgw/platform/boot.py
+++ b/chervilgw/platform/boot.py
@@ -19,6 +19,7 @@
 _BOUND_FIELDS = {
     "grace_s": ("grace_s", 1.0),
     "drain_s": ("drain_ms", 0.001),
+    "configuration_deadline_s": ("config_deadline_ms", 0.001),
     "quota_window_s": ("quota_window_s", 1.0),
     "quota_over_tokens": ("quota_slack", 1.0),
     "retry_ratio": ("budget_ratio", 1.0),
--- a/chervilgw/platform/start.py
+++ b/chervilgw/platform/start.py
@@ -44,13 +44,13 @@
         from chervilgw.forward.entry_app import make_forward_entry
         from chervilgw.platform.requests import PlatformCodec
 
-        store = make_store_task(settings.store.address, follow_servers=True)
+        store = make_store_task(settings, follow_servers=True)
         app = make_forward_entry(settings, PlatformCodec(), metrics_port, store, reload)
     else:
         from chervilgw.forward.agent_app import make_agent
         from chervilgw.platform.engines import PlatformEngineCodec
 
-        store = make_store_task(settings.store.address, follow_servers=False)
+        store = make_store_task(settings, follow_servers=False)
         app = make_agent(settings, PlatformEngineCodec(), metrics_port, store, reload)
     # Without a handler SIGHUP would end the process.
     signal.signal(signal.SIGHUP, lambda *_: app.fire(reload_requested(), "*"))
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -33,6 +33,7 @@
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.servers import decode_server
 from chervilgw.runtime.events import HttpCall, http_call
+from chervilgw.settings.vm import VmSettings
 from chervilgw.telemetry import log_event
 
 # The store answers in about 4 ms, or 60 times as long when it is slow.
@@ -42,14 +43,16 @@
 # A configuration must be in force within 2 s of its acknowledgement, so a process must
 # reconnect to the store well within that.
 MAX_RETRY_DELAY_S = 0.6
-# How long a read waits for a new configuration. It also bounds how long a silent
-# connection delays one.
-CONFIGURATION_WAIT_S = 2.0
-# The same for a process that needs only the sizes of models, which rarely change.
+# How long a read waits for a new configuration in a process that needs only the sizes
+# of models, which rarely change.
 MODEL_SIZES_WAIT_S = 10.0
 # The servers together write several heartbeats a second, so a waiting read would return
-# at once. A draining server must get no new requests 2 s after it reported its state.
-SERVERS_POLL_INTERVAL_S = 0.8
+# at once. A draining server must get no new requests ``drain_s`` after it reported its
+# state; the rest of that time covers a slow answer and a repeated call.
+POLLS_PER_DRAIN = 2.5
+# Each call is charged, but a new server is not used before it is read.
+MIN_SERVERS_POLL_INTERVAL_S = 0.4
+MAX_SERVERS_POLL_INTERVAL_S = 1.6
 # Malformed entries whose versions are remembered, so that each is logged once.
 MAX_IGNORED_KEYS = 1_000
 
@@ -92,9 +95,9 @@
 class StoreTask(BaseComponent):
     """Store task; see :func:`make_store_task`."""
 
-    def __init__(self, address: str, follow_servers: bool, channel):
+    def __init__(self, settings: VmSettings, follow_servers: bool, channel):
         super().__init__(channel=channel)
-        self._address = address
+        self._address = settings.store.address
         self._call_numbers = count(1)
         self._version = -1
         self._config_offset = NO_OFFSET
@@ -103,11 +106,14 @@
         self._ignored_offsets: dict[str, Offset] = {}
         self._fencing_token_reply_to = ""
         topic = log_format.CONFIGURATION_TOPIC
-        wait_s = CONFIGURATION_WAIT_S if follow_servers else MODEL_SIZES_WAIT_S
+        # A silent connection delays a configuration by the time that a read waits.
+        deadline_s = settings.bounds.configuration_deadline_s
+        wait_s = deadline_s if follow_servers else MODEL_SIZES_WAIT_S
         self._followers = [_Follower(topic, wait_s, 0.0)]
         if follow_servers:
             topic = log_format.SERVERS_TOPIC
-            self._followers.append(_Follower(topic, 0.0, SERVERS_POLL_INTERVAL_S))
+            poll_interval_s = servers_poll_interval_s(settings.bounds.drain_s)
+            self._followers.append(_Follower(topic, 0.0, poll_interval_s))
 
     @handler("settings_changed", channel="*")
     def _on_settings_changed(self, settings):
@@ -343,17 +349,35 @@
         self.fire(fencing_token_assigned(int(offset) + 1), self._fencing_token_reply_to)
 
 
-def make_store_task(address: str, follow_servers: bool, channel="store") -> StoreTask:
+def servers_poll_interval_s(drain_s: float) -> float:
+    """Return how often the list of servers is read.
+
+    Examples
+    --------
+    >>> servers_poll_interval_s(2.0), servers_poll_interval_s(4.0)
+    (0.8, 1.6)
+    >>> servers_poll_interval_s(0.0)
+    0.4
+    """
+    interval_s = drain_s / POLLS_PER_DRAIN
+    return min(
+        MAX_SERVERS_POLL_INTERVAL_S, max(MIN_SERVERS_POLL_INTERVAL_S, interval_s)
+    )
+
+
+def make_store_task(
+    settings: VmSettings, follow_servers: bool, channel="store"
+) -> StoreTask:
     """Return the store task of a process.
 
     Parameters
     ----------
-    address : str
-        ``ip:port`` of the platform's store.
+    settings : VmSettings
+        Address of the platform's store, and the bounds that its records must meet.
     follow_servers : bool
         Whether this process needs the list of backend servers.
     channel : str
         Channel of the task. The HTTP client task at the channel ``store-client`` sends
         its calls.
     """
-    return StoreTask(address, follow_servers, channel)
+    return StoreTask(settings, follow_servers, channel)
--- a/chervilgw/settings/vm.py
+++ b/chervilgw/settings/vm.py
@@ -42,15 +42,18 @@
 class Bounds(BaseModel):
     """Bounds that the operators set for the whole deployment.
 
-    A process that stops has ``grace_s``. In a quota window a customer may get
-    ``quota_over_tokens`` more than its quota. Retries are limited to ``retry_ratio``
-    per request plus ``retry_slack`` in each ``retry_window_s``.
+    A process that stops has ``grace_s``. A server that drains gets no new request after
+    ``drain_s``, and a configuration is in force after ``configuration_deadline_s``. In
+    a quota window a customer may get ``quota_over_tokens`` more than its quota. Retries
+    are limited to ``retry_ratio`` per request plus ``retry_slack`` in each
+    ``retry_window_s``.
     """
 
     model_config = ConfigDict(frozen=True)
 
     grace_s: PositiveAmount = 8.0
     drain_s: Amount = 2.0
+    configuration_deadline_s: PositiveAmount = 2.0
     quota_window_s: PositiveAmount = 8.0
     quota_over_tokens: Amount = 0.0
     retry_ratio: Amount = 0.2
