--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -12,7 +12,7 @@
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.forward.codec import FrontCodec
-from chervilgw.forward.exchange import Exchange, max_first_token_wait_s, urgency_of
+from chervilgw.forward.exchange import Exchange, urgency_of
 from chervilgw.forward.messages import ServerRequest
 from chervilgw.membership.fleet_view import PLANNING_DELAY_S, FleetView, LoadEstimate
 from chervilgw.routing.dispatch import (
@@ -119,7 +119,7 @@
             self.zone,
             opaque.model,
             opaque.prompt_tokens or 0,
-            max_first_token_wait_s(admitted),
+            exchange.first_token_wait_s,
         )
         chosen = choose_server(request, candidates)
         if is_successful(chosen):
@@ -235,7 +235,7 @@
         """Return the request for a turn at the chosen engine."""
         admitted = exchange.admitted
         customer = admitted.customer
-        max_wait_s = exchange.started_s + max_first_token_wait_s(admitted) - now_s
+        max_wait_s = exchange.started_s + exchange.first_token_wait_s - now_s
         target_remaining_s = exchange.started_s + admitted.route.target_s - now_s
         return TurnRequest(
             exchange.turn,
@@ -303,7 +303,7 @@
 def _is_in_time(exchange: Exchange, estimate, now_s: float) -> bool:
     since_s = exchange.last_byte_s if exchange.head_forwarded else exchange.started_s
     waited_s = now_s - since_s
-    limit_s = MODEL_WAIT_FRACTION * max_first_token_wait_s(exchange.admitted)
+    limit_s = MODEL_WAIT_FRACTION * exchange.first_token_wait_s
     in_time = waited_s + estimate.ready_in_s <= limit_s
     return in_time and (estimate.is_loading or waited_s < MAX_PLAN_WAIT_S)
 
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -42,6 +42,7 @@
     that may have run it. ``turns`` lists all requested turns, ``turn_wait_s`` is the
     total wait for them. ``refused_by`` holds the engines that refused a turn,
     ``busy_at`` those of them that could have served the request later.
+    ``first_token_wait_s`` is how long the caller waits for the first token.
     ``unrelayed_bytes`` counts the bytes of an answer that is buffered or discarded.
     ``unread_tokens`` is the part of the prompt that the server still has to read; it is
     0 from the first byte of the answer on.
@@ -53,6 +54,7 @@
     digest: Digest
     started_s: float
     deadline_s: float
+    first_token_wait_s: float
     stage: Stage = Stage.SENT
     server: ServerId | None = None
     server_started_ms: int = 0
@@ -231,8 +233,16 @@
         return self.cutter.can_resume and self.may_retry()
 
 
-def max_first_token_wait_s(admitted: AdmittedRequest) -> float:
-    """Return how long a caller waits for the first token, in s."""
+def max_first_token_wait_s(admitted: AdmittedRequest, stream_s: float = 0.0) -> float:
+    """Return how long a first token is of use to a caller, in s.
+
+    Parameters
+    ----------
+    admitted : AdmittedRequest
+    stream_s : float
+        How long the stream surely takes after its first event. If the caller states a
+        deadline, the stream has to end by then.
+    """
     route = admitted.route
     if route.kind is not RouteKind.STREAMING:
         return route.timeout_s
@@ -241,7 +251,7 @@
         ABANDON_TARGET_FACTOR * route.target_s,
         ABANDON_PAUSE_FACTOR * route.max_pause_s,
     )
-    return min(longest, route.timeout_s)
+    return min(longest, route.timeout_s, max_answer_wait_s(admitted) - stream_s)
 
 
 def max_answer_wait_s(admitted: AdmittedRequest) -> float:
@@ -261,6 +271,7 @@
     admitted: AdmittedRequest,
     digest: Digest,
     now_s: float,
+    stream_s: float = 0.0,
 ) -> Exchange:
     """Return the state of a request that has just been admitted.
 
@@ -275,6 +286,8 @@
         Identifies the request in crash reports.
     now_s : float
         Monotonic time.
+    stream_s : float
+        How long the answer surely takes after its first event, in s.
     """
     route = admitted.route
     cutter = make_event_splitter() if route.kind is RouteKind.STREAMING else None
@@ -285,5 +298,6 @@
         digest,
         now_s,
         now_s + max_answer_wait_s(admitted),
+        max_first_token_wait_s(admitted, stream_s),
         cutter=cutter,
     )
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -57,6 +57,7 @@
 from chervilgw.forward.turn_requester import TurnRequester
 from chervilgw.placement.demand_rate import make_demand_rates
 from chervilgw.quota.window import QuotaTolerance, make_window_quota
+from chervilgw.routing.stream_pace import make_stream_pace
 from chervilgw.routing.table import make_route_table
 from chervilgw.runtime.events import (
     HttpPart,
@@ -124,6 +125,7 @@
         self._retries = make_retry_budgets(bounds)
         self._crashes = make_crash_watch(options.incarnation)
         self._demand = make_demand_rates()
+        self._pace = make_stream_pace()
         self._exchanges: dict[int, Exchange] = {}
         self._by_call: dict[str, Exchange] = {}
         self._ticks = 0
@@ -209,7 +211,10 @@
         opaque = admitted.opaque
         customer = admitted.customer.customer if admitted.customer else ""
         digest = request_digest(customer, f"{opaque.method} {opaque.target}", http.body)
-        exchange = make_exchange(http.exchange, http.server, admitted, digest, now_s)
+        stream_s = self._pace.least_s(opaque.output_tokens)
+        exchange = make_exchange(
+            http.exchange, http.server, admitted, digest, now_s, stream_s
+        )
         self._exchanges[http.exchange] = exchange
         entries = self._quota.count_entries(now_s)
         self._retries.on_request(admitted.service, entries, now_s)
@@ -354,8 +359,14 @@
             self.fire(http_reply(reply), exchange.server_channel)
         else:
             self._end_relay(exchange)
+            self._record_pace(exchange, now_s)
         self._end(exchange, "answered", now_s)
 
+    def _record_pace(self, exchange: Exchange, now_s: float):
+        output_tokens = exchange.admitted.opaque.output_tokens
+        if exchange.sends == 1 and exchange.answer.status == 200 and output_tokens:
+            self._pace.on_ended(output_tokens, now_s - exchange.first_byte_s)
+
     def _end_relay(self, exchange: Exchange):
         rest = exchange.cutter.take_partial() if exchange.cutter else b""
         if rest:
--- a/chervilgw/forward/tests/test_exchange.py
+++ b/chervilgw/forward/tests/test_exchange.py
@@ -224,6 +224,22 @@
     assert exchange(timeout_s=20.0).deadline_s == 8.0
 
 
+def test_stream_that_ends_after_the_deadline_is_not_waited_for():
+    """Guards against requests held, and engines kept at work, for an unfinished stream.
+
+    Pattern: a refused caller comes back with six of its fifteen seconds left, waits
+    four seconds for a turn, and its deadline passes two seconds into its stream.
+    """
+    admitted = exchange(
+        kind=RouteKind.STREAMING, timeout_s=15.0, target_s=1.5, max_pause_s=0.25
+    ).admitted
+    late = replace(admitted, opaque=replace(REQUEST, max_wait_s=6.0))
+    assert max_first_token_wait_s(late, stream_s=3.0) == 3.0
+    assert max_first_token_wait_s(admitted, stream_s=1.0) == 6.0
+    gone = replace(admitted, opaque=replace(REQUEST, max_wait_s=2.0))
+    assert max_first_token_wait_s(gone, stream_s=3.0) < 0
+
+
 def test_callers_abandon_streams_after_the_longest_limit():
     """Guards against refusing requests whose callers would still have waited."""
     stream = {"kind": RouteKind.STREAMING, "timeout_s": 15.0}
