Take an entry that was asked to stop out of planning at once

Cause: since the planner is elected from the entries' reports, an entry that drains counted as able to plan for as long as it accepts requests, three seconds.

Change: reports say whether their sender drains; only others may plan.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -22,7 +22,7 @@
     reach the sender. ``grants_complete`` is False while grants of the sender's previous
     process may be missing, ``accepts_requests`` while it starts or drains. ``leaving``
     maps a server that gave notice lately to the start time of its incarnation. ``zone``
-    is the sender's availability zone.
+    is the sender's availability zone, and ``draining`` says that it was asked to stop.
     """
 
     sender: Incarnation
@@ -34,6 +34,15 @@
     accepts_requests: bool = True
     leaving: dict[str, int] = field(default_factory=dict)
     zone: str = ""
+    draining: bool = False
+
+    @property
+    def may_plan(self) -> bool:
+        """Return whether the sender may plan the models of the engines.
+
+        An entry that was asked to stop still accepts requests for some seconds.
+        """
+        return self.accepts_requests and not self.draining
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -503,6 +503,7 @@
             self._quota.has_complete_window(now_s),
             self._deployment is not None and self._drain_policy.accepts_all(now_s),
             self.fleet.directory.leaving(now_s),
+            draining=self._drain_policy.is_draining,
         )
         self.fire(entry_report_due(report), "gossip")
         self.publish_servers(now_s)
--- a/chervilgw/forward/planner_task.py
+++ b/chervilgw/forward/planner_task.py
@@ -102,9 +102,7 @@
         demands = (report for report, _ in self._entries.values())
         peers = (report for report, _ in self._peers.values())
         live = {(r.sender.start_ms, r.address) for r in demands if not r.draining}
-        return live | {
-            (r.sender.start_ms, r.address) for r in peers if r.accepts_requests
-        }
+        return live | {(r.sender.start_ms, r.address) for r in peers if r.may_plan}
 
     def _drop_silent(self, now_s: float):
         for reports in (self._entries, self._peers):
--- a/chervilgw/membership/relays.py
+++ b/chervilgw/membership/relays.py
@@ -41,7 +41,7 @@
     zone: ZoneId | None
     start_ms: int
     last_seen_s: float
-    accepts_requests: bool
+    may_plan: bool
 
 
 @dataclass(slots=True)
@@ -52,7 +52,7 @@
     _zone: ZoneId
     _incarnation: Incarnation
     _peers: dict[str, _Peer] = field(default_factory=dict)
-    _accepts_requests: bool = False
+    _may_plan: bool = False
     _fresh: dict[str, EntryReport] = field(default_factory=dict)
 
     def on_listed(self, addresses: tuple[str, ...], now_s: float) -> None:
@@ -69,7 +69,7 @@
         is_new = report.address not in self._peers
         zone = ZoneId(report.zone) if report.zone else None
         self._peers[report.address] = _Peer(
-            zone, report.sender.start_ms, now_s, report.accepts_requests
+            zone, report.sender.start_ms, now_s, report.may_plan
         )
         if zone == self._zone:
             self._fresh[report.address] = report
@@ -77,7 +77,7 @@
 
     def on_own_report(self, report: EntryReport) -> None:
         """Record the report that this entry sends."""
-        self._accepts_requests = report.accepts_requests
+        self._may_plan = report.may_plan
         self._fresh[self._address] = report
 
     def drop_silent(self, now_s: float) -> list[str]:
@@ -189,10 +189,9 @@
         candidates = [
             (peer.start_ms, address)
             for address, peer in self._peers.items()
-            if peer.accepts_requests
-            and now_s - peer.last_seen_s < CANDIDATE_SILENCE_TIMEOUT_S
+            if peer.may_plan and now_s - peer.last_seen_s < CANDIDATE_SILENCE_TIMEOUT_S
         ]
-        if self._accepts_requests:
+        if self._may_plan:
             candidates.append((self._incarnation.start_ms, self._address))
         chosen = sorted(candidates)[:PLANNER_CANDIDATES]
         return [address for _, address in chosen if address != self._address]
