Choose a server and plan moves with less work at 59 engines

Change: only holders of the model become candidates, reports are converted once, a report wakes only those that wait for a model it holds, and what is reserved for adapters is computed once a plan.

--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -149,7 +149,9 @@
             log_event("engine_down", server=report.server, ejected_s=ejected_s)
         elif self.fleet.on_report(report, now_s):
             for exchange in self._exchanges_in(Stage.WAITING_FOR_MODEL):
-                self.attempt(exchange, now_s)
+                # Others wait for another engine or for the next tick.
+                if exchange.admitted.opaque.model in report.adapters:
+                    self.attempt(exchange, now_s)
 
     @handler("entry_reported")
     def _on_entry_report(self, report: EntryReport):
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -116,9 +116,8 @@
         server = self._engines.get(ServerId(report.server))
         if server is None or sender != self._agent_address(server):
             return
-        if self._relays.uses_relays() and self._relays.follows_engine(
-            server.server, time.monotonic()
-        ):
+        is_followed = self._relays.followed([server.server], time.monotonic())
+        if self._relays.uses_relays() and is_followed:
             self._send(report, self._relays.zone_members())
 
     @handler("entry_report_due")
@@ -154,12 +153,11 @@
         now_s = time.monotonic()
         for name in self._subscribed_s.keys() - self._engines.keys():
             del self._subscribed_s[name]
-        for name, server in self._engines.items():
+        for name in self._relays.followed(self._engines, now_s):
+            server = self._engines[name]
             since_s = now_s - self._subscribed_s.get(name, float("-inf"))
             if since_s < SUBSCRIPTION_INTERVAL_S:
                 continue
-            if not self._relays.follows_engine(name, now_s):
-                continue
             self._subscribed_s[name] = now_s
             subscription = ReportSubscription(
                 self._options.incarnation,
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -173,18 +173,18 @@
     def is_usable(self, server: ServerId, now_s: float) -> bool:
         """Return whether a server may get new requests."""
         record = self._records.get(server)
-        return (
-            record is not None
-            and record.entry.state is ServerState.READY
-            and self._is_present(record, now_s)
-        )
+        return record is not None and self._is_usable(record, now_s)
+
+    def _is_usable(self, record: _ServerRecord, now_s: float) -> bool:
+        is_ready = record.entry.state is ServerState.READY
+        return is_ready and self._is_present(record, now_s)
 
     def usable(self, service: ServiceName, now_s: float) -> list[RegisteredServer]:
         """Return the servers of a service that may get new requests."""
         return [
             record.entry
-            for server, record in self._records.items()
-            if record.entry.service == service and self.is_usable(server, now_s)
+            for record in self._records.values()
+            if record.entry.service == service and self._is_usable(record, now_s)
         ]
 
     def find(self, server: ServerId) -> RegisteredServer | None:
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Sequence
+from collections.abc import Container, Mapping, Sequence
 from dataclasses import dataclass
 
 from chervilgw.core.deployment import (
@@ -45,6 +45,7 @@
 class _ReceivedReport:
     report: EngineReport
     received_s: float
+    adapters: dict[ModelName, frozenset[str]]
 
 
 class FleetView:
@@ -67,7 +68,11 @@
         is_same = last is not None and last.report.started_ms == report.started_ms
         if is_same and report.orders < last.report.orders:
             return False
-        self._reports[server] = _ReceivedReport(report, now_s)
+        adapters = {
+            ModelName(model): frozenset(names)
+            for model, names in report.adapters.items()
+        }
+        self._reports[server] = _ReceivedReport(report, now_s, adapters)
         self._record_loading(server, ModelName(report.loading), now_s)
         if report.draining:
             self.directory.on_draining_reported(server, report.started_ms)
@@ -99,15 +104,11 @@
 
     def loaded_models(
         self, server: RegisteredServer, now_s: float
-    ) -> dict[ModelName, frozenset[str]]:
+    ) -> Mapping[ModelName, frozenset[str]]:
         """Return the loaded models of a server with their loaded adapters."""
-        report = self.fresh_report(server, now_s)
-        if report is None:
-            return dict(server.adapters)
-        return {
-            ModelName(model): frozenset(adapters)
-            for model, adapters in report.adapters.items()
-        }
+        if self.fresh_report(server, now_s) is None:
+            return server.adapters
+        return self._reports[server.server].adapters
 
     def candidates(
         self,
@@ -119,6 +120,8 @@
     ) -> list[Candidate]:
         """Return the servers that a request may be sent to.
 
+        Of those that do not hold its model one is returned, to tell that there are any.
+
         Parameters
         ----------
         service : ServiceName
@@ -138,8 +141,17 @@
             and not self._back_off_s(server, now_s)
             and self.board.local_running(server.server) < local_limit
         ]
-        cached = self._cached_tokens(servers, request, now_s)
-        return [self._candidate(server, request, cached, now_s) for server in servers]
+        # Most servers of a large fleet do not hold the model. One of them stands for
+        # all, as their load is of no use.
+        holders, other = [], None
+        for server in servers:
+            if self._holds_model(server, request, now_s):
+                holders.append(server)
+            elif other is None:
+                other = Candidate(server, 0, 0, 0.0, False, False)
+        cached = self._cached_tokens(holders, request, now_s)
+        found = [self._candidate(server, request, cached, now_s) for server in holders]
+        return found if other is None else [*found, other]
 
     def _back_off_s(self, server: RegisteredServer, now_s: float) -> float:
         return self.back_offs.remaining_s(server.server, server.started_ms, now_s)
--- a/chervilgw/membership/relays.py
+++ b/chervilgw/membership/relays.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -170,12 +171,16 @@
                 zones[peer.zone] = [address]
         return zones
 
-    def follows_engine(self, engine: ServerId, now_s: float) -> bool:
-        """Return whether this entry subscribes to an engine's reports."""
+    def followed(self, engines: Iterable[ServerId], now_s: float) -> list[ServerId]:
+        """Return the engines to whose reports this entry subscribes."""
         if not self.uses_relays():
-            return True
-        members = self._live_by_zone(now_s).get(self._zone, [])
-        return _rank([self._address, *members], engine)[0] == self._address
+            return list(engines)
+        members = [self._address, *self._live_by_zone(now_s).get(self._zone, [])]
+        return [
+            engine
+            for engine in engines
+            if min(members, key=lambda member: _hash(member, engine)) == self._address
+        ]
 
     def is_in_zone(self, address: str) -> bool:
         """Return whether an address is that of a peer in this entry's zone."""
@@ -199,9 +204,11 @@
 
 def _rank(addresses: list[str], salt: str) -> list[str]:
     """Return addresses by rendezvous hash, which all entries compute alike."""
-    return sorted(
-        addresses, key=lambda address: xxhash.xxh64_intdigest(f"{salt}/{address}")
-    )
+    return sorted(addresses, key=lambda address: _hash(address, salt))
+
+
+def _hash(address: str, salt: str) -> int:
+    return xxhash.xxh64_intdigest(f"{salt}/{address}")
 
 
 def make_relay_table(
--- a/chervilgw/membership/tests/test_relays.py
+++ b/chervilgw/membership/tests/test_relays.py
@@ -196,7 +196,7 @@
         followers = Counter(
             network.zone_of[address]
             for address, (table, _) in network.tables.items()
-            if table.follows_engine(engine, network.now_s)
+            if table.followed([engine], network.now_s)
         )
         assert set(followers.values()) == {1} and len(followers) == 5
 
@@ -222,7 +222,7 @@
     for address, (table, _) in network.tables.items():
         assert set(table.report_targets(1)) == set(network.tables) - {address}
         assert table.batch_targets(1, network.now_s) == []
-        assert table.follows_engine(ServerId("i-1"), network.now_s)
+        assert table.followed([ServerId("i-1")], network.now_s)
 
 
 class DisseminationMachine(RuleBasedStateMachine):
--- a/chervilgw/placement/planner.py
+++ b/chervilgw/placement/planner.py
@@ -107,6 +107,7 @@
     _missing_since_s: dict[ModelName, float] = field(default_factory=dict)
     _short_since_s: dict[ModelName, float] = field(default_factory=dict)
     _started_s: float | None = None
+    _adapter_reserve_mb: float = 0.0
 
     def plan(
         self,
@@ -131,6 +132,11 @@
         if self._started_s is None:
             self._started_s = now_s
         self._observe(engines, now_s)
+        # Memory for all adapter slots is reserved, as adapters change meanwhile.
+        largest_mb = max(
+            (size.adapter_mb for size in spec.models.values()), default=0.0
+        )
+        self._adapter_reserve_mb = spec.adapter_slots * largest_mb
         capacity = {
             engine.server: engine_capacity(engine.prefill_tokens_per_s, spec.slots)
             for engine in engines
@@ -284,10 +290,7 @@
         free_mb = spec.capacity_mb - sum(
             sizes[held].weights_mb for held in engine.models
         )
-        # Memory for all adapter slots is reserved, as adapters change meanwhile.
-        free_mb -= spec.adapter_slots * max(
-            (size.adapter_mb for size in sizes.values()), default=0.0
-        )
+        free_mb -= self._adapter_reserve_mb
         needed_mb = sizes[model].weights_mb
         held = sorted(engine.models, key=lambda name: (load.displaced_work(name), name))
         to_evict = []
