Keep a stream resumable after an error that was discarded

Cause: the head of a discarded error without events took the splitter from the exchange, so that the stream of the next server was relayed in pieces and could not be resumed.

Change: the splitter is dropped only with an answer that is relayed. The new test fails on the commit before.

--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -146,11 +146,12 @@
             self.stage = Stage.DISCARDING
             return
         is_whole = self.answer_kind is AnswerKind.WHOLE
-        if is_whole and not answer.is_event_stream:
-            self.cutter = None
         if is_whole and answer.status >= 500 and self.may_retry():
             self.stage = Stage.DISCARDING
-        elif self.is_stream or (answer.length_bytes or 0) > max_buffered_bytes:
+            return
+        if not answer.is_event_stream:
+            self.cutter = None
+        if self.is_stream or (answer.length_bytes or 0) > max_buffered_bytes:
             self.stage = Stage.RELAYING
         else:
             self.stage = Stage.BUFFERING
--- a/chervilgw/forward/tests/test_exchange.py
+++ b/chervilgw/forward/tests/test_exchange.py
@@ -184,6 +184,18 @@
         resumed(EVENTS).on_data(events)
 
 
+def test_stream_after_a_discarded_error_can_still_be_resumed():
+    """Guards against a stream that is not split into events after an earlier error."""
+    made = sent(exchange(**STREAM), "x")
+    made.on_head(replace(EVENTS, status=500, is_event_stream=False), 1000)
+    assert made.stage is Stage.DISCARDING
+    sent(made, "y")
+    made.on_head(EVENTS, 1000)
+    made.head_forwarded = True
+    made.on_data(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert made.may_resume()
+
+
 @pytest.mark.parametrize("is_framed", [True, False])
 def test_continuation_that_ends_inside_an_event_is_not_complete(is_framed):
     made = resumed(replace(EVENTS, framed=is_framed))
