Leave ended entries out of a new relay's first batch

Cause: an entry that is no relay kept the last report of each member of its zone, of ended ones as well. Its first batch as a relay passed them on, and receivers took those entries for alive for 0.8 s. Found in reading the change.

Change: reports older than that are left out; a test plays it.

--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -126,12 +126,12 @@
         for address in self._relays.drop_silent(now_s):
             log_event("entry_silent", address=address, silent_s=PEER_SILENCE_TIMEOUT_S)
         report = replace(report, address=options.address, zone=options.zone)
-        self._relays.on_own_report(report)
+        self._relays.on_own_report(report, now_s)
         self._reports += 1
         self._send(report, self._relays.report_targets(self._reports))
         targets = self._relays.batch_targets(self._reports, now_s)
         if targets:
-            self._send(EntryReportBatch(self._relays.take_batch()), targets)
+            self._send(EntryReportBatch(self._relays.take_batch(now_s)), targets)
 
     @handler("demand_report_due")
     def _on_demand_report_due(self, report: DemandReport):
--- a/chervilgw/membership/relays.py
+++ b/chervilgw/membership/relays.py
@@ -54,7 +54,8 @@
     _incarnation: Incarnation
     _peers: dict[str, _Peer] = field(default_factory=dict)
     _may_plan: bool = False
-    _fresh: dict[str, EntryReport] = field(default_factory=dict)
+    # Reports of this zone, and when they arrived, that are in no batch yet.
+    _fresh: dict[str, tuple[EntryReport, float]] = field(default_factory=dict)
 
     def on_listed(self, addresses: tuple[str, ...], now_s: float) -> None:
         """Record entries of the store's list; their zones are unknown yet."""
@@ -73,13 +74,13 @@
             zone, report.sender.start_ms, now_s, report.may_plan
         )
         if zone == self._zone:
-            self._fresh[report.address] = report
+            self._fresh[report.address] = (report, now_s)
         return is_new
 
-    def on_own_report(self, report: EntryReport) -> None:
+    def on_own_report(self, report: EntryReport, now_s: float) -> None:
         """Record the report that this entry sends."""
         self._may_plan = report.may_plan
-        self._fresh[self._address] = report
+        self._fresh[self._address] = (report, now_s)
 
     def drop_silent(self, now_s: float) -> list[str]:
         """Drop and return the peers that have been silent for long."""
@@ -125,9 +126,17 @@
             if peer.zone is None or peer.zone == self._zone
         ]
 
-    def take_batch(self) -> tuple[EntryReport, ...]:
-        """Return the reports of this zone since the last call, each once."""
-        reports = tuple(self._fresh.values())
+    def take_batch(self, now_s: float) -> tuple[EntryReport, ...]:
+        """Return the reports of this zone since the last call, each once.
+
+        An entry that has just become a relay leaves out those of entries that have
+        ended since: their receivers would take them for alive.
+        """
+        reports = tuple(
+            report
+            for report, received_s in self._fresh.values()
+            if now_s - received_s < RELAY_SILENCE_TIMEOUT_S
+        )
         self._fresh.clear()
         return reports
 
--- a/chervilgw/membership/tests/test_relays.py
+++ b/chervilgw/membership/tests/test_relays.py
@@ -98,11 +98,13 @@
             report = EntryReport(
                 incarnation, address, {"c": 7}, running, {}, zone=self.zone_of[address]
             )
-            table.on_own_report(report)
+            table.on_own_report(report, self.now_s)
             self.send(address, report, table.report_targets(self.number))
             targets = table.batch_targets(self.number, self.now_s)
             if targets:
-                self.send(address, EntryReportBatch(table.take_batch()), targets)
+                self.send(
+                    address, EntryReportBatch(table.take_batch(self.now_s)), targets
+                )
 
     def run(self, seconds):
         for _ in range(round(seconds / INTERVAL_S)):
@@ -188,6 +190,19 @@
         assert network.stale() == []
 
 
+def test_new_relay_does_not_pass_on_reports_of_ended_entries():
+    """Guards against entries that are believed alive after they have ended."""
+    network = Network(6, 5)
+    network.run(3.0)
+    members = [a for a, zone in network.zone_of.items() if zone == "z0"]
+    ended = members[0]
+    network.down.add(ended)
+    network.run(2.0)
+    for address in members[1:]:
+        batch = network.tables[address][0].take_batch(network.now_s)
+        assert ended not in [report.address for report in batch]
+
+
 def test_each_engine_is_followed_by_one_entry_of_a_zone():
     network = Network(6, 5)
     network.run(3.0)
