Check addresses of records and settings with one function

Cause: the same check stood in platform/records.py and settings/vm.py.

Change: core.addresses.check_address serves both and split_address.

Measured: pytest of platform, settings and core passes.

--- a/chervilgw/core/addresses.py
+++ b/chervilgw/core/addresses.py
@@ -24,6 +24,19 @@
     return is_ip(host) and 0 < int(port) <= MAX_PORT
 
 
+def check_address(text: str) -> str:
+    """Return an address.
+
+    Raises
+    ------
+    ValueError
+        If the text is no address.
+    """
+    if not is_address(text):
+        raise ValueError(f"must be IP:PORT with a port from 1 to {MAX_PORT}")
+    return text
+
+
 def is_ip(text: str) -> bool:
     """Return whether a text is an IPv4 address in dotted form."""
     try:
@@ -41,7 +54,5 @@
     ValueError
         If the text is no address.
     """
-    if not is_address(address):
-        raise ValueError(f"not an address: {address[:40]!r}")
-    host, _, port = address.rpartition(":")
+    host, _, port = check_address(address).rpartition(":")
     return host, int(port)
--- a/chervilgw/platform/records.py
+++ b/chervilgw/platform/records.py
@@ -12,7 +12,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
-from chervilgw.core.addresses import is_address
+from chervilgw.core.addresses import check_address
 from chervilgw.platform.errors import DecodeError
 
 # Larger integers lose digits in JSON parsers that read numbers as floats.
@@ -30,14 +30,8 @@
 MAX_CONFIGURATION_BYTES = 16_777_216
 
 
-def _check_address(text: str) -> str:
-    if not is_address(text):
-        raise ValueError("not IP:PORT with a port from 1 to 65535")
-    return text
-
-
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
-ServerAddress = Annotated[str, AfterValidator(_check_address)]
+ServerAddress = Annotated[str, AfterValidator(check_address)]
 Count = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 TimeMs = Annotated[float, Field(ge=0, le=MAX_TIME_MS)]
 Amount = Annotated[float, Field(ge=0, le=MAX_INTEGER)]
--- a/chervilgw/settings/vm.py
+++ b/chervilgw/settings/vm.py
@@ -6,25 +6,19 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
-from chervilgw.core.addresses import MAX_PORT, is_address, is_ip
+from chervilgw.core.addresses import MAX_PORT, check_address, is_ip
 
 # Bounds that operators set lie far below; larger numbers are mistakes.
 MAX_BOUND = 1e9
 
 
-def _check_address(text: str) -> str:
-    if not is_address(text):
-        raise ValueError("must be IP:PORT with a port from 1 to 65535")
-    return text
-
-
 def _check_ip(text: str) -> str:
     if not is_ip(text):
         raise ValueError("must be an IPv4 address")
     return text
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
+Address = Annotated[str, AfterValidator(check_address)]
 Port = Annotated[int, Field(ge=1, le=MAX_PORT)]
 Amount = Annotated[float, Field(ge=0, le=MAX_BOUND)]
 PositiveAmount = Annotated[float, Field(gt=0, le=MAX_BOUND)]
