Measure the speed of engines only from prompts that were read

Cause: the release of a turn whose caller had left counted as a reading time, and a line without a slope as the largest speed. Other work of an engine could have done the same.

Change: a release says whether the prompt was read. The default speed holds unless the line explains a tenth of the times' variance; the largest speed is four times the default. The check of the machine stays as it was; its releases are withdrawals now, which may not change the limit.

Measured: TestTurnMachine and the tests of scheduling, forward and codec pass.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -156,10 +156,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnReleased:
-    """The engine has read the prompt, or the request was withdrawn."""
+    """The engine has read the prompt (``was_read``), or the request was withdrawn."""
 
     turn: RequestId
     server: str
+    was_read: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -115,7 +115,7 @@
             case TurnRequest():
                 self.on_turn_request(message, now_s)
             case TurnReleased():
-                self.turns.release(message.turn, now_s)
+                self.turns.release(message.turn, now_s, message.was_read)
                 self.grant_turns(now_s)
             case ModelLoadRequest() if message.server == self.server:
                 log_event("model_wanted", model=message.model, unload=message.unload)
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -337,7 +337,7 @@
         if exchange.unread_tokens:
             self.fleet.board.on_started(exchange.server, exchange.unread_tokens)
             exchange.unread_tokens = 0
-        self.leave_queue(exchange, now_s)
+        self.leave_queue(exchange, now_s, exchange.stage is Stage.RELAYING)
 
     @handler("call_done")
     def _on_done(self, done):
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -85,8 +85,11 @@
         else:
             self._send_turn_request(exchange, now_s)
 
-    def leave_queue(self, exchange: Exchange, now_s: float):
-        """Release the turn, or leave the engine's queue, if the request has either."""
+    def leave_queue(self, exchange: Exchange, now_s: float, was_read: bool = False):
+        """Release the turn, or leave the engine's queue, if the request has either.
+
+        ``was_read`` says that the engine has read the prompt.
+        """
         if exchange.turn is None:
             return
         if exchange.stage is Stage.WAITING_FOR_TURN:
@@ -94,8 +97,8 @@
             exchange.end_turn_wait(now_s)
             exchange.unread_tokens = 0
         self._by_turn.pop(exchange.turn, None)
-        self._release_turn(exchange.turn, exchange.server)
+        self._release_turn(exchange.turn, exchange.server, was_read)
         exchange.turn = None
 
-    def _release_turn(self, turn: RequestId, server: ServerId):
-        self.fire(agent_send(server, TurnReleased(turn, server)), "gossip")
+    def _release_turn(self, turn: RequestId, server: ServerId, was_read: bool = False):
+        self.fire(agent_send(server, TurnReleased(turn, server, was_read)), "gossip")
--- a/chervilgw/scheduling/prefill_speed.py
+++ b/chervilgw/scheduling/prefill_speed.py
@@ -12,7 +12,11 @@
 # The slowest engines of the known deployments; assumed until a speed is measured, and
 # the least speed, as a slower sample shows other work beside the prompt.
 DEFAULT_TOKENS_PER_S = 20_000.0
-MAX_TOKENS_PER_S = 200_000.0
+# Four times the default; a faster sample is a prompt that was mostly cached.
+MAX_TOKENS_PER_S = 80_000.0
+# Fraction of the variance of the times that the line has to explain. With less the
+# slope is noise, and the default holds.
+MIN_EXPLAINED_FRACTION = 0.1
 # Time from a granted turn to the first event of an empty prompt: the network round trip
 # and the engine steps of the event.
 FIRST_EVENT_OVERHEAD_S = 0.04
@@ -33,15 +37,20 @@
     _time_s: float
     _tokens_squared: float
     _tokens_time: float
+    _time_squared: float
 
     @property
     def tokens_per_s(self) -> float:
         """Return the measured speed, at least the default."""
         spread = self._weight * self._tokens_squared - self._tokens**2
         covariance = self._weight * self._tokens_time - self._tokens * self._time_s
-        if covariance <= spread / MAX_TOKENS_PER_S:
-            return MAX_TOKENS_PER_S
-        return max(DEFAULT_TOKENS_PER_S, spread / covariance)
+        time_spread = self._weight * self._time_squared - self._time_s**2
+        if covariance <= 0.0 or spread <= 0.0 or time_spread <= 0.0:
+            return DEFAULT_TOKENS_PER_S
+        if covariance**2 < MIN_EXPLAINED_FRACTION * spread * time_spread:
+            return DEFAULT_TOKENS_PER_S
+        measured = spread / covariance
+        return min(MAX_TOKENS_PER_S, max(DEFAULT_TOKENS_PER_S, measured))
 
     @property
     def factor(self) -> float:
@@ -66,6 +75,7 @@
         self._time_s = keep * self._time_s + weight * took_s
         self._tokens_squared = keep * self._tokens_squared + weight * tokens**2
         self._tokens_time = keep * self._tokens_time + weight * tokens * took_s
+        self._time_squared = keep * self._time_squared + weight * took_s**2
 
 
 def first_event_s(tokens: int, tokens_per_s: float = DEFAULT_TOKENS_PER_S) -> float:
@@ -86,7 +96,7 @@
     >>> 38_000 < speed.tokens_per_s < 41_000
     True
     """
-    speed = PrefillSpeed(0.0, 0.0, 0.0, 0.0, 0.0)
+    speed = PrefillSpeed(0.0, 0.0, 0.0, 0.0, 0.0, 0.0)
     for tokens in (0.0, PRIOR_TOKENS):
         took_s = FIRST_EVENT_OVERHEAD_S + tokens / DEFAULT_TOKENS_PER_S
         speed._add(tokens, took_s, PRIOR_WEIGHT / 2, 1.0)
--- a/chervilgw/scheduling/tests/test_prefill_speed.py
+++ b/chervilgw/scheduling/tests/test_prefill_speed.py
@@ -75,10 +75,33 @@
     queue.grant_turns(0.0, bool)
     before = queue.speed.tokens_per_s
     for request in requests:
-        queue.release(request, 0.3)
+        queue.release(request, 0.3, was_read=True)
     assert queue.speed.tokens_per_s == before
 
 
+def test_withdrawn_prompt_is_no_sample():
+    """A caller that leaves at once would make the engine look endlessly fast."""
+    queue = make_turn_queue()
+    for number in range(200):
+        request = RequestId(Incarnation(VmId("e"), 1), number)
+        item = QueuedItem(request, CustomerId("a"), "m", 200 + 1_600 * (number % 2))
+        queue.request(Turn(item, "10.0.0.1:7600"), float(number))
+        queue.grant_turns(float(number), bool)
+        queue.release(request, number + 0.001)
+    assert queue.speed.tokens_per_s == pytest.approx(DEFAULT_TOKENS_PER_S)
+
+
+def test_times_without_relation_to_the_prompt_are_no_speed():
+    """Other work of an engine can outweigh the reading of short prompts."""
+    draw = random.Random(5)
+    for _ in range(20):
+        speed = make_prefill_speed()
+        for _ in range(300):
+            speed.on_read(draw.randint(100, 400), draw.uniform(0.03, 0.3))
+        assert speed.tokens_per_s <= MAX_TOKENS_PER_S
+        assert speed.tokens_per_s == DEFAULT_TOKENS_PER_S
+
+
 def hot_and_rare(tokens_per_s):
     """Return the copies planned for a busy model on four engines with room for one."""
     size = ModelSpec(ModelName("hot"), 40.0, 1.5, 0.3, 0.4, 0, 0.0)
--- a/chervilgw/scheduling/turns.py
+++ b/chervilgw/scheduling/turns.py
@@ -197,12 +197,24 @@
         self._reading[request_id] = (waiting.turn, now_s)
         return GrantedTurn(waiting.turn, now_s - waiting.requested_s, waiting.passed_by)
 
-    def release(self, request_id: RequestId, now_s: float) -> None:
-        """Release the turn of a request that was read or withdrawn."""
+    def release(
+        self, request_id: RequestId, now_s: float, was_read: bool = False
+    ) -> None:
+        """Release the turn of a request.
+
+        Parameters
+        ----------
+        request_id : RequestId
+        now_s : float
+            Monotonic time in seconds.
+        was_read : bool
+            Whether the engine has read the prompt; otherwise it was withdrawn, or the
+            release was lost, and its time says nothing of the engine's speed.
+        """
         reading = self._reading.pop(request_id, None)
         if reading is not None:
             item, took_s = reading[0].item, now_s - reading[1]
-            if request_id == self._read_alone and took_s < TURN_TIMEOUT_S:
+            if was_read and request_id == self._read_alone:
                 self.speed.on_read(item.tokens, took_s)
             self._queue.settle(item, item.tokens, now_s)
         elif self._waiting.pop(request_id, None) is not None:
