Remove repeated work and checks found on a newcomer's reading

Cause: the agent decoded the signals of a report twice, the range of a port was checked in two places, each engine report computed its follower in small fleets too, a fuzz test put its values into an unrelated message, and a test slept between requests.

Change: one decoding, core.addresses.is_port, the check of the fleet's size first, plain assertions, and wait_for in place of the sleep (requests follow each other more closely; the bounds are as they were).

--- a/chervilgw/clients/vm_list.py
+++ b/chervilgw/clients/vm_list.py
@@ -9,7 +9,7 @@
 
 from chervilgw.clients.errors import PlatformError
 from chervilgw.codec.documents import DocumentError, load_document
-from chervilgw.core.addresses import MAX_PORT
+from chervilgw.core.addresses import is_port
 from chervilgw.core.ids import VmId, ZoneId
 from chervilgw.core.states import VmState
 from chervilgw.membership.view import RegisteredVm
@@ -88,8 +88,8 @@
     for name in ("vm", "zone", "address", "state"):
         if not isinstance(item.get(name), str) or not item[name]:
             raise DocumentError(f"no valid {name}")
-    port = item["address"].rpartition(":")[2]
-    if not (port.isascii() and port.isdigit() and 0 < int(port[:9]) <= MAX_PORT):
+    # The host may be a name.
+    if not is_port(item["address"].rpartition(":")[2]):
         raise DocumentError("no valid address")
     if item["state"] not in _STATES:
         raise DocumentError("no valid state")
--- a/chervilgw/core/addresses.py
+++ b/chervilgw/core/addresses.py
@@ -19,9 +19,14 @@
     (False, False)
     """
     host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit()) or len(port) > _MAX_PORT_DIGITS:
+    return is_ip(host) and is_port(port)
+
+
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port that can be dialled."""
+    if not (text.isascii() and text.isdigit()) or len(text) > _MAX_PORT_DIGITS:
         return False
-    return is_ip(host) and 0 < int(port) <= MAX_PORT
+    return 0 < int(text) <= MAX_PORT
 
 
 def check_address(text: str) -> str:
--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -14,6 +14,7 @@
 
 from circuits import Event, handler
 
+from chervilgw.core.answers import ServerSignals
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.errors import ChervilError
 from chervilgw.core.ids import Incarnation, ModelName
@@ -167,12 +168,8 @@
         started_ms = self.server_started_ms
         return self._back_offs.remaining_s(_OWN_ENGINE, started_ms, now_s) > 0
 
-    def _on_signals(self, done, now_s: float):
+    def _on_signals(self, signals: ServerSignals, now_s: float):
         """Apply what the engine says of itself beside a report or an order's answer."""
-        signals = self._codec.decode_signals(done.status, done.headers)
-        state = self.orders.state
-        if signals.leaving and state is not None:
-            self._leaving_started_ms = state.started_ms
         if signals.retry_after_s is not None:
             pause_s = self._back_offs.on_refused(
                 _OWN_ENGINE, self.server_started_ms, signals.retry_after_s, now_s
@@ -197,10 +194,11 @@
     @handler("call_done")
     def _on_done(self, done):
         now_s = time.monotonic()
-        self._on_signals(done, now_s)
+        signals = self._codec.decode_signals(done.status, done.headers)
+        self._on_signals(signals, now_s)
         if done.call == self._report_call:
             self._report_call = None
-            self._on_report(done, now_s)
+            self._on_report(done, signals, now_s)
         elif done.call == self._order_call:
             self._order_call = None
             reply = self._codec.decode_reply(done.status)
@@ -214,6 +212,8 @@
                 reply=reply,
             )
             self.orders.on_reply(reply)
+            if signals.leaving and self.orders.state is not None:
+                self._leaving_started_ms = self.orders.state.started_ms
             counted = order_counted(self._order.kind.value, reply.value)
             self.fire(counted, "metrics")
             self._request_report()
@@ -239,7 +239,7 @@
                 detail=failed.detail,
             )
 
-    def _on_report(self, done, now_s: float):
+    def _on_report(self, done, signals: ServerSignals, now_s: float):
         if done.status != 200:
             self.orders.on_unreachable()
             return
@@ -248,7 +248,6 @@
         except ChervilError as error:
             log_event("report_malformed", level="warning", detail=str(error))
             return
-        signals = self._codec.decode_signals(done.status, done.headers)
         if signals.leaving or state.started_ms == self._leaving_started_ms:
             self._leaving_started_ms = state.started_ms
             state = replace(state, draining=True)
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -113,11 +113,12 @@
 
     def _forward_engine_report(self, report: EngineReport, sender: str):
         """Pass a report on in this zone if it came from the agent itself."""
+        if not self._relays.uses_relays():
+            return
         server = self._engines.get(ServerId(report.server))
         if server is None or sender != self._agent_address(server):
             return
-        is_followed = self._relays.followed([server.server], time.monotonic())
-        if self._relays.uses_relays() and is_followed:
+        if self._relays.followed([server.server], time.monotonic()):
             self._send(report, self._relays.zone_members())
 
     @handler("entry_report_due")
--- a/chervilgw/platform/tests/test_odd_records.py
+++ b/chervilgw/platform/tests/test_odd_records.py
@@ -16,7 +16,6 @@
 from chervilgw.codec.frames import FrameError, encode, make_decoder
 from chervilgw.core.addresses import is_address
 from chervilgw.core.ids import NO_OFFSET, Offset
-from chervilgw.core.messages import EntryReport
 from chervilgw.platform.boot import decode_settings
 from chervilgw.platform.configuration import decode_configuration
 from chervilgw.platform.engines import decode_report
@@ -127,16 +126,12 @@
         return
     assert is_address(server.address)
     assert server.remaining_s is None or 0 <= server.remaining_s < 1e9
-    report = EntryReport(
-        None, "", {}, {server.service: server.slots}, {server.zone: server.started_ms}
+    assert all(
+        0 <= count <= 2**53
+        for count in (server.slots, server.started_ms, server.orders)
     )
-    packed = {
-        **report.running,
-        **report.unread_tokens,
-        **dict.fromkeys(server.adapters),
-    }
-    assert max(report.running.values(), default=0) < 2**53
-    assert json.dumps(list(packed), ensure_ascii=False).encode()
+    names = [server.service, server.zone, *server.adapters]
+    assert json.dumps(names, ensure_ascii=False).encode()
 
 
 @given(st.binary(max_size=60) | changed(REPORT))
--- a/fleet/tests/test_server_signals.py
+++ b/fleet/tests/test_server_signals.py
@@ -76,15 +76,20 @@
     answer = entry.send("/reserve/1")
     assert answer.status_code == 503
     assert 0.5 < float(answer.headers["Retry-After"]) <= float(retry_after_s)
-    refused_s = full.refused_s[-1]
-    while time.monotonic() < refused_s + float(retry_after_s) - 0.2:
+    end_s = full.refused_s[-1] + float(retry_after_s) - 0.2
+
+    def pause_ends():
         began_s = time.monotonic()
+        if began_s >= end_s:
+            return True
         answer = entry.send("/reserve/2")
         assert answer.status_code == 503
         # It is refused at once, with the time that is left.
         assert time.monotonic() - began_s < 0.5
         assert float(answer.headers["Retry-After"]) <= float(retry_after_s)
-        time.sleep(0.1)
+        return False
+
+    wait_for(pause_ends, "the pause ends")
     assert len(full.refused_s) == 1
     full.refuse = False
     wait_for(
