Split the idle connections from the HTTP client, and mend two faults there

Cause: the client also kept the idle connections. Reading it showed two faults. A reset after an answer without the call's id counted as a crash of the server by the request, as only an ordinary close was covered. A Keep-Alive time of more than 4,300 digits raised ValueError in the handler, so that the call got no answer.

Change: runtime/idle_connections.py decides which connections are kept, without a socket; the cause of a lost connection is decided in one place; the time is read from at most nine digits.

--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import re
 import time
-from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -28,14 +26,15 @@
     call_head,
     call_sent,
 )
+from chervilgw.runtime.idle_connections import (
+    MAX_IDLE_PER_ADDRESS,
+    IdleConnection,
+    make_idle_connections,
+    reuse_time_s,
+)
 from chervilgw.runtime.sockets import Dialer
 from chervilgw.telemetry import log_event
 
-MAX_IDLE_PER_ADDRESS = 8
-MAX_IDLE_CONNECTION_S = 10.0
-# An idle connection is closed this long before the server closes it, so that no request
-# races with the server's close.
-KEEP_ALIVE_MARGIN_S = 1.0
 # Bounds the late answers to other requests and the interim heads before the head of a
 # call's answer.
 MAX_BEFORE_ANSWER_BYTES = 1_048_576
@@ -43,7 +42,6 @@
 # 1 MB. The receiver of a streamed answer bounds its parts.
 MAX_COLLECTED_BYTES = 16_777_216
 
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)", re.IGNORECASE)
 # Methods whose requests need no length if they have no body.
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -74,28 +72,25 @@
 
     def __init__(self, channel, max_idle: int, silence_timeout_s: float | None):
         super().__init__(channel=channel)
-        self._max_idle = max_idle
         self._dialer = Dialer(
             channel, silence_timeout_s, on_data=self._on_read, on_reset=self._on_reset
         ).register(self)
         self._calls: dict[str, _Call] = {}
         self._by_sock: dict[Any, str] = {}
-        self._idle: dict[str, list[tuple[Any, Any, float]]] = defaultdict(list)
-        self._idle_address: dict[Any, str] = {}
+        self._idle = make_idle_connections(max_idle)
         self._parts: dict[str, list[CallData]] = {}
 
     @handler("http_call")
     def _on_call(self, spec: HttpCall):
         now_s = time.monotonic()
         call = self._calls[spec.call] = _Call(spec, now_s, now_s)
-        if not spec.new_connection and self._idle[spec.address]:
-            sock, parser, expires_s = self._idle[spec.address].pop()
-            self._idle_address.pop(sock)
-            if now_s < expires_s:
-                call.is_connection_reused = True
-                self._send(call, sock, parser)
-                return
-            self._dialer.close(sock)
+        idle = None if spec.new_connection else self._idle.take(spec.address)
+        if idle is not None and now_s < idle.expires_s:
+            call.is_connection_reused = True
+            self._send(call, idle.sock, idle.parser)
+            return
+        if idle is not None:
+            self._dialer.close(idle.sock)
         host, _, port = spec.address.rpartition(":")
         self._dialer.dial(spec.call, host, int(port))
 
@@ -136,7 +131,7 @@
     def _on_read(self, sock, data):
         call = self._calls.get(self._by_sock.get(sock, ""))
         if call is None:
-            self._remove_idle(sock)
+            self._idle.remove(sock)
             self._dialer.close(sock)
             return
         call.last_data_s = time.monotonic()
@@ -248,7 +243,7 @@
         self.fire(call_done(message), spec.reply_to)
 
     def _cache_or_close(self, call: _Call):
-        idle = self._idle[call.spec.address]
+        address = call.spec.address
         try:
             call.parser.start_next_cycle()
         except h11.LocalProtocolError:
@@ -262,16 +257,16 @@
             call.spec.new_connection
             or trailing
             or unsent
-            or len(idle) >= self._max_idle
+            or not self._idle.has_room(address)
         ):
             self._dialer.close(call.sock)
             return
-        reuse_time_s = _reuse_time_s(call.headers)
-        if reuse_time_s <= 0.0:
+        limit_s = reuse_time_s(call.headers)
+        if limit_s <= 0.0:
             self._dialer.close(call.sock)
             return
-        idle.append((call.sock, call.parser, time.monotonic() + reuse_time_s))
-        self._idle_address[call.sock] = call.spec.address
+        expires_s = time.monotonic() + limit_s
+        self._idle.keep(address, IdleConnection(call.sock, call.parser, expires_s))
 
     def _on_reset(self, sock):
         # A body without a length ends with its connection; after a reset it is
@@ -289,19 +284,15 @@
             self._close_unfinished(call)
         else:
             self._dialer.abandon(call.spec.call)
+        # What ended the connection after an answer to another request is not known.
+        connection_lost = connection_lost and not call.has_unproven_answer
         message = CallFailed(call.spec.call, sent, detail, connection_lost)
         self._send_parts(call.spec.reply_to)
         self.fire(call_failed(message), call.spec.reply_to)
 
-    def _remove_idle(self, sock):
-        address = self._idle_address.pop(sock, None)
-        if address is not None:
-            idle = self._idle[address]
-            idle[:] = [item for item in idle if item[0] is not sock]
-
     @handler("disconnect")
     def _on_disconnect(self, sock):
-        self._remove_idle(sock)
+        self._idle.remove(sock)
         call = self._calls.get(self._by_sock.get(sock, ""))
         if call is None:
             return
@@ -311,10 +302,6 @@
         except h11.RemoteProtocolError:
             pass
         if call.spec.call in self._calls:
-            if call.has_unproven_answer:
-                detail = "connection closed after an answer without the request's id"
-                self._fail(call, sent=True, detail=detail)
-                return
             detail = "connection closed before the answer"
             self._fail(call, sent=True, detail=detail, connection_lost=True)
 
@@ -353,11 +340,8 @@
                 self._fail(call, sent=True, detail="the answer stalled")
             elif _is_body_overdue(call, now_s):
                 self._fail(call, sent=True, detail="the answer did not end in time")
-        for idle in self._idle.values():
-            for item in [item for item in idle if now_s >= item[2]]:
-                idle.remove(item)
-                self._idle_address.pop(item[0], None)
-                self._dialer.close(item[0])
+        for idle in self._idle.take_expired(now_s):
+            self._dialer.close(idle.sock)
 
 
 def _owner_of(call: _Call, head) -> AnswerOwner:
@@ -394,16 +378,6 @@
     return limit_s is not None and now_s - call.started_s > limit_s
 
 
-def _reuse_time_s(headers: tuple) -> float:
-    """Return how long an idle connection may be reused, in seconds."""
-    for name, value in headers:
-        if name.lower() == "keep-alive":
-            match = _KEEP_ALIVE_TIMEOUT.search(value)
-            if match:
-                return min(MAX_IDLE_CONNECTION_S, int(match[1]) - KEEP_ALIVE_MARGIN_S)
-    return MAX_IDLE_CONNECTION_S
-
-
 def make_http_client(
     channel: str = "http-client",
     max_idle: int = MAX_IDLE_PER_ADDRESS,
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -244,3 +244,29 @@
         caller.fire(http_call_cancel("c1"), "http-client")
         with pytest.raises(ConnectionResetError):
             connection.recv(65536)
+
+
+def test_connection_that_is_reset_after_a_repeated_refusal_blames_no_request(pair):
+    """Guards against a request that counts as having crashed its server."""
+    listener, caller = pair
+    connection = reused(listener, caller)
+    caller.call("c2")
+    connection.recv(65536)
+    connection.sendall(STALE["no id"])
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+    wait_until(lambda: caller.failed)
+    assert caller.failed[0].sent
+    assert not caller.failed[0].connection_lost
+
+
+def test_endless_keep_alive_time_does_not_hide_an_answer(pair):
+    """Guards against a call that never ends because of a number that is too large."""
+    listener, caller = pair
+    keep_alive = b"\r\nKeep-Alive: timeout=" + b"9" * 5000 + b"\r\n\r\n"
+    caller.call("c1")
+    with accept(listener) as connection:
+        connection.sendall(OWN.replace(b"\r\n\r\n", keep_alive))
+        wait_until(lambda: caller.done)
+    assert caller.done == [("c1", b"own")]
