Split the relay of answers from the gateway

Cause: gateway.py had 564 lines and two jobs: to admit requests and choose what becomes of them, and to carry each attempt from the send to the end of its answer.

Change: forward/answer_relay.py is the base that owns the attempts, as turn_requester.py owns the turns. Methods are moved unchanged but for names that both use; the budget of retries is asked through allows_retry.

--- /dev/null
+++ b/chervilgw/forward/answer_relay.py
@@ -0,0 +1,224 @@
+"""Base of the gateway task: sends requests to servers and relays their answers."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+
+from circuits import handler
+
+from chervilgw.codec.event_stream import EventOrderError
+from chervilgw.core.answers import AnswerKind
+from chervilgw.core.deployment import ServerId
+from chervilgw.core.ids import Incarnation
+from chervilgw.core.refusals import Refusal
+from chervilgw.core.states import RefusalReason
+from chervilgw.forward.codec import FrontCodec
+from chervilgw.forward.crash_watch import make_crash_watch
+from chervilgw.forward.events import crash_report_due
+from chervilgw.forward.exchange import Exchange, Stage
+from chervilgw.forward.metrics_task import attempt_counted
+from chervilgw.forward.request_log import log_attempt_failed, log_attempt_not_served
+from chervilgw.forward.turn_requester import TurnRequester
+from chervilgw.routing.stream_pace import make_stream_pace
+from chervilgw.runtime.events import (
+    HttpPart,
+    HttpPushStart,
+    HttpReply,
+    http_call,
+    http_call_cancel,
+    http_push_data,
+    http_push_end,
+    http_push_start,
+    http_reply,
+)
+
+# A process reads its configuration within some tenths of a second after its start, and
+# a failed server is replaced or ejected in that time.
+TRANSIENT_RETRY_AFTER_S = 0.5
+# Answers of plain services are buffered up to this size, so that the request can be
+# retried if the answer is cut off; longer ones are relayed. A discarded answer is read
+# up to this size, so that its connection can be kept.
+MAX_BUFFERED_BODY_BYTES = 1_048_576
+
+
+class AnswerRelay(TurnRequester):
+    """Task that owns the attempts at servers, from the send to the end of the answer.
+
+    Subclasses define ``attempt``, which chooses a server, ``allows_retry``, which says
+    whether the retry budget covers one more attempt, ``fail``, which refuses a request,
+    and ``end``, which ends it.
+    """
+
+    def __init__(self, incarnation: Incarnation, codec: FrontCodec, channel):
+        super().__init__(incarnation, channel)
+        self.codec = codec
+        self.crashes = make_crash_watch(incarnation)
+        self.pace = make_stream_pace()
+        self._by_call: dict[str, Exchange] = {}
+
+    def send(
+        self, exchange: Exchange, server: ServerId, unread_tokens: int, now_s: float
+    ):
+        """Send the request to a server."""
+        registered = self.fleet.directory.find(server)
+        exchange.begin_attempt(server, registered.started_ms, unread_tokens)
+        self._by_call[exchange.call] = exchange
+        self.fleet.on_sent(server, exchange.admitted.opaque, unread_tokens, now_s)
+        call = self.dispatcher.call(exchange, self.channel, now_s)
+        self.fire(http_call(call), "server-client")
+
+    @handler("call_head")
+    def _on_head(self, head):
+        exchange = self._by_call.get(head.call)
+        if exchange is None:
+            return
+        answer = self.codec.decode_answer(head.status, head.headers)
+        exchange.on_head(answer, MAX_BUFFERED_BODY_BYTES)
+        self.on_signals(
+            exchange.server,
+            exchange.server_started_ms,
+            answer.signals,
+            time.monotonic(),
+        )
+        if answer.head.from_server and not answer.not_run:
+            self.fleet.board.on_answer(exchange.server, answer.status >= 500)
+        if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
+            self._forward_head(exchange)
+
+    def _forward_head(self, exchange: Exchange):
+        answer, exchange.head_forwarded = exchange.answer, True
+        start = HttpPushStart(exchange.number, answer.status, answer.headers)
+        self.fire(http_push_start(start), exchange.server_channel)
+
+    @handler("call_data")
+    def _on_data(self, parts):
+        now_s = time.monotonic()
+        forwarded = defaultdict(list)
+        for part in parts:
+            exchange = self._by_call.get(part.call)
+            if exchange is None:
+                continue
+            self._on_answer_bytes(exchange, now_s)
+            try:
+                data = exchange.on_data(part.data)
+            except EventOrderError as error:
+                self.stop_attempt(exchange, now_s)
+                self._on_not_served(exchange, str(error), now_s)
+                continue
+            if exchange.unrelayed_bytes > MAX_BUFFERED_BODY_BYTES:
+                data = self._on_long_body(exchange, now_s)
+            if data:
+                output = HttpPart(exchange.number, data)
+                forwarded[exchange.server_channel].append(output)
+        for server_channel, outputs in forwarded.items():
+            self.fire(http_push_data(outputs), server_channel)
+
+    def _on_long_body(self, exchange: Exchange, now_s: float) -> bytes:
+        """Relay a long answer; abort one that is being discarded, as it may not end."""
+        if exchange.stage is Stage.BUFFERING:
+            self._forward_head(exchange)
+            return exchange.start_relaying()
+        self.stop_attempt(exchange, now_s)
+        self._on_not_served(
+            exchange, "a discarded answer exceeded the size limit", now_s
+        )
+        return b""
+
+    def _on_not_served(self, exchange: Exchange, detail: str, now_s: float):
+        self.fire(attempt_counted("not_served"), "metrics")
+        exchange.on_not_served()
+        log_attempt_not_served(exchange, detail)
+        self._retry_or_fail(exchange, detail, now_s)
+
+    def _on_answer_bytes(self, exchange: Exchange, now_s: float):
+        exchange.record_bytes(now_s)
+        if exchange.unread_tokens:
+            self.fleet.board.on_started(exchange.server, exchange.unread_tokens)
+            exchange.unread_tokens = 0
+        self.leave_queue(exchange, now_s, exchange.stage is Stage.RELAYING)
+
+    @handler("call_done")
+    def _on_done(self, done):
+        exchange = self._by_call.pop(done.call, None)
+        if exchange is None:
+            return
+        now_s = time.monotonic()
+        self._release_server(exchange, now_s)
+        self.crashes.on_completed(exchange.digest)
+        if exchange.stage is Stage.DISCARDING:
+            detail = f"the server answered {done.status}"
+            self._on_not_served(exchange, detail, now_s)
+            return
+        if exchange.is_cut_off:
+            detail = "the stream ended in the middle of an event"
+            self._on_not_served(exchange, detail, now_s)
+            return
+        self.fire(attempt_counted("served"), "metrics")
+        if exchange.stage is Stage.BUFFERING:
+            reply = HttpReply(exchange.number, *exchange.buffered_answer())
+            self.fire(http_reply(reply), exchange.server_channel)
+        else:
+            self._end_relay(exchange)
+            self._record_pace(exchange, now_s)
+        self.end(exchange, "answered", now_s)
+
+    def _record_pace(self, exchange: Exchange, now_s: float):
+        output_tokens = exchange.admitted.opaque.output_tokens
+        if exchange.sends == 1 and exchange.answer.status == 200 and output_tokens:
+            self.pace.on_ended(output_tokens, now_s - exchange.first_byte_s)
+
+    def _end_relay(self, exchange: Exchange):
+        rest = exchange.cutter.take_partial() if exchange.cutter else b""
+        if rest:
+            parts = [HttpPart(exchange.number, rest)]
+            self.fire(http_push_data(parts), exchange.server_channel)
+        self.fire(http_push_end(exchange.number, True), exchange.server_channel)
+
+    @handler("call_failed")
+    def _on_failed(self, failed):
+        exchange = self._by_call.pop(failed.call, None)
+        if exchange is None:
+            return
+        now_s = time.monotonic()
+        server, ejected_s = exchange.server, None
+        self._release_server(exchange, now_s)
+        if not failed.sent:
+            exchange.may_have_run.discard(server)
+            ejected_s = self.fleet.board.on_unreachable(server, now_s)
+        elif failed.connection_lost:
+            self.fleet.board.on_answer(server, True)
+            report = self.crashes.on_connection_broken(
+                server, exchange.server_started_ms, exchange.digest, now_s
+            )
+            self.fire(crash_report_due(report), "gossip")
+        self.fire(attempt_counted("failed" if failed.sent else "unreached"), "metrics")
+        log_attempt_failed(exchange, failed, ejected_s)
+        self._retry_or_fail(exchange, failed.detail, now_s)
+
+    def _retry_or_fail(self, exchange: Exchange, detail: str, now_s: float):
+        """Try another server if that is allowed, else refuse the request."""
+        if exchange.may_resume() and now_s < exchange.deadline_s:
+            never_arrived = not exchange.may_have_run and exchange.answer is None
+            service = exchange.admitted.service
+            if never_arrived or self.allows_retry(service, now_s):
+                if exchange.cutter is not None:
+                    exchange.cutter.begin_continuation()
+                self.attempt(exchange, now_s)
+                return
+        reason = RefusalReason.BACKEND_LOST
+        if exchange.answer_kind is AnswerKind.REFUSAL:
+            reason = RefusalReason.QUEUE_FULL
+        refusal = Refusal(reason, exchange.run_state, detail, TRANSIENT_RETRY_AFTER_S)
+        self.fail(exchange, refusal, now_s)
+
+    def _release_server(self, exchange: Exchange, now_s: float):
+        self.leave_queue(exchange, now_s)
+        self.fleet.board.on_ended(exchange.server, exchange.unread_tokens)
+        exchange.unread_tokens = 0
+
+    def stop_attempt(self, exchange: Exchange, now_s: float):
+        """Close the connection to the server, so that it stops work on the request."""
+        if self._by_call.pop(exchange.call, None) is not None:
+            self.fire(http_call_cancel(exchange.call), "server-client")
+            self._release_server(exchange, now_s)
