Read the headers of an answer once for its signals

Cause: each answer's headers were put into a second dictionary for the notice and the pause.

Change: decode_answer passes on the one that it has.

Measured: pytest of chervilgw/platform passes.

--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -10,7 +10,7 @@
 import json
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 
@@ -208,7 +208,7 @@
         .lower()
         .startswith(_EVENT_STREAM_TYPE),
         framed=length is not None or "transfer-encoding" in headers,
-        signals=decode_signals(status, pairs),
+        signals=_signals_of(status, headers),
     )
 
 
@@ -218,10 +218,13 @@
     A time to retry counts only with 503. One that is negative, no number or a date
     without the date of the answer is ignored.
     """
+    return _signals_of(status, {name.lower(): value for name, value in pairs})
+
+
+def _signals_of(status: int, headers: Mapping[str, str]) -> ServerSignals:
     if status == HTTPStatus.MISDIRECTED_REQUEST:
         # Another server answered, at the address of the one that was asked.
         return ServerSignals()
-    headers = {name.lower(): value for name, value in pairs}
     retry_after_s = None
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
         retry_after_s = _decode_retry_after_s(
