--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts: they are Python and need only the standard
-# library. The system itself is built by the build command of deploy/system.toml.
+# Builds the stand-ins of the scripts. They are Python, and use the packages that the
+# build command of deploy/system.toml puts into target/deps. Bytecode goes into target/.
 cd "$(dirname "$0")/.." || exit 2
-python3 -m py_compile standins/opaque_platform.py review/harness.py review/*/play.py
+PYTHONPYCACHEPREFIX="$PWD/target/pycache"
+export PYTHONPYCACHEPREFIX
+python3 -m py_compile standins/*.py review/*.py review/*/play.py
