Log the prompt parts and the progress of an attempt that fails

attempt_failed and request_ended name the parts of a prompt that other requests may share, and attempt_failed how long the answer had been arriving and in how many reads. Each report of a crash is logged at its entry and at its peers.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -18,7 +18,11 @@
 from chervilgw.forward.events import crash_report_due
 from chervilgw.forward.exchange import Exchange, Stage
 from chervilgw.forward.metrics_task import attempt_counted
-from chervilgw.forward.request_log import log_attempt_failed, log_attempt_not_served
+from chervilgw.forward.request_log import (
+    log_attempt_failed,
+    log_attempt_not_served,
+    log_crash_report,
+)
 from chervilgw.forward.turn_requester import TurnRequester
 from chervilgw.routing.stream_pace import make_stream_pace
 from chervilgw.runtime.events import (
@@ -192,8 +196,9 @@
                 server, exchange.server_started_ms, exchange.digest, now_s
             )
             self.fire(crash_report_due(report), "gossip")
+            log_crash_report(report, "here")
         self.fire(attempt_counted("failed" if failed.sent else "unreached"), "metrics")
-        log_attempt_failed(exchange, failed, ejected_s)
+        log_attempt_failed(exchange, failed, ejected_s, now_s)
         self._retry_or_fail(exchange, failed.detail, now_s)
 
     def _retry_or_fail(self, exchange: Exchange, detail: str, now_s: float):
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -44,6 +44,8 @@
     ``busy_at`` those of them that could have served the request later.
     ``first_token_wait_s`` is how long the caller waits for the first token.
     ``unrelayed_bytes`` counts the bytes of an answer that is buffered or discarded.
+    ``answer_started_s`` and ``answer_reads`` are the time of the first byte at the
+    current server and the number of times bytes came from it.
     ``unread_tokens`` is the part of the prompt that the server still has to read; it is
     0 from the first byte of the answer on.
     """
@@ -62,6 +64,8 @@
     first_byte_s: float | None = None
     last_byte_s: float = 0.0
     longest_pause_s: float = 0.0
+    answer_started_s: float | None = None
+    answer_reads: int = 0
     sends: int = 0
     tried: set[ServerId] = field(default_factory=set)
     may_have_run: set[ServerId] = field(default_factory=set)
@@ -124,6 +128,7 @@
         self.unread_tokens = unread_tokens
         self.answer, self.answer_kind = None, None
         self.body, self.unrelayed_bytes = [], 0
+        self.answer_started_s, self.answer_reads = None, 0
         self.call = f"{self.server_channel}-{self.number}-{self.sends}"
 
     def on_turn_refused(self, retry_after_s: float, is_busy: bool) -> None:
@@ -202,6 +207,9 @@
 
     def record_bytes(self, now_s: float) -> None:
         """Record that bytes of the answer arrived."""
+        if self.answer_started_s is None:
+            self.answer_started_s = now_s
+        self.answer_reads += 1
         if self.first_byte_s is None:
             self.first_byte_s = now_s
         else:
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -45,6 +45,7 @@
     request_counted,
 )
 from chervilgw.forward.request_log import (
+    log_crash_report,
     log_early_refusal,
     log_ended,
 )
@@ -144,6 +145,7 @@
     @handler("crash_reported")
     def _on_crash_report(self, report):
         self.crashes.on_report(report, time.monotonic())
+        log_crash_report(report, "peer")
 
     def _exchanges_in(self, stage: Stage) -> list[Exchange]:
         return [
--- a/chervilgw/forward/request_log.py
+++ b/chervilgw/forward/request_log.py
@@ -4,7 +4,7 @@
 
 from chervilgw.core.deployment import OpaqueRequest
 from chervilgw.core.ids import RequestId
-from chervilgw.core.messages import TurnRefused
+from chervilgw.core.messages import CrashReport, TurnRefused
 from chervilgw.core.refusals import Refusal
 from chervilgw.forward.exchange import Exchange
 from chervilgw.runtime.events import CallFailed
@@ -67,15 +67,21 @@
 
 
 def log_attempt_failed(
-    exchange: Exchange, failed: CallFailed, ejected_s: float | None
+    exchange: Exchange, failed: CallFailed, ejected_s: float | None, now_s: float
 ) -> None:
-    """Log an attempt without a complete answer."""
+    """Log an attempt without a complete answer, and how far its answer had come."""
+    since_s = exchange.answer_started_s
     log_event(
         "attempt_failed",
         request=exchange.admitted.opaque.attempt,
         server=exchange.server,
         sent=failed.sent,
+        connection_lost=failed.connection_lost,
+        server_started_ms=exchange.server_started_ms,
+        prompt_parts=_shared_parts(exchange.admitted.opaque),
         head_passed=exchange.head_forwarded,
+        answering_s=None if since_s is None else round(now_s - since_s, 4),
+        answer_reads=exchange.answer_reads,
         ejected_s=ejected_s,
         detail=failed.detail,
     )
@@ -103,6 +109,7 @@
         adapter=opaque.adapter,
         prompt_tokens=opaque.prompt_tokens,
         output_tokens=opaque.output_tokens,
+        prompt_parts=_shared_parts(opaque),
         server=exchange.server,
         outcome=outcome,
         sends=exchange.sends,
@@ -115,5 +122,21 @@
     )
 
 
+def log_crash_report(report: CrashReport, source: str) -> None:
+    """Log evidence on requests at a crash; ``source`` is "here" or "peer"."""
+    log_event(
+        "crash_report",
+        source=source,
+        crash=report.crash,
+        digests=list(report.digests),
+        cleared=report.cleared,
+    )
+
+
+def _shared_parts(opaque: OpaqueRequest) -> list[str]:
+    """Return the ids of the prompt parts that other requests may share."""
+    return [part for part, _ in opaque.prompt_parts[:-1]]
+
+
 def _path(opaque: OpaqueRequest) -> str:
     return opaque.target.partition("?")[0]
