--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -15,6 +15,7 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -213,6 +214,9 @@
     on_resume: OnResume = OnResume.CONTINUE
     work_s: float = 0.0
     events: int = 5
+    event_pause_s: float = 0.0
+    deadly_part: str = ""
+    on_crash: Callable[[ServerStandIn], None] | None = None
     hold: threading.Event = field(default_factory=threading.Event)
     runs: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -336,6 +340,10 @@
         handler.send_header("Content-Type", "text/event-stream")
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
+        parts = headers.get("x-prompt-prefix", "").split(",")
+        if any(part.partition(":")[0] == self.deadly_part for part in parts):
+            self._crash(handler)
+            return
         first = int(headers.get("last-event-id", 0)) + 1
         if first > 1 and self.on_resume is OnResume.RESTART:
             first = 1
@@ -351,7 +359,15 @@
                 handler.drop()
                 return
             self._chunk(handler, b"id: %d\ndata: token\n\n" % number)
+            threading.Event().wait(self.event_pause_s)
         handler.wfile.write(b"0\r\n\r\n")
 
+    def _crash(self, handler: _Handler):
+        handler.wfile.flush()
+        handler.drop()
+        self.stop()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     def _chunk(self, handler: _Handler, data: bytes):
         handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
