Block prompt parts that crash engines, not only equal requests

The cause: a request that crashes its server was known by the digest of caller, target and body, so that requests which share one part of their prompts each counted as new.

Evidence is now kept for each trait of a request: its digest, and each prompt part but the last. A crash blames the traits of the requests whose answer had not got past its beginning; a run that does refutes the blame for its own. A blamed trait is tried by one request at a time over all entries, and a crash of a trial blocks it. Requests that crash together count as one strike, so that servers which crash at the same moment block nothing. Evidence is merged as a union, so that lost, late and repeated reports do not matter; an entry that starts gets all of it.

--- a/chervilgw/codec/frames.py
+++ b/chervilgw/codec/frames.py
@@ -58,6 +58,7 @@
     messages.TurnReleased: 30,
     messages.DemandReport: 31,
     messages.EntryReportBatch: 32,
+    messages.SuspicionReport: 33,
 }
 
 _LENGTH = struct.Struct(">I")
--- a/chervilgw/core/answers.py
+++ b/chervilgw/core/answers.py
@@ -92,6 +92,20 @@
     return AnswerOwner.UNPROVEN if is_connection_reused else AnswerOwner.THIS_CALL
 
 
+def proves_survival(kind: AnswerKind, status: int) -> bool:
+    """Return whether the end of an answer shows that its server survived the run.
+
+    A refusal and an answer that is not of this call's run say nothing of it, nor does a
+    server's error, which may come before the run has begun.
+
+    Examples
+    --------
+    >>> proves_survival(AnswerKind.REFUSAL, 503), proves_survival(AnswerKind.WHOLE, 200)
+    (False, True)
+    """
+    return kind in (AnswerKind.WHOLE, AnswerKind.CONTINUATION) and status < 500
+
+
 def classify_answer(head: AnswerHead, is_resumed: bool) -> AnswerKind:
     """Return what an answer to this call means.
 
--- a/chervilgw/core/deployment.py
+++ b/chervilgw/core/deployment.py
@@ -190,3 +190,8 @@
     output_tokens: int | None
     prompt_parts: tuple[tuple[PromptPartId, int], ...]
     last_event: str | None
+
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the prompt parts that other requests may have: all but the last."""
+        return tuple(part for part, _ in self.prompt_parts[:-1])
--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -8,7 +8,13 @@
 
 from dataclasses import dataclass, field
 
-from chervilgw.core.ids import CustomerId, Incarnation, RequestId
+from chervilgw.core.ids import (
+    CrashId,
+    CustomerId,
+    Incarnation,
+    RequestId,
+    RequestTrait,
+)
 from chervilgw.core.states import Urgency
 
 
@@ -170,3 +176,48 @@
     server: str
     model: str
     unload: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CrashBlame:
+    """One crash of a server at which a trait was present.
+
+    ``strike`` is 1 plus the strikes that were known when the request was sent: crashes
+    of requests that were under way together have the same number. ``age_s`` is the time
+    since the sender heard of the crash.
+    """
+
+    crash: CrashId
+    strike: int
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRefutal:
+    """A crash that a trait did not cause, as a run with the trait survived since."""
+
+    crash: CrashId
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TraitEvidence:
+    """What an entry knows for and against one trait of requests.
+
+    ``proven_age_s`` is the time since a run with the trait survived, or None.
+    ``on_trial`` says that the sender is trying a request with the trait.
+    """
+
+    trait: RequestTrait
+    blames: tuple[CrashBlame, ...]
+    refutals: tuple[CrashRefutal, ...]
+    proven_age_s: float | None
+    on_trial: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SuspicionReport:
+    """Evidence on traits, sent to other entries when it changes."""
+
+    sender: Incarnation
+    evidence: tuple[TraitEvidence, ...]
--- a/chervilgw/core/ids.py
+++ b/chervilgw/core/ids.py
@@ -19,6 +19,7 @@
 ChangeId = NewType("ChangeId", str)
 CrashId = NewType("CrashId", str)
 Digest = NewType("Digest", str)
+RequestTrait = NewType("RequestTrait", str)
 Offset = NewType("Offset", int)
 ShareUnits = NewType("ShareUnits", int)
 
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -16,6 +16,7 @@
     EntryReportBatch,
     ModelLoadRequest,
     ReportSubscription,
+    SuspicionReport,
     TurnGranted,
     TurnRefused,
     TurnReleased,
@@ -377,6 +378,7 @@
     | EntryReportBatch
     | DemandReport
     | ReportSubscription
+    | SuspicionReport
     | EngineReport
     | TurnRequest
     | TurnGranted
--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -8,21 +8,15 @@
 from circuits import handler
 
 from chervilgw.codec.event_stream import EventOrderError
-from chervilgw.core.answers import AnswerKind
+from chervilgw.core.answers import AnswerKind, proves_survival
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import Incarnation
 from chervilgw.core.refusals import Refusal
 from chervilgw.core.states import RefusalReason
 from chervilgw.forward.codec import FrontCodec
-from chervilgw.forward.crash_watch import make_crash_watch
-from chervilgw.forward.events import crash_report_due
 from chervilgw.forward.exchange import Exchange, Stage
 from chervilgw.forward.metrics_task import attempt_counted
-from chervilgw.forward.request_log import (
-    log_attempt_failed,
-    log_attempt_not_served,
-    log_crash_report,
-)
+from chervilgw.forward.request_log import log_attempt_failed, log_attempt_not_served
 from chervilgw.forward.turn_requester import TurnRequester
 from chervilgw.routing.stream_pace import make_stream_pace
 from chervilgw.runtime.events import (
@@ -57,7 +51,6 @@
     def __init__(self, incarnation: Incarnation, codec: FrontCodec, channel):
         super().__init__(incarnation, channel)
         self.codec = codec
-        self.crashes = make_crash_watch(incarnation)
         self.pace = make_stream_pace()
         self._by_call: dict[str, Exchange] = {}
 
@@ -67,6 +60,7 @@
         """Send the request to a server."""
         registered = self.fleet.directory.find(server)
         exchange.begin_attempt(server, registered.started_ms, unread_tokens)
+        exchange.known_strikes = self.suspicions.strikes(exchange.traits)
         self._by_call[exchange.call] = exchange
         self.fleet.on_sent(server, exchange.admitted.opaque, unread_tokens, now_s)
         call = self.dispatcher.call(exchange, self.channel, now_s)
@@ -137,6 +131,8 @@
 
     def _on_answer_bytes(self, exchange: Exchange, now_s: float):
         exchange.record_bytes(now_s)
+        if not exchange.survived and exchange.is_past_beginning(now_s):
+            self.on_survived(exchange, now_s)
         if exchange.unread_tokens:
             self.fleet.board.on_started(exchange.server, exchange.unread_tokens)
             exchange.unread_tokens = 0
@@ -149,7 +145,6 @@
             return
         now_s = time.monotonic()
         self._release_server(exchange, now_s)
-        self.crashes.on_completed(exchange.digest)
         if exchange.stage is Stage.DISCARDING:
             detail = f"the server answered {done.status}"
             self._on_not_served(exchange, detail, now_s)
@@ -158,6 +153,8 @@
             detail = "the stream ended in the middle of an event"
             self._on_not_served(exchange, detail, now_s)
             return
+        if proves_survival(exchange.answer_kind, done.status):
+            self.on_survived(exchange, now_s)
         self.fire(attempt_counted("served"), "metrics")
         if exchange.stage is Stage.BUFFERING:
             reply = HttpReply(exchange.number, *exchange.buffered_answer())
@@ -192,14 +189,12 @@
             ejected_s = self.fleet.board.on_unreachable(server, now_s)
         elif failed.connection_lost:
             self.fleet.board.on_answer(server, True)
-            report = self.crashes.on_connection_broken(
-                server, exchange.server_started_ms, exchange.digest, now_s
-            )
-            self.fire(crash_report_due(report), "gossip")
-            log_crash_report(report, "here")
         self.fire(attempt_counted("failed" if failed.sent else "unreached"), "metrics")
         log_attempt_failed(exchange, failed, ejected_s, now_s)
-        self._retry_or_fail(exchange, failed.detail, now_s)
+        if failed.sent and failed.connection_lost:
+            self.on_server_lost(exchange, now_s)
+        if exchange.stage is not Stage.ENDED:
+            self._retry_or_fail(exchange, failed.detail, now_s)
 
     def _retry_or_fail(self, exchange: Exchange, detail: str, now_s: float):
         """Try another server if that is allowed, else refuse the request."""
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -11,6 +11,7 @@
 from chervilgw.core.messages import TurnRequest
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
+from chervilgw.crashes.suspicion import Verdict
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.exchange import Exchange, urgency_of
 from chervilgw.forward.messages import ServerRequest
@@ -30,6 +31,8 @@
 MODEL_WAIT_FRACTION = 0.85
 # A load that has not begun by then is not planned: other models have more demand.
 MAX_PLAN_WAIT_S = 1.0
+# A trial ends when its answer has got past its beginning, or with the server.
+TRIAL_RETRY_AFTER_S = 1.0
 # From the end of a load to its report, with a margin for callers' clocks.
 LOAD_REPORT_MARGIN_S = 0.3
 # A connection takes 1 to 6 ms. A lost packet costs a second, so that another server is
@@ -120,6 +123,7 @@
             opaque.model,
             opaque.prompt_tokens or 0,
             exchange.first_token_wait_s,
+            bool(exchange.suspects),
         )
         chosen = choose_server(request, candidates)
         if is_successful(chosen):
@@ -284,6 +288,20 @@
         )
 
 
+def refuse_blocked(exchange: Exchange, verdict: Verdict) -> Refusal:
+    """Return the refusal of a request with a trait that crashes servers."""
+    text = f"requests with {verdict.suspects[0]} crashed servers and are blocked"
+    reason = RefusalReason.BLOCKED_AFTER_CRASHES
+    return Refusal(reason, exchange.run_state, text, verdict.blocked_s)
+
+
+def refuse_during_trial(exchange: Exchange) -> Refusal:
+    """Return the refusal of a request that cannot wait for the trial of another."""
+    text = "a request with a part that was present at a crash is being tried"
+    reason = RefusalReason.SUSPECT_BUSY
+    return Refusal(reason, exchange.run_state, text, TRIAL_RETRY_AFTER_S)
+
+
 def _connection_limit(
     deployment: Deployment, service: ServiceName, entries: int
 ) -> int:
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -49,12 +49,16 @@
     """Send a message to the agent of an engine: server id, message."""
 
 
-class crash_report_due(Event):  # noqa: N801
-    """Send a report of a crash to the other entries: ``CrashReport``."""
+class suspicion_report_due(Event):  # noqa: N801
+    """Send evidence: ``SuspicionReport``, address of an entry or None for all."""
 
 
-class crash_reported(Event):  # noqa: N801
-    """Another entry reported a crash: ``CrashReport``."""
+class suspicion_reminder_due(Event):  # noqa: N801
+    """Send all evidence to a few entries, as reports may be lost: report."""
+
+
+class suspicion_reported(Event):  # noqa: N801
+    """Another entry sent evidence: ``SuspicionReport``, address of the sender."""
 
 
 class servers_updated(Event):  # noqa: N801
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -6,9 +6,9 @@
 from enum import Enum
 
 from chervilgw.codec.event_stream import EventSplitter, make_event_splitter
-from chervilgw.core.answers import AnswerKind, classify_answer
+from chervilgw.core.answers import AnswerKind, classify_answer, proves_survival
 from chervilgw.core.deployment import RouteKind, ServerId
-from chervilgw.core.ids import Digest, RequestId
+from chervilgw.core.ids import RequestId, RequestTrait
 from chervilgw.core.states import RunState, Urgency
 from chervilgw.forward.messages import AdmittedRequest, Headers, ServerAnswer
 
@@ -19,6 +19,12 @@
 ABANDON_AFTER_S = 2.0
 ABANDON_TARGET_FACTOR = 4.0
 ABANDON_PAUSE_FACTOR = 8.0
+# A server that a request crashes writes the head of the answer and perhaps the first
+# events. Events that still come after this time are past that point.
+SURVIVAL_S = 0.25
+# Fraction of the caller's wait for a first token that may go to a trial of another
+# request; the rest is for the queue and the prompt.
+TRIAL_WAIT_FRACTION = 0.6
 
 
 class Stage(Enum):
@@ -27,6 +33,7 @@
     WAITING_FOR_TURN = "waiting_for_turn"
     WAITING_FOR_MODEL = "waiting_for_model"
     WAITING_FOR_SERVER = "waiting_for_server"
+    WAITING_FOR_TRIAL = "waiting_for_trial"
     SENT = "sent"
     DISCARDING = "discarding"
     BUFFERING = "buffering"
@@ -46,6 +53,11 @@
     ``unrelayed_bytes`` counts the bytes of an answer that is buffered or discarded.
     ``answer_started_s`` and ``answer_reads`` are the time of the first byte at the
     current server and the number of times bytes came from it.
+    ``traits`` is what the request has in common with others, ``known_strikes`` the
+    strikes of each trait when the request was sent. ``suspects`` are the traits that
+    were suspects when a server was last chosen; ``on_trial`` says that it is the only
+    request with them that is sent now, ``survived`` that the current server has
+    got past the beginning of its answer.
     ``unread_tokens`` is the part of the prompt that the server still has to read; it is
     0 from the first byte of the answer on.
     """
@@ -53,7 +65,7 @@
     number: int
     server_channel: str
     admitted: AdmittedRequest
-    digest: Digest
+    traits: tuple[RequestTrait, ...]
     started_s: float
     deadline_s: float
     first_token_wait_s: float
@@ -66,6 +78,10 @@
     longest_pause_s: float = 0.0
     answer_started_s: float | None = None
     answer_reads: int = 0
+    known_strikes: tuple[int, ...] = ()
+    suspects: tuple[RequestTrait, ...] = ()
+    on_trial: bool = False
+    survived: bool = False
     sends: int = 0
     tried: set[ServerId] = field(default_factory=set)
     may_have_run: set[ServerId] = field(default_factory=set)
@@ -129,6 +145,7 @@
         self.answer, self.answer_kind = None, None
         self.body, self.unrelayed_bytes = [], 0
         self.answer_started_s, self.answer_reads = None, 0
+        self.survived = False
         self.call = f"{self.server_channel}-{self.number}-{self.sends}"
 
     def on_turn_refused(self, retry_after_s: float, is_busy: bool) -> None:
@@ -217,6 +234,19 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_byte_s = now_s
 
+    def is_past_beginning(self, now_s: float) -> bool:
+        """Return whether the bytes that have just come show that the server lives."""
+        if self.stage is not Stage.RELAYING or self.answer_started_s is None:
+            return False
+        return now_s - self.answer_started_s >= SURVIVAL_S and proves_survival(
+            self.answer_kind, self.answer.status
+        )
+
+    def may_wait_for_trial(self, now_s: float) -> bool:
+        """Return whether to hold the request while another one is tried."""
+        since_s = self.last_byte_s if self.head_forwarded else self.started_s
+        return now_s - since_s < TRIAL_WAIT_FRACTION * self.first_token_wait_s
+
     def may_retry(self) -> bool:
         """Return whether the rules of the route allow another server.
 
@@ -278,7 +308,7 @@
     number: int,
     server_channel: str,
     admitted: AdmittedRequest,
-    digest: Digest,
+    traits: tuple[RequestTrait, ...],
     now_s: float,
     stream_s: float = 0.0,
 ) -> Exchange:
@@ -291,8 +321,8 @@
     server_channel : str
         Channel of that task.
     admitted : AdmittedRequest
-    digest : Digest
-        Identifies the request in crash reports.
+    traits : tuple of RequestTrait
+        What the request has in common with others that may crash servers.
     now_s : float
         Monotonic time.
     stream_s : float
@@ -304,7 +334,7 @@
         number,
         server_channel,
         admitted,
-        digest,
+        traits,
         now_s,
         now_s + max_answer_wait_s(admitted),
         max_first_token_wait_s(admitted, stream_s),
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -22,7 +22,8 @@
 from chervilgw.core.pipeline import make_pipeline
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason
-from chervilgw.crashes.tracker import request_digest
+from chervilgw.crashes import request_digest, request_traits
+from chervilgw.crashes.suspicion import Ruling
 from chervilgw.forward import dispatcher as decisions
 from chervilgw.forward.answer_relay import TRANSIENT_RETRY_AFTER_S, AnswerRelay
 from chervilgw.forward.codec import FrontCodec
@@ -40,12 +41,12 @@
 )
 from chervilgw.forward.messages import IncomingRequest
 from chervilgw.forward.metrics_task import (
+    blocked_traits_counted,
     in_progress_counted,
     refusal_counted,
     request_counted,
 )
 from chervilgw.forward.request_log import (
-    log_crash_report,
     log_early_refusal,
     log_ended,
 )
@@ -74,6 +75,10 @@
 # which was 15% of a limit after all entries were killed at once.
 GRANTED_TOLERANCE_FRACTION = 0.25
 
+_WAITING_STAGES = frozenset(
+    {Stage.WAITING_FOR_MODEL, Stage.WAITING_FOR_SERVER, Stage.WAITING_FOR_TRIAL}
+)
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayOptions:
@@ -125,6 +130,7 @@
             ejected_s = self.fleet.board.on_unreachable(ServerId(report.server), now_s)
             log_event("engine_down", server=report.server, ejected_s=ejected_s)
         elif self.fleet.on_report(report, now_s):
+            self.on_engine_alive(report, now_s)
             for exchange in self._exchanges_in(Stage.WAITING_FOR_MODEL):
                 # Others wait for another engine or for the next tick.
                 if exchange.admitted.opaque.model in report.adapters:
@@ -134,6 +140,7 @@
     def _on_entry_report(self, report: EntryReport):
         now_s = time.monotonic()
         sender = report.sender
+        self.on_peer_seen(sender, report.address, now_s)
         self._quota.on_report(sender, report.granted, now_s, report.grants_complete)
         for server, started_ms in report.leaving.items():
             self.on_leaving(ServerId(server), started_ms, str(sender.vm), now_s)
@@ -142,11 +149,6 @@
             sender.vm, report.running, report.unread_tokens, now_s
         )
 
-    @handler("crash_reported")
-    def _on_crash_report(self, report):
-        self.crashes.on_report(report, time.monotonic())
-        log_crash_report(report, "peer")
-
     def _exchanges_in(self, stage: Stage) -> list[Exchange]:
         return [
             exchange for exchange in self._exchanges.values() if exchange.stage is stage
@@ -191,20 +193,17 @@
         opaque = admitted.opaque
         customer = admitted.customer.customer if admitted.customer else ""
         digest = request_digest(customer, f"{opaque.method} {opaque.target}", http.body)
+        traits = request_traits(digest, opaque.shared_parts)
         stream_s = self.pace.least_s(opaque.output_tokens)
         exchange = make_exchange(
-            http.exchange, http.server, admitted, digest, now_s, stream_s
+            http.exchange, http.server, admitted, traits, now_s, stream_s
         )
         self._exchanges[http.exchange] = exchange
         entries = self._quota.count_entries(now_s)
         self._retries.on_request(admitted.service, entries, now_s)
         if opaque.model is not None:
             self._demand.on_request(opaque.model, now_s)
-        blocked = self.crashes.check(digest, now_s)
-        if is_successful(blocked):
-            self.attempt(exchange, now_s)
-        else:
-            self.fail(exchange, blocked.failure(), now_s)
+        self.attempt(exchange, now_s)
 
     def _refuse_early(
         self, http: HttpRequest, opaque: OpaqueRequest | None, refusal: Refusal
@@ -219,12 +218,41 @@
 
     def attempt(self, exchange: Exchange, now_s: float):
         """Choose a server, then send, hold or refuse the request."""
+        self.end_trial(exchange, "not_run", now_s)
+        verdict = self.rule_on(exchange, now_s)
+        if verdict.ruling is Ruling.REFUSE:
+            self.fail(exchange, decisions.refuse_blocked(exchange, verdict), now_s)
+            return
+        if verdict.ruling is Ruling.WAIT:
+            self._wait_for_trial(exchange, now_s)
+            return
+        exchange.suspects = verdict.suspects
+        self._dispatch(exchange, now_s)
+
+    def _wait_for_trial(self, exchange: Exchange, now_s: float):
+        if exchange.may_wait_for_trial(now_s):
+            exchange.stage, exchange.server = Stage.WAITING_FOR_TRIAL, None
+        else:
+            self.fail(exchange, decisions.refuse_during_trial(exchange), now_s)
+
+    def on_blocked(self, blocked: frozenset, now_s: float):
+        """Stop the requests with a blocked trait that a server has not survived."""
+        for exchange in list(self._exchanges.values()):
+            if exchange.survived or blocked.isdisjoint(exchange.traits):
+                continue
+            self.stop_attempt(exchange, now_s)
+            self.leave_queue(exchange, now_s)
+            self.attempt(exchange, now_s)
+
+    def _dispatch(self, exchange: Exchange, now_s: float):
         entries = self._quota.count_entries(now_s)
         decision = self.dispatcher.decide(exchange, self._deployment, entries, now_s)
         match decision:
             case decisions.SendNow(server, unread_tokens):
+                self.begin_trial(exchange, now_s)
                 self.send(exchange, server, unread_tokens, now_s)
             case decisions.RequestTurn(server, unread_tokens):
+                self.begin_trial(exchange, now_s)
                 self.request_turn(exchange, server, unread_tokens, now_s)
             case decisions.WaitForModel():
                 exchange.stage, exchange.server = Stage.WAITING_FOR_MODEL, None
@@ -261,6 +289,7 @@
     def end(self, exchange: Exchange, outcome: str, now_s: float, refusal=None):
         """Count and log the end of a request, and drop it."""
         self.leave_queue(exchange, now_s)
+        self.end_trial(exchange, outcome, now_s)
         exchange.stage = Stage.ENDED
         self._exchanges.pop(exchange.number, None)
         counted = request_counted(
@@ -289,7 +318,7 @@
                 self._time_out(exchange, now_s)
             elif exchange.stage is Stage.WAITING_FOR_TURN:
                 self.repeat_turn_request(exchange, now_s)
-            elif exchange.stage in (Stage.WAITING_FOR_MODEL, Stage.WAITING_FOR_SERVER):
+            elif exchange.stage in _WAITING_STAGES:
                 self.attempt(exchange, now_s)
         self._ticks += 1
         if self._ticks % REPORT_INTERVAL_TICKS == 0:
@@ -301,6 +330,9 @@
             self._demand_report_urgent = False
             self._report_demand(now_s)
         if self._ticks % CLEANUP_INTERVAL_TICKS == 0:
+            self.remind_of_suspicions(now_s)
+            blocked = len(self.suspicions.blocked(now_s))
+            self.fire(blocked_traits_counted(blocked), "metrics")
             self.fire(in_progress_counted(len(self._exchanges)), "metrics")
             self.fleet.directory.drop_gone(now_s)
             self.fleet.back_offs.drop_past(now_s)
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -15,22 +15,22 @@
 from chervilgw.core.deployment import RegisteredServer, ServerId
 from chervilgw.core.ids import Incarnation, ZoneId
 from chervilgw.core.messages import (
-    CrashReport,
     DemandReport,
     EngineReport,
     EntryReport,
     EntryReportBatch,
     ReportSubscription,
+    SuspicionReport,
     TurnGranted,
     TurnRefused,
     TurnRequest,
 )
 from chervilgw.forward.events import (
     announce_entry,
-    crash_reported,
     demand_reported,
     engine_reported,
     entry_reported,
+    suspicion_reported,
     turn_answered,
 )
 from chervilgw.membership.relays import PEER_SILENCE_TIMEOUT_S, make_relay_table
@@ -101,8 +101,8 @@
                 self._forward_engine_report(message, sender)
             case TurnGranted() | TurnRefused():
                 self.fire(turn_answered(message), "gateway")
-            case CrashReport():
-                self.fire(crash_reported(message), "gateway")
+            case SuspicionReport():
+                self.fire(suspicion_reported(message, sender), "gateway")
 
     def _on_entry_report(self, report: EntryReport):
         if report.address == self._options.address:
@@ -140,9 +140,14 @@
         self.fire(demand_reported(report), "planner")
         self._send(report, self._relays.demand_targets(time.monotonic()))
 
-    @handler("crash_report_due")
-    def _on_crash_report_due(self, report: CrashReport):
-        self._send(report, self._relays.peers())
+    @handler("suspicion_report_due")
+    def _on_suspicion_report_due(self, report: SuspicionReport, address: str | None):
+        targets = self._relays.peers() if address is None else [address]
+        self._send(report, targets)
+
+    @handler("suspicion_reminder_due")
+    def _on_suspicion_reminder_due(self, report: SuspicionReport):
+        self._send(report, self._relays.reminder_targets(self._reports))
 
     @handler("servers_updated")
     def _on_servers(self, servers: list[RegisteredServer]):
--- a/chervilgw/forward/metrics_task.py
+++ b/chervilgw/forward/metrics_task.py
@@ -26,6 +26,14 @@
     """An attempt at a server ended: result."""
 
 
+class trial_counted(Event):  # noqa: N801
+    """A request with suspect traits was tried: outcome."""
+
+
+class blocked_traits_counted(Event):  # noqa: N801
+    """Traits whose requests are refused after crashes: number."""
+
+
 class in_progress_counted(Event):  # noqa: N801
     """Requests in progress: number."""
 
@@ -68,6 +76,14 @@
     def _on_in_progress(self, number):
         self._metrics.in_progress.set(number)
 
+    @handler("trial_counted")
+    def _on_trial(self, outcome):
+        self._metrics.trials.labels(outcome).inc()
+
+    @handler("blocked_traits_counted")
+    def _on_blocked_traits(self, number):
+        self._metrics.blocked_traits.set(number)
+
     @handler("order_counted")
     def _on_order(self, kind, reply):
         self._metrics.orders.labels(kind, reply).inc()
--- a/chervilgw/forward/request_log.py
+++ b/chervilgw/forward/request_log.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from chervilgw.core.deployment import OpaqueRequest
-from chervilgw.core.ids import RequestId
-from chervilgw.core.messages import CrashReport, TurnRefused
+from chervilgw.core.ids import CrashId, RequestId, RequestTrait
+from chervilgw.core.messages import SuspicionReport, TurnRefused
 from chervilgw.core.refusals import Refusal
 from chervilgw.forward.exchange import Exchange
 from chervilgw.runtime.events import CallFailed
@@ -78,7 +78,7 @@
         sent=failed.sent,
         connection_lost=failed.connection_lost,
         server_started_ms=exchange.server_started_ms,
-        prompt_parts=_shared_parts(exchange.admitted.opaque),
+        prompt_parts=list(exchange.admitted.opaque.shared_parts),
         head_passed=exchange.head_forwarded,
         answering_s=None if since_s is None else round(now_s - since_s, 4),
         answer_reads=exchange.answer_reads,
@@ -109,7 +109,7 @@
         adapter=opaque.adapter,
         prompt_tokens=opaque.prompt_tokens,
         output_tokens=opaque.output_tokens,
-        prompt_parts=_shared_parts(opaque),
+        prompt_parts=list(opaque.shared_parts),
         server=exchange.server,
         outcome=outcome,
         sends=exchange.sends,
@@ -122,20 +122,47 @@
     )
 
 
-def log_crash_report(report: CrashReport, source: str) -> None:
-    """Log evidence on requests at a crash; ``source`` is "here" or "peer"."""
+def log_blame(exchange: Exchange, crash: CrashId) -> None:
+    """Log that a request may have crashed its server."""
     log_event(
-        "crash_report",
-        source=source,
-        crash=report.crash,
-        digests=list(report.digests),
-        cleared=report.cleared,
+        "crash_blamed",
+        request=exchange.admitted.opaque.attempt,
+        crash=crash,
+        traits=list(exchange.traits),
+        known_strikes=list(exchange.known_strikes),
+        on_trial=exchange.on_trial,
+    )
+
+
+def log_trial_ended(exchange: Exchange, outcome: str) -> None:
+    """Log the outcome of the trial of a request with suspect traits."""
+    log_event(
+        "trial_ended",
+        request=exchange.admitted.opaque.attempt,
+        server=exchange.server,
+        outcome=outcome,
+    )
+
+
+def log_evidence(report: SuspicionReport) -> None:
+    """Log evidence on traits that another entry sent."""
+    log_event(
+        "evidence_received",
+        entry=str(report.sender),
+        traits={
+            item.trait: [
+                max((blame.strike for blame in item.blames), default=0),
+                len(item.refutals),
+                item.on_trial,
+            ]
+            for item in report.evidence
+        },
     )
 
 
-def _shared_parts(opaque: OpaqueRequest) -> list[str]:
-    """Return the ids of the prompt parts that other requests may share."""
-    return [part for part, _ in opaque.prompt_parts[:-1]]
+def log_traits_blocked(traits: tuple[RequestTrait, ...]) -> None:
+    """Log that requests with these traits are refused from now on."""
+    log_event("traits_blocked", level="warning", traits=list(traits))
 
 
 def _path(opaque: OpaqueRequest) -> str:
--- a/chervilgw/forward/tests/test_dispatcher.py
+++ b/chervilgw/forward/tests/test_dispatcher.py
@@ -65,7 +65,7 @@
 @pytest.fixture
 def exchange():
     return make_exchange(
-        1, "http", AdmittedRequest(REQUEST, ROUTE, "llm", None, 1), "d", 0.0
+        1, "http", AdmittedRequest(REQUEST, ROUTE, "llm", None, 1), ("request/d",), 0.0
     )
 
 
--- a/chervilgw/forward/tests/test_exchange.py
+++ b/chervilgw/forward/tests/test_exchange.py
@@ -28,7 +28,7 @@
 
 def exchange(**changes):
     admitted = AdmittedRequest(REQUEST, replace(ROUTE, **changes), "desk", None, 1)
-    return make_exchange(1, "http", admitted, "d", 0.0)
+    return make_exchange(1, "http", admitted, ("request/d",), 0.0)
 
 
 def sent(made, *servers):
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -10,14 +10,15 @@
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import Incarnation, RequestId
 from chervilgw.core.messages import TurnGranted, TurnReleased
+from chervilgw.crashes.suspicion import Ruling
 from chervilgw.forward.dispatcher import Dispatcher
 from chervilgw.forward.events import agent_send
 from chervilgw.forward.exchange import Exchange, Stage
-from chervilgw.forward.fleet_tracker import FleetTracker
 from chervilgw.forward.request_log import log_turn_refused
+from chervilgw.forward.suspect_tracker import SuspectTracker
 
 
-class TurnRequester(FleetTracker):
+class TurnRequester(SuspectTracker):
     """Task that requests turns from the agents of engines.
 
     Subclasses define ``attempt``, which chooses a server, and ``send``, which sends the
@@ -27,8 +28,7 @@
     dispatcher: Dispatcher
 
     def __init__(self, incarnation: Incarnation, channel):
-        super().__init__(channel)
-        self.incarnation = incarnation
+        super().__init__(incarnation, channel)
         self._by_turn: dict[RequestId, Exchange] = {}
         self._turn_numbers = count(1)
 
@@ -58,10 +58,7 @@
             return
         if exchange.stage is not Stage.WAITING_FOR_TURN:
             return
-        if isinstance(answer, TurnGranted) and not self.fleet.accepts(
-            exchange.server, now_s
-        ):
-            # The engine gave notice or asked for a pause since the turn was requested.
+        if isinstance(answer, TurnGranted) and not self._may_send(exchange, now_s):
             self.leave_queue(exchange, now_s)
             self.attempt(exchange, now_s)
             return
@@ -75,6 +72,16 @@
         self.leave_queue(exchange, now_s)
         self.attempt(exchange, now_s)
 
+    def _may_send(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether what was decided when the turn was requested still holds.
+
+        The engine may have given notice or asked for a pause since, and a trait of the
+        request may have become a suspect.
+        """
+        ruling = self.rule_on(exchange, now_s).ruling
+        is_sound = exchange.on_trial or ruling is Ruling.SEND
+        return is_sound and self.fleet.accepts(exchange.server, now_s)
+
     def repeat_turn_request(self, exchange: Exchange, now_s: float):
         """Repeat the request, as a datagram may be lost, or choose another engine."""
         server = self.fleet.directory.find(exchange.server)
--- a/chervilgw/membership/relays.py
+++ b/chervilgw/membership/relays.py
@@ -33,6 +33,8 @@
 DISCOVERY_INTERVAL_REPORTS = 25
 # An entry that has been silent for longer neither plans nor takes over.
 CANDIDATE_SILENCE_TIMEOUT_S = 2.5
+# Entries that are reminded of evidence at once; each of them reminds others in turn.
+REMINDED_PEERS = 2
 # Entries that get the demand: the one that plans and the one that would take over.
 PLANNER_CANDIDATES = 2
 
@@ -101,6 +103,18 @@
         """Return whether the fleet is too large for direct exchange."""
         return 1 + len(self._peers) > MAX_MESH_ENTRIES
 
+    def reminder_targets(self, number: int) -> list[str]:
+        """Return the next peers that get a report which may have been lost.
+
+        Parameters
+        ----------
+        number : int
+            A number that grows between calls.
+        """
+        peers = sorted(self._peers)
+        first = number % len(peers) if peers else 0
+        return [*peers, *peers][first : first + REMINDED_PEERS][: len(peers)]
+
     def zone_members(self) -> list[str]:
         """Return the peers in the availability zone of this entry."""
         return [
--- a/chervilgw/routing/dispatch.py
+++ b/chervilgw/routing/dispatch.py
@@ -63,13 +63,15 @@
     """Properties of a request that select its server.
 
     ``first_token_limit_s`` is the longest wait for a first token that is of use to the
-    caller.
+    caller. ``may_crash`` means that the request may crash its server: the one with the
+    fewest requests is chosen.
     """
 
     zone: ZoneId
     model: ModelName | None
     prompt_tokens: int
     first_token_limit_s: float
+    may_crash: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +107,7 @@
     if not holders:
         text = f"no ready engine holds {request.model}"
         return _refuse(RefusalReason.MODEL_NOT_LOADED, text, None)
-    best = min(holders, key=lambda candidate: _engine_cost_s(request, candidate))
+    best = min(holders, key=lambda candidate: _engine_rank(request, candidate))
     wait_s = (
         best.unread_tokens / best.prefill_tokens_per_s
         + RUNNING_REQUEST_COST_S * best.running
@@ -145,7 +147,7 @@
 def _choose_plain(
     request: DispatchRequest, candidates: Sequence[Candidate]
 ) -> Result[ServerChoice, Refusal]:
-    best = min(candidates, key=lambda candidate: _plain_cost_s(request, candidate))
+    best = min(candidates, key=lambda candidate: _plain_rank(request, candidate))
     wait_s = PLAIN_SLOT_COST_S * best.running / max(1, best.server.slots)
     if wait_s > request.first_token_limit_s:
         text = f"the shortest queue takes {wait_s:.2f} s"
@@ -155,6 +157,16 @@
     return Success(ServerChoice(best.server.server, 0))
 
 
+def _plain_rank(request: DispatchRequest, candidate: Candidate) -> tuple[int, float]:
+    running = candidate.running if request.may_crash else 0
+    return running, _plain_cost_s(request, candidate)
+
+
+def _engine_rank(request: DispatchRequest, candidate: Candidate) -> tuple[int, float]:
+    running = candidate.running if request.may_crash else 0
+    return running, _engine_cost_s(request, candidate)
+
+
 def _plain_cost_s(request: DispatchRequest, candidate: Candidate) -> float:
     busy = candidate.running / max(1, candidate.server.slots)
     cost_s = PLAIN_SLOT_COST_S * busy + FAILURE_COST_S * candidate.failure_fraction
--- a/chervilgw/telemetry/scrape.py
+++ b/chervilgw/telemetry/scrape.py
@@ -77,6 +77,17 @@
         self.in_progress = Gauge(
             "chervilgw_requests_in_progress", "Requests in progress", registry=registry
         )
+        self.trials = Counter(
+            "chervilgw_trials",
+            "Requests tried that may crash their server",
+            ["outcome"],
+            registry=registry,
+        )
+        self.blocked_traits = Gauge(
+            "chervilgw_blocked_traits",
+            "Request digests and prompt parts blocked after crashes",
+            registry=registry,
+        )
         self.orders = Counter(
             "chervilgw_orders",
             "Orders to the engine",
