Tell a deadly prompt part from a sound one that came with it twice

Traits that were present at the same crashes are now rivals: only requests with all of them are refused, until a run or a crash with some of them decides. A block is logged once at each entry; reminders logged it again each second.

--- a/chervilgw/crashes/suspicion.py
+++ b/chervilgw/crashes/suspicion.py
@@ -4,7 +4,9 @@
 prompts. A crash blames the traits of the requests whose answers had not got past their
 beginning at the server. A run that gets past it refutes the blame for its traits. A
 trait that is blamed is a suspect: one request with it at a time is tried, and a crash
-of that trial is the next strike. After enough strikes the trait is blocked.
+of that trial is the next strike. After enough strikes the trait is blocked. Traits that
+were present at the same crashes are rivals: only requests with all of them are refused,
+until a run or a crash with some of them tells which one it is.
 
 Evidence is a set of crashes for each trait and a set of refuted ones. Merging is a
 union, so that the order, repetition and loss of reports do not matter.
@@ -13,7 +15,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -93,7 +95,10 @@
 
 @dataclass(slots=True)
 class _Suspicion:
-    """Evidence on one trait; ``is_own`` if this entry saw one of its crashes."""
+    """Evidence on one trait; ``is_own`` if this entry saw one of its crashes.
+
+    ``trials`` holds when each peer last said that it tries a request with the trait.
+    """
 
     blames: dict[CrashId, _Blame] = field(default_factory=dict)
     refuted: dict[CrashId, float] = field(default_factory=dict)
@@ -135,18 +140,19 @@
         suspicion = self._suspicions.get(trait)
         if suspicion is None or not suspicion.blames:
             return Standing.CLEAR
-        strikes = suspicion.strikes()
+        if now_s < self._blocked_until_s(trait, now_s):
+            is_ambiguous = any(self._rivals(trait, now_s))
+            return Standing.SUSPECT if is_ambiguous else Standing.BLOCKED
         proven = self._is_proven(trait, now_s)
-        if now_s < self._blocked_until_s(suspicion, proven):
-            return Standing.BLOCKED
-        if proven and strikes < STRIKES_TO_SUSPECT_PROVEN:
+        if proven and suspicion.strikes() < STRIKES_TO_SUSPECT_PROVEN:
             return Standing.CLEAR
         return Standing.SUSPECT
 
     def _is_proven(self, trait: RequestTrait, now_s: float) -> bool:
         return now_s - self._proven_s.get(trait, float("-inf")) < PROOF_S
 
-    def _blocked_until_s(self, suspicion: _Suspicion, proven: bool) -> float:
+    def _blocked_until_s(self, trait: RequestTrait, now_s: float) -> float:
+        suspicion, proven = self._suspicions[trait], self._is_proven(trait, now_s)
         needed = STRIKES_TO_BLOCK_PROVEN if proven else STRIKES_TO_BLOCK
         strikes = suspicion.strikes()
         if strikes < needed:
@@ -154,12 +160,24 @@
         newest_s = max(blame.heard_s for blame in suspicion.blames.values())
         return newest_s + _block_s(strikes - needed)
 
-    def verdict(self, traits: Iterable[RequestTrait], now_s: float) -> Verdict:
+    def _rivals(self, trait: RequestTrait, now_s: float) -> Iterator[RequestTrait]:
+        """Return the traits that explain the crashes of a trait as well as it does."""
+        suspicion, proven = self._suspicions[trait], self._is_proven(trait, now_s)
+        crashes, strikes = suspicion.blames.keys(), suspicion.strikes()
+        for other, item in self._suspicions.items():
+            if other == trait or not crashes <= item.blames.keys():
+                continue
+            if item.strikes() >= strikes and (
+                proven or not self._is_proven(other, now_s)
+            ):
+                yield other
+
+    def verdict(self, traits: Collection[RequestTrait], now_s: float) -> Verdict:
         """Return what may be done with a request that has these traits.
 
         Parameters
         ----------
-        traits : iterable of RequestTrait
+        traits : collection of RequestTrait
         now_s : float
             Monotonic time in seconds.
         """
@@ -168,12 +186,14 @@
         suspects = []
         for trait in traits:
             standing = self.standing(trait, now_s)
-            if standing is Standing.BLOCKED:
-                proven = self._is_proven(trait, now_s)
-                until_s = self._blocked_until_s(self._suspicions[trait], proven)
-                return Verdict(Ruling.REFUSE, (trait,), until_s - now_s)
-            if standing is Standing.SUSPECT:
-                suspects.append(trait)
+            if standing is Standing.CLEAR:
+                continue
+            blocked_s = self._blocked_until_s(trait, now_s) - now_s
+            if blocked_s > 0 and all(
+                rival in traits for rival in self._rivals(trait, now_s)
+            ):
+                return Verdict(Ruling.REFUSE, (trait,), blocked_s)
+            suspects.append(trait)
         if not suspects:
             return SEND
         on_trial = any(self._is_on_trial(trait, now_s) for trait in suspects)
@@ -292,23 +312,25 @@
         Returns
         -------
         tuple of tuple of RequestTrait
-            Traits that are blocked now, and those on which the sender lacks evidence
-            that this entry has.
+            Traits that the report made blocked, and those on which the sender lacks
+            evidence that this entry has.
         """
         traits = [evidence.trait for evidence in report.evidence]
-        lacking = []
-        for evidence in report.evidence:
-            before = self.standing(evidence.trait, now_s)
-            if self._merge_one(evidence, report.sender, now_s):
-                lacking.append(evidence.trait)
-            after = self.standing(evidence.trait, now_s)
-            suspicion = self._suspicions.get(evidence.trait)
-            if suspicion is not None and suspicion.is_own and before is not after:
-                # Entries that answer a blame tell it to its sender only.
-                self._changed[evidence.trait] = None
+        before = {trait: self.standing(trait, now_s) for trait in traits}
+        lacking = tuple(
+            evidence.trait
+            for evidence in report.evidence
+            if self._merge_one(evidence, report.sender, now_s)
+        )
         blocked = self._settle(traits, now_s)
+        for trait in traits:
+            suspicion = self._suspicions[trait]
+            if suspicion.is_own and self.standing(trait, now_s) is not before[trait]:
+                # Entries that answer a blame tell it to its sender only.
+                self._changed[trait] = None
+        new = tuple(trait for trait in blocked if before[trait] != Standing.BLOCKED)
         self._drop_surplus()
-        return blocked, tuple(lacking)
+        return new, lacking
 
     def _merge_one(
         self, evidence: TraitEvidence, sender: Incarnation, now_s: float
