Keep no closed connection for the next request

A caller waited until its deadline and got 504 without its request having reached a server: an answer with neither a length nor chunks ends with its connection, and the closed socket went into the pool of idle connections. The next request was written to it, and a write to a closed socket was dropped without a word.

The class is a write that cannot happen and tells nobody. DirectServer.write now says whether the connection took the data. A request that finds its kept connection closed dials a new one, a new connection that is closed ends the call as not sent, and a peer link that cannot be written to is lost at once. Writes to callers need nothing: the end of their connection is an event already. The test failed before (the second request never reached the server, 10 s).

--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -87,9 +87,12 @@
         idle = None if spec.new_connection else self._idle.take(spec.address)
         if idle is not None and now_s < idle.expires_s:
             call.is_connection_reused = True
-            self._send(call, idle.sock, idle.parser)
-            return
-        if idle is not None:
+            if self._send(call, idle.sock, idle.parser):
+                return
+            # The server has closed the connection since its last answer.
+            del self._by_sock[idle.sock]
+            call.sock, call.is_connection_reused = None, False
+        elif idle is not None:
             self._dialer.close(idle.sock)
         host, _, port = spec.address.rpartition(":")
         self._dialer.dial(spec.call, host, int(port))
@@ -104,9 +107,11 @@
         if sock is None:
             self._fail(call, sent=False, detail=detail)
             return
-        self._send(call, sock, h11.Connection(our_role=h11.CLIENT))
+        if not self._send(call, sock, h11.Connection(our_role=h11.CLIENT)):
+            self._fail(call, sent=False, detail="connection closed before the request")
 
-    def _send(self, call: _Call, sock, parser):
+    def _send(self, call: _Call, sock, parser) -> bool:
+        """Write the request; return False if its connection is closed already."""
         spec = call.spec
         call.sock, call.parser = sock, parser
         self._by_sock[sock] = spec.call
@@ -119,14 +124,16 @@
             head = h11.Request(method=spec.method, target=spec.path, headers=headers)
         except h11.LocalProtocolError as error:
             self._fail(call, sent=False, detail=f"invalid request: {error}")
-            return
+            return True
         parts = [parser.send(head)]
         if spec.body:
             parts.append(parser.send(h11.Data(data=spec.body)))
         parts.append(parser.send(h11.EndOfMessage()))
+        if not self._dialer.write(sock, b"".join(parts)):
+            return False
         if spec.notify_sent:
             self.fire(call_sent(spec.call), spec.reply_to)
-        self._dialer.write(sock, b"".join(parts))
+        return True
 
     def _on_read(self, sock, data):
         call = self._calls.get(self._by_sock.get(sock, ""))
@@ -244,6 +251,9 @@
 
     def _cache_or_close(self, call: _Call):
         address = call.spec.address
+        if not self._dialer.is_open(call.sock):
+            # A body without a length ends with its connection.
+            return
         try:
             call.parser.start_next_cycle()
         except h11.LocalProtocolError:
--- a/chervilgw/runtime/links.py
+++ b/chervilgw/runtime/links.py
@@ -251,7 +251,9 @@
             self._write(link, *messages)
 
     def _write(self, link: _Link, *messages):
-        link.server.write(link.sock, b"".join(map(encode, messages)))
+        if not link.server.write(link.sock, b"".join(map(encode, messages))):
+            # The loss of the messages is known by the loss of the peer.
+            self._remove_link(link.sock)
 
     def _close(self, link: _Link):
         self._remove_link(link.sock)
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -64,23 +64,26 @@
             self._tls.load_cert_chain(self.certfile, self.keyfile)
 
     @handler("write", override=True)
-    def write(self, sock, data):
-        """Send what the socket accepts now and queue the rest."""
+    def write(self, sock, data) -> bool:
+        """Send what the socket accepts now and queue the rest.
+
+        Returns
+        -------
+        bool
+            False if the connection is closed, so that no byte of the data is sent.
+        """
         if _is_closed(sock):
-            return
+            return False
         if sock in self._pending_bytes:
-            self._enqueue(sock, data)
-            return
+            return self._enqueue(sock, data)
         try:
             sent = sock.send(data)
         except OSError as error:
-            if _would_block(error):
-                sent = 0
-            else:
-                self._reset(sock)
-                return
-        if sent < len(data):
-            self._enqueue(sock, data[sent:])
+            if not _would_block(error):
+                self._close(sock)
+                return False
+            sent = 0
+        return sent == len(data) or self._enqueue(sock, data[sent:]) or sent > 0
 
     def _reset(self, sock):
         if self._on_reset is not None:
@@ -88,15 +91,16 @@
         if not _is_closed(sock):
             self._close(sock)
 
-    def _enqueue(self, sock, data):
+    def _enqueue(self, sock, data) -> bool:
         pending_bytes = self._pending_bytes.get(sock, 0) + len(data)
         if pending_bytes > self._write_limit_bytes:
             self._close(sock)
-            return
+            return False
         if sock not in self._pending_bytes:
             self._poller.addWriter(self, sock)
         self._pending_bytes[sock] = pending_bytes
         self._buffers[sock].append(data)
+        return True
 
     @handler("_write", priority=1, override=True)
     def _on_write(self, sock):
@@ -206,6 +210,10 @@
             self._sock.close()
             self._sock = None
 
+    def is_open(self, sock) -> bool:
+        """Return whether a connection has not been closed here."""
+        return not _is_closed(sock)
+
     def has_unsent(self, sock) -> bool:
         """Return whether written bytes are still queued here."""
         return sock in self._pending_bytes
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -8,6 +8,7 @@
 
 from chervilgw.runtime.events import HttpCall, http_call, http_call_cancel
 from chervilgw.runtime.http_client import make_http_client
+from chervilgw.runtime.sockets import DirectServer
 
 from .running import running, wait_until
 
@@ -54,6 +55,7 @@
 @pytest.fixture
 def pair():
     with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(10)
         caller = Caller("{}:{}".format(*listener.getsockname()))
         with running(make_http_client(), caller):
             yield listener, caller
@@ -270,3 +272,30 @@
         connection.sendall(OWN.replace(b"\r\n\r\n", keep_alive))
         wait_until(lambda: caller.done)
     assert caller.done == [("c1", b"own")]
+
+
+def test_connection_that_ended_with_its_answer_is_not_used_again(pair):
+    """Guards against a next request that waits on a closed connection.
+
+    It was written to nowhere and timed out without having reached a server.
+    """
+    listener, caller = pair
+    caller.call("first")
+    with accept(listener) as connection:
+        connection.sendall(UNFRAMED)
+    wait_until(lambda: caller.done == [("first", b"half")])
+    caller.call("second")
+    with accept(listener) as connection:
+        connection.sendall(OWN)
+        wait_until(lambda: caller.done[1:] == [("second", b"own")])
+    assert not caller.failed
+
+
+def test_write_to_a_closed_connection_is_not_taken_for_sent():
+    """Guards against requests and messages that are dropped without a word."""
+    server = DirectServer(("127.0.0.1", 0), "closed-test")
+    ours, theirs = socket.socketpair()
+    theirs.close()
+    assert not server.write(ours, b"x")
+    assert not server.is_open(ours)
+    assert not server.write(ours, b"x")
