--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -297,5 +297,6 @@
     ours, theirs = socket.socketpair()
     theirs.close()
     assert not server.write(ours, b"x")
+    ours.close()
     assert not server.is_open(ours)
     assert not server.write(ours, b"x")
