Bound what an entry keeps of answers and bodies in total

Forty callers that read nothing, with servers that send without end, took an entry from 49 to 270 MB of the 300 MB of its VM, and 60 bodies of 4 MB being received took it to 314 MB; the requests of all other callers end with it. The class is a bound per connection without one for the process.

An answer is read from its server only while its caller takes it (32 KB unread). All callers together may leave 16 MB unread; beyond it the one with the most is disconnected. Answers under way between tasks, buffered or discarded answers and request bodies have a total each. A request whose body exceeds it is refused with 503 and a Retry-After before it is read. Reads take 16 KB at once.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -25,6 +25,8 @@
     HttpReply,
     http_call,
     http_call_cancel,
+    http_call_pause,
+    http_call_resume,
     http_push_data,
     http_push_end,
     http_push_start,
@@ -38,6 +40,9 @@
 # retried if the answer is cut off; longer ones are relayed. A discarded answer is read
 # up to this size, so that its connection can be kept.
 MAX_BUFFERED_BODY_BYTES = 1_048_576
+# Bound for the buffered and discarded answers of all requests; the answer that exceeds
+# it is treated as a long one.
+MAX_BUFFERED_BYTES = 4_194_304
 
 
 class AnswerRelay(TurnRequester):
@@ -53,6 +58,8 @@
         self.codec = codec
         self.pace = make_stream_pace()
         self._by_call: dict[str, Exchange] = {}
+        self._exchanges: dict[int, Exchange] = {}
+        self._buffered_bytes = 0
 
     def send(
         self, exchange: Exchange, server: ServerId, unread_tokens: int, now_s: float
@@ -98,13 +105,18 @@
             if exchange is None:
                 continue
             self._on_answer_bytes(exchange, now_s)
+            before = exchange.unrelayed_bytes
             try:
                 data = exchange.on_data(part.data)
             except EventOrderError as error:
                 self.stop_attempt(exchange, now_s)
                 self._on_not_served(exchange, str(error), now_s)
                 continue
-            if exchange.unrelayed_bytes > MAX_BUFFERED_BODY_BYTES:
+            self._buffered_bytes += exchange.unrelayed_bytes - before
+            if exchange.unrelayed_bytes > before and (
+                exchange.unrelayed_bytes > MAX_BUFFERED_BODY_BYTES
+                or self._buffered_bytes > MAX_BUFFERED_BYTES
+            ):
                 data = self._on_long_body(exchange, now_s)
             if data:
                 output = HttpPart(exchange.number, data)
@@ -116,6 +128,7 @@
         """Relay a long answer; abort one that is being discarded, as it may not end."""
         if exchange.stage is Stage.BUFFERING:
             self._forward_head(exchange)
+            self._buffered_bytes -= exchange.unrelayed_bytes
             return exchange.start_relaying()
         self.stop_attempt(exchange, now_s)
         self._on_not_served(
@@ -138,6 +151,19 @@
             exchange.unread_tokens = 0
         self.leave_queue(exchange, now_s, exchange.stage is Stage.RELAYING)
 
+    @handler("http_push_blocked")
+    def _on_push_blocked(self, number: int):
+        self._set_reading(number, http_call_pause)
+
+    @handler("http_push_unblocked")
+    def _on_push_unblocked(self, number: int):
+        self._set_reading(number, http_call_resume)
+
+    def _set_reading(self, number: int, event):
+        exchange = self._exchanges.get(number)
+        if exchange is not None and exchange.call in self._by_call:
+            self.fire(event(exchange.call), "server-client")
+
     @handler("call_done")
     def _on_done(self, done):
         exchange = self._by_call.pop(done.call, None)
@@ -216,6 +242,8 @@
         self.leave_queue(exchange, now_s)
         self.fleet.board.on_ended(exchange.server, exchange.unread_tokens)
         exchange.unread_tokens = 0
+        self._buffered_bytes -= exchange.unrelayed_bytes
+        exchange.unrelayed_bytes = 0
 
     def stop_attempt(self, exchange: Exchange, now_s: float):
         """Close the connection to the server, so that it stops work on the request."""
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -109,7 +109,6 @@
         self._quota = make_window_quota(bounds.quota_window_s, tolerance, started_s)
         self._retries = make_retry_budgets(bounds)
         self._demand = make_demand_rates()
-        self._exchanges: dict[int, Exchange] = {}
         self._ticks = 0
         self._drain_policy = make_drain_policy(bounds.grace_s)
         self._demand_report_urgent = False
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -162,6 +162,22 @@
     """Close the connection of a call: call id."""
 
 
+class http_call_pause(Event):  # noqa: N801
+    """Read no more of an answer until ``http_call_resume``: call id."""
+
+
+class http_call_resume(Event):  # noqa: N801
+    """Read an answer again: call id."""
+
+
+class http_push_blocked(Event):  # noqa: N801
+    """The caller of an exchange does not read its answer: exchange number."""
+
+
+class http_push_unblocked(Event):  # noqa: N801
+    """The caller of an exchange has read most of what was sent: exchange number."""
+
+
 class call_sent(Event):  # noqa: N801
     """The request of a call is sent on an open connection: call id."""
 
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -41,6 +41,14 @@
 # Bounds the body of an answer that is not streamed; the platform's longest page has
 # 1 MB. The receiver of a streamed answer bounds its parts.
 MAX_COLLECTED_BYTES = 16_777_216
+# Bytes of answers on their way through the tasks of this process. While there are more,
+# answers are left in the system's buffers.
+MAX_PASSING_BYTES = 2_097_152
+# Smaller batches are not counted; those of event streams are much smaller.
+MIN_COUNTED_BYTES = 16_384
+# Tasks behind this one that hold the bytes of an answer: its receiver and the task that
+# owns the caller's socket.
+TASKS_BEHIND = 2
 
 # Methods whose requests need no length if they have no body.
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
@@ -59,6 +67,7 @@
     skipping: bool = False
     is_connection_reused: bool = False
     has_unproven_answer: bool = False
+    paused: bool = False
     before_answer_bytes: int = 0
     collected_bytes: int = 0
 
@@ -67,6 +76,10 @@
     """Send the parts of all answers that the last poll found readable."""
 
 
+class parts_passed(Event):  # noqa: N801
+    """Parts of answers have reached the next task: bytes, tasks still before them."""
+
+
 class HttpClient(BaseComponent):
     """HTTP client task; see :func:`make_http_client`."""
 
@@ -79,6 +92,8 @@
         self._by_sock: dict[Any, str] = {}
         self._idle = make_idle_connections(max_idle)
         self._parts: dict[str, list[CallData]] = {}
+        self._passing_bytes = 0
+        self._held: dict[Any, None] = {}
 
     @handler("http_call")
     def _on_call(self, spec: HttpCall):
@@ -150,6 +165,9 @@
         except h11.RemoteProtocolError as error:
             self._fail(call, sent=True, detail=f"malformed answer: {error}")
             return
+        if self._passing_bytes > MAX_PASSING_BYTES and self._dialer.is_open(sock):
+            self._held[sock] = None
+            self._dialer.pause_reading(sock)
         excess = _describe_excess(call)
         if excess is not None and call.spec.call in self._calls:
             self._fail(call, sent=True, detail=excess)
@@ -236,13 +254,37 @@
 
     def _send_parts(self, reply_to: str):
         parts = self._parts.pop(reply_to, None)
-        if parts is not None:
-            self.fire(call_data(parts), reply_to)
+        if parts is None:
+            return
+        self.fire(call_data(parts), reply_to)
+        size_bytes = sum(len(part.data) for part in parts)
+        if size_bytes >= MIN_COUNTED_BYTES:
+            self._passing_bytes += size_bytes
+            # Events are handled in their order, so that this one follows the parts.
+            self.fire(parts_passed(size_bytes, TASKS_BEHIND), self.channel)
+
+    @handler("parts_passed")
+    def _on_parts_passed(self, size_bytes: int, tasks_before: int):
+        if tasks_before:
+            self.fire(parts_passed(size_bytes, tasks_before - 1), self.channel)
+            return
+        self._passing_bytes -= size_bytes
+        if self._held and self._passing_bytes < MAX_PASSING_BYTES / 2:
+            held, self._held = self._held, {}
+            for sock in held:
+                self._resume(sock)
+
+    def _resume(self, sock):
+        call = self._calls.get(self._by_sock.get(sock, ""))
+        if sock not in self._held and not (call is not None and call.paused):
+            self._dialer.resume_reading(sock)
 
     def _finish(self, call: _Call):
         spec = call.spec
         del self._calls[spec.call]
         del self._by_sock[call.sock]
+        self._held.pop(call.sock, None)
+        self._dialer.resume_reading(call.sock)
         self._cache_or_close(call)
         body = b"".join(call.body)
         message = CallDone(spec.call, call.status, call.headers, body)
@@ -315,6 +357,20 @@
             detail = "connection closed before the answer"
             self._fail(call, sent=True, detail=detail, connection_lost=True)
 
+    @handler("http_call_pause")
+    def _on_pause(self, call_id: str):
+        call = self._calls.get(call_id)
+        if call is not None and call.sock is not None:
+            call.paused = True
+            self._dialer.pause_reading(call.sock)
+
+    @handler("http_call_resume")
+    def _on_resume(self, call_id: str):
+        call = self._calls.get(call_id)
+        if call is not None and call.sock is not None:
+            call.paused, call.last_data_s = False, time.monotonic()
+            self._resume(call.sock)
+
     @handler("http_call_cancel")
     def _on_cancel(self, call_id: str):
         call = self._calls.pop(call_id, None)
--- a/chervilgw/runtime/opaque_server.py
+++ b/chervilgw/runtime/opaque_server.py
@@ -26,9 +26,12 @@
     HttpReply,
     HttpRequest,
     http_disconnected,
+    http_push_blocked,
+    http_push_unblocked,
     http_request,
 )
-from chervilgw.runtime.sockets import DirectServer, detect_silence
+from chervilgw.runtime.sockets import PAUSE_UNREAD_BYTES, DirectServer, detect_silence
+from chervilgw.telemetry import log_event
 
 # How long the rest of a refused body is read, so that the caller receives the answer:
 # closing with unread bytes would reset the connection.
@@ -38,6 +41,13 @@
 # A caller that acknowledges nothing for this long is disconnected. Longer than the
 # longest pause after which a healthy caller ends its stream.
 CALLER_SILENCE_TIMEOUT_S = 6.0
+# Bytes of answers that all callers together may leave unread; the caller that leaves
+# the most is disconnected beyond it. An entry's VM has 300 MB, an idle entry uses 40.
+MAX_UNREAD_BYTES = 16_777_216
+# Bytes of request bodies, waiting or being read, beyond which requests are refused.
+MAX_BODIES_BYTES = 67_108_864
+# A body that is read without a stall takes up to some seconds.
+BODIES_RETRY_AFTER_S = 1.0
 
 
 class Phase(Enum):
@@ -58,6 +68,7 @@
     waiting_since_s: float = 0.0
     exchange: int | None = None
     head: Any = None
+    blocked: bool = False
     body: list[bytes] = field(default_factory=list)
     body_bytes: int = 0
 
@@ -95,9 +106,14 @@
         self._connections: dict[Any, _Connection] = {}
         self._by_exchange: dict[int, _Connection] = {}
         self._exchange_numbers = count(1)
+        self._bodies_bytes = 0
         self._draining = False
         self.server = DirectServer(
-            (options.host, options.port), channel, on_data=self._on_data, backlog=1024
+            (options.host, options.port),
+            channel,
+            on_data=self._on_data,
+            on_drained=self._on_drained,
+            backlog=1024,
         ).register(self)
 
     @handler("deployment_changed", channel="*")
@@ -167,9 +183,13 @@
             return self._check_head(connection, event)
         if isinstance(event, h11.Data):
             connection.body_bytes += len(event.data)
+            self._bodies_bytes += len(event.data)
             if connection.body_bytes > self._limits.max_body_bytes:
                 self._refuse(connection, _body_too_large(self._limits))
                 return False
+            if self._bodies_bytes > MAX_BODIES_BYTES:
+                self._refuse(connection, _out_of_memory())
+                return False
             connection.body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._deliver(connection)
@@ -186,10 +206,13 @@
             detail = "both content-length and transfer-encoding are set"
             refusal = make_refusal(RefusalReason.BAD_REQUEST, detail)
         else:
-            length = dict(head.headers).get(b"content-length", b"0")
-            if int(length) <= self._limits.max_body_bytes:
+            length = int(dict(head.headers).get(b"content-length", b"0"))
+            if length > self._limits.max_body_bytes:
+                refusal = _body_too_large(self._limits)
+            elif length and self._bodies_bytes + length > MAX_BODIES_BYTES:
+                refusal = _out_of_memory()
+            else:
                 return True
-            refusal = _body_too_large(self._limits)
         self._refuse(connection, refusal)
         return False
 
@@ -213,7 +236,7 @@
             self.channel,
             pairs,
         )
-        connection.body, connection.body_bytes = [], 0
+        connection.body = []
         self.fire(http_request(message), self._options.owner)
 
     def _refuse(self, connection: _Connection, refusal: Refusal):
@@ -224,6 +247,11 @@
         lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
         self.server.write(connection.sock, "\r\n".join(lines).encode("latin-1") + body)
         connection.phase, connection.waiting_since_s = Phase.LINGERING, time.monotonic()
+        self._release_body(connection)
+
+    def _release_body(self, connection: _Connection):
+        self._bodies_bytes -= connection.body_bytes
+        connection.body, connection.body_bytes = [], 0
 
     @handler("http_reply")
     def _on_reply(self, reply: HttpReply):
@@ -254,6 +282,30 @@
             if connection is not None and part.data:
                 data = self._encode(connection, h11.Data(data=part.data))
                 self.server.write(connection.sock, data)
+                self._check_unread(connection)
+
+    def _check_unread(self, connection: _Connection):
+        """Pause the source of an answer that is not read, and bound all such bytes."""
+        unsent = self.server.unsent_bytes(connection.sock)
+        if unsent > PAUSE_UNREAD_BYTES and not connection.blocked:
+            connection.blocked = True
+            self.fire(http_push_blocked(connection.exchange), self._options.owner)
+        while self.server.total_unsent_bytes > MAX_UNREAD_BYTES:
+            sock = self.server.most_unsent()
+            log_event(
+                "caller_too_slow",
+                level="warning",
+                unread_bytes=self.server.unsent_bytes(sock),
+            )
+            self.server.drop(sock)
+
+    def _on_drained(self, sock):
+        connection = self._connections.get(sock)
+        if connection is not None and connection.blocked:
+            connection.blocked = False
+            if connection.exchange is not None:
+                event = http_push_unblocked(connection.exchange)
+                self.fire(event, self._options.owner)
 
     @handler("http_push_end")
     def _on_push_end(self, number: int, complete: bool = True):
@@ -285,6 +337,7 @@
     def _finish(self, connection: _Connection):
         del self._by_exchange[connection.exchange]
         connection.exchange = None
+        self._release_body(connection)
         if connection.parser.our_state is h11.MUST_CLOSE:
             self._close_connection(connection)
             return
@@ -296,13 +349,17 @@
         if connection.exchange is not None:
             self._by_exchange.pop(connection.exchange, None)
             connection.exchange = None
-        self._connections.pop(connection.sock, None)
+        if self._connections.pop(connection.sock, None) is not None:
+            self._release_body(connection)
         self.server.close(connection.sock)
 
     @handler("disconnect")
     def _on_disconnect(self, sock):
         connection = self._connections.pop(sock, None)
-        if connection is None or connection.exchange is None:
+        if connection is None:
+            return
+        self._release_body(connection)
+        if connection.exchange is None:
             return
         if self._by_exchange.pop(connection.exchange, None) is not None:
             self.fire(http_disconnected(connection.exchange), self._options.owner)
@@ -350,6 +407,11 @@
     return make_refusal(RefusalReason.BODY_TOO_LARGE, detail)
 
 
+def _out_of_memory() -> Refusal:
+    detail = "the bodies of the requests in progress use the memory for them"
+    return make_refusal(RefusalReason.QUEUE_FULL, detail, BODIES_RETRY_AFTER_S)
+
+
 def _request_timeout(detail: str) -> Refusal:
     return make_refusal(RefusalReason.REQUEST_TIMEOUT, detail)
 
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -17,7 +17,12 @@
 from circuits.core.utils import findcmp
 from circuits.net.sockets import TCPServer
 
-READ_SIZE_BYTES = 65536
+# Bounds what one round of reads from many servers at once takes.
+READ_SIZE_BYTES = 16_384
+# A source is paused while a connection leaves more than this unread, and read again
+# below the second bound. Answers in time stay far below both.
+PAUSE_UNREAD_BYTES = 32_768
+RESUME_UNREAD_BYTES = 8_192
 
 
 class dialed(Event):  # noqa: N801 (an event's class name is its event name)
@@ -41,6 +46,9 @@
     on_reset : callable or None
         Function of the owning task that gets a socket whose connection was reset,
         before it is closed. An end of the stream only fires a ``disconnect`` event.
+    on_drained : callable or None
+        Function of the owning task that gets a socket whose queued bytes have fallen
+        below :data:`RESUME_UNREAD_BYTES`.
     """
 
     def __init__(
@@ -50,13 +58,17 @@
         write_limit_bytes=8_388_608,
         on_data=None,
         on_reset=None,
+        on_drained=None,
         **kwargs,
     ):
         super().__init__(bind, channel=channel, bufsize=READ_SIZE_BYTES, **kwargs)
         self._on_data = on_data
         self._on_reset = on_reset
+        self._on_drained = on_drained
         self._write_limit_bytes = write_limit_bytes
         self._pending_bytes: dict[Any, int] = {}
+        self._paused: set[Any] = set()
+        self.total_unsent_bytes = 0
         self._handshaking: set[Any] = set()
         self._tls: ssl.SSLContext | None = None
         if self.secure:
@@ -99,6 +111,7 @@
         if sock not in self._pending_bytes:
             self._poller.addWriter(self, sock)
         self._pending_bytes[sock] = pending_bytes
+        self.total_unsent_bytes += len(data)
         self._buffers[sock].append(data)
         return True
 
@@ -117,7 +130,7 @@
                 queue[0] = queue[0][sent:]
             else:
                 queue.popleft()
-            self._pending_bytes[sock] -= sent
+            self._on_sent(sock, sent)
         if not queue:
             self._pending_bytes.pop(sock, None)
             self._poller.removeWriter(sock)
@@ -125,8 +138,46 @@
                 self._closeq.remove(sock)
                 self._close(sock)
 
+    def _on_sent(self, sock, sent: int):
+        before = self._pending_bytes[sock]
+        self._pending_bytes[sock] = before - sent
+        self.total_unsent_bytes -= sent
+        is_drained = before - sent < RESUME_UNREAD_BYTES <= before
+        if is_drained and self._on_drained is not None:
+            self._on_drained(sock)
+
+    def unsent_bytes(self, sock) -> int:
+        """Return how many written bytes are still queued here."""
+        return self._pending_bytes.get(sock, 0)
+
+    def most_unsent(self):
+        """Return the connection with the most queued bytes, or None."""
+        pending = self._pending_bytes
+        return max(pending, key=pending.__getitem__) if pending else None
+
+    def drop(self, sock):
+        """Close a connection at once, without what is queued for it."""
+        self._close(sock)
+
+    def pause_reading(self, sock):
+        """Leave what the peer sends in the system's buffers."""
+        if not _is_closed(sock) and sock not in self._paused:
+            self._paused.add(sock)
+            self._poller.removeReader(sock)
+
+    def resume_reading(self, sock):
+        """Read again after :meth:`pause_reading`."""
+        if sock in self._paused:
+            self._paused.discard(sock)
+            if not _is_closed(sock):
+                self._poller.addReader(self, sock)
+
+    def _discard_unsent(self, sock):
+        self.total_unsent_bytes -= self._pending_bytes.pop(sock, 0)
+        self._paused.discard(sock)
+
     def _close(self, sock):
-        self._pending_bytes.pop(sock, None)
+        self._discard_unsent(sock)
         self._handshaking.discard(sock)
         if sock in self._closeq:
             self._closeq.remove(sock)
@@ -289,7 +340,7 @@
         if _is_closed(sock) or sock not in self._clients:
             return
         # The library's close first calls shutdown, which sends the rest.
-        self._pending_bytes.pop(sock, None)
+        self._discard_unsent(sock)
         self._buffers.pop(sock, None)
         if sock in self._closeq:
             self._closeq.remove(sock)
