Send nothing late in the grace time whose answer cannot end

Reported by other operators: requests that came late in the grace time of a planned stop were passed on and cut at its end.

--- a/chervilgw/forward/drain_policy.py
+++ b/chervilgw/forward/drain_policy.py
@@ -62,8 +62,22 @@
             return True
         if admitted.route.kind is RouteKind.STREAMING:
             return False
-        end_s = self._started_s + self._grace_s - EXIT_MARGIN_S
-        return now_s + max_answer_wait_s(admitted) <= end_s
+        return now_s + max_answer_wait_s(admitted) <= self._end_s()
+
+    def may_send(self, answer_s: float, now_s: float) -> bool:
+        """Return whether an accepted request may still be sent to a server.
+
+        Parameters
+        ----------
+        answer_s : float
+            The least time that its answer takes.
+        now_s : float
+            Monotonic time.
+        """
+        return self._started_s is None or now_s + answer_s <= self._end_s()
+
+    def _end_s(self) -> float:
+        return self._started_s + self._grace_s - EXIT_MARGIN_S
 
     def refusal(self, now_s: float) -> Refusal:
         """Return a refusal with the time at which an entry accepts requests."""
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -222,12 +222,29 @@
         if verdict.ruling is Ruling.REFUSE:
             self.fail(exchange, decisions.refuse_blocked(exchange, verdict), now_s)
             return
+        if not self.can_answer(exchange, now_s):
+            self._refuse_while_draining(exchange, now_s)
+            return
         if verdict.ruling is Ruling.WAIT:
             self._wait_for_trial(exchange, now_s)
             return
         exchange.suspects = verdict.suspects
         self._dispatch(exchange, now_s)
 
+    def can_answer(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether an answer that is sent for now ends before this process."""
+        admitted = exchange.admitted
+        answer_s = self.pace.least_s(admitted.opaque.output_tokens)
+        if not exchange.is_stream:
+            answer_s = admitted.route.target_s
+        return self._drain_policy.may_send(answer_s, now_s)
+
+    def _refuse_while_draining(self, exchange: Exchange, now_s: float):
+        refusal = self._drain_policy.refusal(now_s)
+        run = exchange.run_state
+        refusal = Refusal(refusal.reason, run, refusal.detail, refusal.retry_after_s)
+        self.fail(exchange, refusal, now_s)
+
     def _wait_for_trial(self, exchange: Exchange, now_s: float):
         if exchange.may_wait_for_trial(now_s):
             exchange.stage, exchange.server = Stage.WAITING_FOR_TRIAL, None
--- a/chervilgw/forward/tests/test_drain_policy.py
+++ b/chervilgw/forward/tests/test_drain_policy.py
@@ -84,3 +84,12 @@
     refusal = draining(peer_accepts).refusal(ACCEPT_DURATION_S)
     assert refusal.retry_after_s == pytest.approx(retry_s)
     assert refusal.run is RunState.NOT_RUN
+
+
+def test_request_that_waited_is_not_sent_when_its_answer_cannot_end():
+    """Guards against requests that are passed on late in the grace time and cut."""
+    made = draining()
+    end_s = GRACE_S - EXIT_MARGIN_S
+    assert made.may_send(answer_s=2.0, now_s=end_s - 2.0)
+    assert not made.may_send(answer_s=2.0, now_s=end_s - 1.9)
+    assert make_drain_policy(GRACE_S).may_send(answer_s=100.0, now_s=end_s)
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -21,8 +21,9 @@
 class TurnRequester(SuspectTracker):
     """Task that requests turns from the agents of engines.
 
-    Subclasses define ``attempt``, which chooses a server, and ``send``, which sends the
-    request to the chosen server.
+    Subclasses define ``attempt``, which chooses a server, ``send``, which sends the
+    request to the chosen server, and ``can_answer``, which says whether this process
+    runs for long enough to relay the answer.
     """
 
     dispatcher: Dispatcher
@@ -80,6 +81,7 @@
         """
         ruling = self.rule_on(exchange, now_s).ruling
         is_sound = exchange.on_trial or ruling is Ruling.SEND
+        is_sound = is_sound and self.can_answer(exchange, now_s)
         return is_sound and self.fleet.accepts(exchange.server, now_s)
 
     def repeat_turn_request(self, exchange: Exchange, now_s: float):
--- a/fleet/tests/test_deployed.py
+++ b/fleet/tests/test_deployed.py
@@ -1,5 +1,6 @@
 """The whole path on the platform's stand-ins, with the faults that its pages name."""
 
+import http.client
 import signal
 import threading
 
@@ -267,6 +268,41 @@
     assert entry.program.process.wait(20) == 0
 
 
+def test_no_request_late_in_the_grace_time_ends_without_an_answer(fleet):
+    """Guards against requests that are passed on and cut when the process ends."""
+    server = fleet.add_server(name="i-1", work_s=0.6)
+    entry, other = fleet.add_entry(), fleet.add_entry("127.0.0.2")
+    for each in (entry, other):
+        wait_for(listed(each, server), "the server is known")
+    entry.program.process.terminate()
+    statuses = []
+    while entry.program.process.poll() is None:
+        statuses.append(reserve(entry, len(statuses)))
+    assert entry.program.process.wait(20) == 0
+    passed_on = [status for status in statuses if status is not None]
+    assert set(passed_on) <= {200, 503}
+    assert passed_on.count(200) == len(server.runs)
+
+
+def reserve(entry, number):
+    """Return the status of a request, or None if it was not read."""
+    host, port = entry.url.removeprefix("http://").split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    headers = {
+        "Host": "desk.example",
+        "X-Attempt-Id": f"late{number:04}",
+        "X-Credential": "key-a",
+        "X-Deadline-Ms": "1500",
+    }
+    try:
+        connection.request("POST", f"/reserve/{number}", b"x", headers)
+        return connection.getresponse().status
+    except (ConnectionError, http.client.BadStatusLine):
+        return None
+    finally:
+        connection.close()
+
+
 def test_a_request_that_outlasts_the_grace_time_is_answered(fleet):
     """Guards against a whole request that gets neither an answer nor a refusal."""
     server = fleet.add_server(name="i-1", service="llm", models={"m1": []})
