Take a stream that ends with its connection before an event for broken off

Reported by other operators: an engine that stops in the middle of its answer's head gave callers a 200 framed as whole. A cut head does not do so here (a test with nine cuts, closed and reset, passes on the former code). A stream without a length whose engine ends after the head did: it ended with its connection, was passed on as an empty, whole stream, and its engine counted as sound.

Entries remind each other only of traits with several strikes, and log received evidence only if it changes something.

--- a/chervilgw/crashes/suspicion.py
+++ b/chervilgw/crashes/suspicion.py
@@ -410,6 +410,10 @@
         ]
         return self.evidence(traits[:MAX_REPORTED_TRAITS], now_s)
 
+    def reminders(self, now_s: float) -> tuple[TraitEvidence, ...]:
+        """Return what other entries must not miss: traits with several strikes."""
+        return tuple(filter(_is_repeated, self.all_evidence(now_s)))
+
     def _evidence_on(
         self, trait: RequestTrait, suspicion: _Suspicion, now_s: float
     ) -> TraitEvidence:
@@ -483,6 +487,10 @@
     return (RequestTrait(f"request/{digest}"), *parts)
 
 
+def _is_repeated(evidence: TraitEvidence) -> bool:
+    return any(blame.strike > 1 for blame in evidence.blames)
+
+
 def _block_s(extra_strikes: int) -> float:
     return min(MAX_BLOCK_S, BLOCK_S * 2.0 ** max(0, extra_strikes))
 
--- a/chervilgw/crashes/tests/test_suspicion.py
+++ b/chervilgw/crashes/tests/test_suspicion.py
@@ -224,7 +224,7 @@
             table.drop_past(now_s)
             others = [peer for peer in self.tables if peer != number]
             chosen = self.random.sample(others, min(2, len(others)))
-            self.send(now_s, number, table.all_evidence(now_s), chosen)
+            self.send(now_s, number, table.reminders(now_s), chosen)
         self.at(now_s + REMINDER_S, self.remind)
 
     def request(self, now_s, number, traits, since_s=None, key=None):
--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -177,9 +177,13 @@
             return
         if exchange.is_cut_off:
             detail = "the stream ended in the middle of an event"
-            self._on_not_served(exchange, detail, now_s)
+            if not exchange.has_end:
+                self.fleet.board.on_answer(exchange.server, True)
+                self.on_server_lost(exchange, now_s)
+            if exchange.stage is not Stage.ENDED:
+                self._on_not_served(exchange, detail, now_s)
             return
-        if proves_survival(exchange.answer_kind, done.status):
+        if exchange.has_end and proves_survival(exchange.answer_kind, done.status):
             self.on_survived(exchange, now_s)
         self.fire(attempt_counted("served"), "metrics")
         if exchange.stage is Stage.BUFFERING:
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -209,11 +209,16 @@
         """Return whether an answer that has ended lacks its last event.
 
         A body without a length ends with its connection, also where its server stopped
-        in the middle of an event. A continuation holds whole events only.
+        in the middle of an event or before the first one. A continuation holds whole
+        events only.
         """
-        if self.cutter is None or not self.cutter.ends_inside_event:
+        if self.cutter is None:
             return False
-        return self.answer_kind is AnswerKind.CONTINUATION or not self.answer.framed
+        if not self.answer.framed and not self.answer_reads:
+            return True
+        ends_inside = self.cutter.ends_inside_event
+        is_continuation = self.answer_kind is AnswerKind.CONTINUATION
+        return ends_inside and (is_continuation or not self.answer.framed)
 
     def buffered_answer(self) -> tuple[int, Headers, bytes]:
         """Return status, headers and body of an answer that was buffered."""
@@ -242,6 +247,14 @@
             self.answer_kind, self.answer.status
         )
 
+    @property
+    def has_end(self) -> bool:
+        """Return whether the end of a relayed answer shows that it is whole.
+
+        A stream without a length ends in the same way when its server crashes.
+        """
+        return self.answer.framed or not self.is_stream
+
     def may_wait_for_trial(self, now_s: float) -> bool:
         """Return whether to hold the request while another one is tried."""
         since_s = self.last_byte_s if self.head_forwarded else self.started_s
--- a/chervilgw/forward/suspect_tracker.py
+++ b/chervilgw/forward/suspect_tracker.py
@@ -93,8 +93,9 @@
     @handler("suspicion_reported")
     def _on_suspicion_report(self, report: SuspicionReport, address: str):
         now_s = time.monotonic()
-        log_evidence(report)
         blocked, lacking = self.suspicions.merge(report, now_s)
+        if blocked or lacking:
+            log_evidence(report)
         if lacking:
             evidence = self.suspicions.evidence(lacking, now_s)
             reply = SuspicionReport(self.incarnation, evidence)
@@ -121,7 +122,7 @@
     def remind_of_suspicions(self, now_s: float):
         """Drop past evidence, and send the rest to a few entries."""
         self.suspicions.drop_past(now_s)
-        evidence = self.suspicions.all_evidence(now_s)
+        evidence = self.suspicions.reminders(now_s)
         if evidence:
             report = SuspicionReport(self.incarnation, evidence)
             self.fire(suspicion_reminder_due(report), "gossip")
--- a/chervilgw/forward/tests/test_exchange.py
+++ b/chervilgw/forward/tests/test_exchange.py
@@ -261,3 +261,14 @@
     assert max_first_token_wait_s(exchange(**stream).admitted) == 2.0
     long = exchange(**stream, target_s=0.6, max_pause_s=0.4).admitted
     assert max_first_token_wait_s(long) == pytest.approx(3.2)
+
+
+@pytest.mark.parametrize("framed", [True, False])
+def test_stream_without_a_length_and_without_an_event_is_cut_off(framed):
+    """Guards against an empty stream, framed as whole, from a server that crashed."""
+    made = sent(exchange(kind=RouteKind.STREAMING), "x")
+    made.on_head(replace(OWN, is_event_stream=True, framed=framed), 1000)
+    assert made.is_cut_off is not framed
+    made.record_bytes(0.0)
+    made.on_data(b"id: 1\ndata: a\n\n")
+    assert not made.is_cut_off
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -300,3 +300,23 @@
     ours.close()
     assert not server.is_open(ours)
     assert not server.write(ours, b"x")
+
+
+WHOLE_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Type: text/plain\r\n\r\n"
+CUTS = [5, 12, 15, 17, 23, 26, 40, len(WHOLE_HEAD) - 3, len(WHOLE_HEAD) - 2]
+
+
+@pytest.mark.parametrize("length", CUTS)
+@pytest.mark.parametrize("reset", [False, True])
+def test_head_that_stops_is_no_answer(pair, length, reset):
+    """Guards against a whole, empty answer made of a head that was cut off."""
+    listener, caller = pair
+    caller.call("c1")
+    with accept(listener) as connection:
+        connection.sendall(WHOLE_HEAD[:length])
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    wait_until(lambda: caller.failed)
+    assert not caller.done
+    assert caller.failed[0].sent
--- a/fleet/tests/test_tainted_part.py
+++ b/fleet/tests/test_tainted_part.py
@@ -24,8 +24,8 @@
 class CrashingEngines:
     """Engines that restart under a new id after a crash; counts what reaches them."""
 
-    def __init__(self, fleet):
-        self.fleet = fleet
+    def __init__(self, fleet, framed):
+        self.fleet, self.framed = fleet, framed
         self.crashes_s = []
         self._numbers = itertools.count(1)
         for _ in range(ENGINES):
@@ -39,6 +39,7 @@
             deadly_part=DEADLY,
             on_crash=self._on_crash,
             event_pause_s=0.1,
+            framed=self.framed,
         )
 
     def _on_crash(self, server):
@@ -78,9 +79,15 @@
     statuses.append((sent_s, status))
 
 
-def test_part_of_a_prompt_that_crashes_engines_is_blocked_in_all_requests(fleet):
-    """Guards against a crash of engine after engine by requests that share one part."""
-    engines = CrashingEngines(fleet)
+@pytest.mark.parametrize("framed", [True, False])
+def test_part_of_a_prompt_that_crashes_engines_is_blocked_in_all_requests(
+    fleet, framed
+):
+    """Guards against a crash of engine after engine by requests that share one part.
+
+    A stream without a length ends with its connection, also when its engine crashes.
+    """
+    engines = CrashingEngines(fleet, framed)
     entries = [fleet.add_entry(ip) for ip in ("127.0.0.1", "127.0.0.2")]
     for entry, server in itertools.product(entries, list(fleet.servers)):
         wait_for(listed(entry, server), "the engines are known")
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -196,10 +196,11 @@
     ``break_after`` closes the connection after that many events of a stream, 0 before
     any answer. ``endless`` sends bodies without end. With ``sealed`` False answers do
     not bear the server's signature. ``work_s`` is the time of a run; ``hold`` delays
-    each answer until it is set. ``refuse`` answers that nothing has run.
-    ``stale_answer`` is written before each answer on a kept connection, as if it were
-    the answer to an earlier request. ``on_resume`` says how a request that resumes a
-    stream is answered. ``signals`` are headers that all answers bear.
+    each answer until it is set. ``refuse`` answers that nothing has run. With
+    ``framed`` False a stream has neither a length nor chunks and ends with its
+    connection. ``stale_answer`` is written before each answer on a kept connection, as
+    if it were the answer to an earlier request. ``on_resume`` says how a request that
+    resumes a stream is answered. ``signals`` are headers that all answers bear.
     """
 
     name: str = "i-1"
@@ -215,6 +216,7 @@
     work_s: float = 0.0
     events: int = 5
     event_pause_s: float = 0.0
+    framed: bool = True
     deadly_part: str = ""
     on_crash: Callable[[ServerStandIn], None] | None = None
     hold: threading.Event = field(default_factory=threading.Event)
@@ -338,7 +340,8 @@
         for name, value in seal.items():
             handler.send_header(name, value)
         handler.send_header("Content-Type", "text/event-stream")
-        handler.send_header("Transfer-Encoding", "chunked")
+        if self.framed:
+            handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         parts = headers.get("x-prompt-prefix", "").split(",")
         if any(part.partition(":")[0] == self.deadly_part for part in parts):
@@ -360,7 +363,10 @@
                 return
             self._chunk(handler, b"id: %d\ndata: token\n\n" % number)
             threading.Event().wait(self.event_pause_s)
-        handler.wfile.write(b"0\r\n\r\n")
+        if self.framed:
+            handler.wfile.write(b"0\r\n\r\n")
+        else:
+            handler.drop()
 
     def _crash(self, handler: _Handler):
         handler.wfile.flush()
@@ -370,4 +376,6 @@
             self.on_crash(self)
 
     def _chunk(self, handler: _Handler, data: bytes):
-        handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if self.framed:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        handler.wfile.write(data)
