--- a/chervilgw/crashes/suspicion.py
+++ b/chervilgw/crashes/suspicion.py
@@ -45,7 +45,7 @@
 TRIAL_SILENCE_S = 3.0
 # An engine that still reports this long after the report of its crash did not crash.
 ALIVE_AFTER_S = 1.0
-MAX_SUSPICIONS = 2_000
+MAX_SUSPICIONS = 512
 MAX_PROVEN_TRAITS = 20_000
 # Traits in one report; a report is one datagram.
 MAX_REPORTED_TRAITS = 64
--- a/chervilgw/crashes/tests/test_suspicion.py
+++ b/chervilgw/crashes/tests/test_suspicion.py
@@ -12,6 +12,7 @@
 from chervilgw.crashes.suspicion import (
     ALIVE_AFTER_S,
     BLOCK_S,
+    MAX_SUSPICIONS,
     Ruling,
     Standing,
     make_suspicion_table,
@@ -137,7 +138,7 @@
 def test_memory_is_bounded(table):
     for number in range(3_000):
         crash(table, f"s{number}/1", (f"request/{number}",), 0.0)
-    assert len(table) == 2_000
+    assert len(table) == MAX_SUSPICIONS
 
 
 # The simulation: times in seconds.
