Blame no request for a server that acknowledges nothing

While the network to several engines is cut, each connection ends when nothing is acknowledged. That looked like a crash of each engine, so that a new prompt part under way or on trial then could collect strikes and be blocked for a minute. The end of a connection now says whether its peer was silent, and a silent one blames nobody. A crash that is refuted because the engine still reports is told to the other entries at once, not with the next evidence.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -221,7 +221,7 @@
             self.fleet.board.on_answer(server, True)
         self.fire(attempt_counted("failed" if failed.sent else "unreached"), "metrics")
         log_attempt_failed(exchange, failed, ejected_s, now_s)
-        if failed.sent and failed.connection_lost:
+        if failed.sent and failed.connection_lost and not failed.is_silent:
             self.on_server_lost(exchange, now_s)
         if exchange.stage is not Stage.ENDED:
             self._retry_or_fail(exchange, failed.detail, now_s)
--- a/chervilgw/forward/suspect_tracker.py
+++ b/chervilgw/forward/suspect_tracker.py
@@ -118,6 +118,7 @@
         if len(self.suspicions):
             crash = CrashId(f"{report.server}/{report.started_ms}")
             self.suspicions.on_server_alive(crash, now_s)
+            self._publish(now_s)
 
     def remind_of_suspicions(self, now_s: float):
         """Drop past evidence, and send the rest to a few entries."""
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -121,13 +121,15 @@
     """A call ended without a complete answer.
 
     ``sent`` is False only if no byte of the request can have reached the server.
-    ``connection_lost`` is True if the server closed or reset the connection.
+    ``connection_lost`` is True if the server closed or reset the connection, and with
+    ``is_silent`` if it acknowledged nothing: its VM or the network is down.
     """
 
     call: str
     sent: bool
     detail: str
     connection_lost: bool = False
+    is_silent: bool = False
 
 
 class http_request(Event):  # noqa: N801
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -320,15 +320,27 @@
         expires_s = time.monotonic() + limit_s
         self._idle.keep(address, IdleConnection(call.sock, call.parser, expires_s))
 
-    def _on_reset(self, sock):
+    def _on_reset(self, sock, is_silent: bool):
         # A body without a length ends with its connection; after a reset it is
         # incomplete.
         call = self._calls.get(self._by_sock.get(sock, ""))
         if call is not None:
-            self._fail(call, sent=True, detail="connection reset", connection_lost=True)
+            detail = "nothing was acknowledged" if is_silent else "connection reset"
+            self._fail(
+                call,
+                sent=True,
+                detail=detail,
+                connection_lost=True,
+                is_silent=is_silent,
+            )
 
     def _fail(
-        self, call: _Call, sent: bool, detail: str, connection_lost: bool = False
+        self,
+        call: _Call,
+        sent: bool,
+        detail: str,
+        connection_lost: bool = False,
+        is_silent: bool = False,
     ):
         self._calls.pop(call.spec.call, None)
         if call.sock is not None:
@@ -338,7 +350,7 @@
             self._dialer.abandon(call.spec.call)
         # What ended the connection after an answer to another request is not known.
         connection_lost = connection_lost and not call.has_unproven_answer
-        message = CallFailed(call.spec.call, sent, detail, connection_lost)
+        message = CallFailed(call.spec.call, sent, detail, connection_lost, is_silent)
         self._send_parts(call.spec.reply_to)
         self.fire(call_failed(message), call.spec.reply_to)
 
--- a/chervilgw/runtime/sockets.py
+++ b/chervilgw/runtime/sockets.py
@@ -9,7 +9,7 @@
 import socket
 import ssl
 import struct
-from errno import EAGAIN, EINPROGRESS, EWOULDBLOCK
+from errno import EAGAIN, EINPROGRESS, ETIMEDOUT, EWOULDBLOCK
 from typing import Any
 
 from circuits import Event, handler
@@ -45,7 +45,8 @@
         None a ``read`` event is fired instead, which `circuits.web` needs.
     on_reset : callable or None
         Function of the owning task that gets a socket whose connection was reset,
-        before it is closed. An end of the stream only fires a ``disconnect`` event.
+        before it is closed, and whether its peer acknowledged nothing. An end of the
+        stream only fires a ``disconnect`` event.
     on_drained : callable or None
         Function of the owning task that gets a socket whose queued bytes have fallen
         below :data:`RESUME_UNREAD_BYTES`.
@@ -97,9 +98,9 @@
             sent = 0
         return sent == len(data) or self._enqueue(sock, data[sent:]) or sent > 0
 
-    def _reset(self, sock):
+    def _reset(self, sock, error: OSError):
         if self._on_reset is not None:
-            self._on_reset(sock)
+            self._on_reset(sock, error.errno == ETIMEDOUT)
         if not _is_closed(sock):
             self._close(sock)
 
@@ -124,7 +125,7 @@
                 sent = sock.send(queue[0])
             except OSError as error:
                 if not _would_block(error):
-                    self._reset(sock)
+                    self._reset(sock, error)
                 return
             if sent < len(queue[0]):
                 queue[0] = queue[0][sent:]
@@ -243,7 +244,7 @@
             data = sock.recv(self._bufsize)
         except OSError as error:
             if not _would_block(error):
-                self._reset(sock)
+                self._reset(sock, error)
             return
         if data:
             self._on_data(sock, data)
@@ -374,8 +375,9 @@
     def _on_disconnect(self, sock):
         if sock in self._connecting:
             self._finish_connect(sock, "connection refused")
-        else:
-            self._reset(sock)
+        elif not _is_closed(sock):
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self._reset(sock, OSError(code, "connection lost"))
 
 
 def detect_silence(sock, silence_timeout_s: float):
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -2,12 +2,13 @@
 
 import socket
 import struct
+from errno import ECONNRESET, ETIMEDOUT
 
 import pytest
 from circuits import BaseComponent, handler
 
 from chervilgw.runtime.events import HttpCall, http_call, http_call_cancel
-from chervilgw.runtime.http_client import make_http_client
+from chervilgw.runtime.http_client import HttpClient, make_http_client
 from chervilgw.runtime.sockets import DirectServer
 
 from .running import running, wait_until
@@ -291,6 +292,21 @@
     assert not caller.failed
 
 
+@pytest.mark.parametrize("code", [ETIMEDOUT, ECONNRESET])
+def test_silent_server_is_told_from_one_that_reset_the_connection(pair, code):
+    """Guards against blame for a crash while the network is cut."""
+    listener, caller = pair
+    caller.call("c1")
+    with accept(listener):
+        tasks = caller.root.components
+        client = next(task for task in tasks if isinstance(task, HttpClient))
+        [sock] = client._by_sock
+        client._dialer._reset(sock, OSError(code, "lost"))
+        wait_until(lambda: caller.failed)
+    assert caller.failed[0].connection_lost
+    assert caller.failed[0].is_silent is (code == ETIMEDOUT)
+
+
 def test_write_to_a_closed_connection_is_not_taken_for_sent():
     """Guards against requests and messages that are dropped without a word."""
     server = DirectServer(("127.0.0.1", 0), "closed-test")
