Tell an entry that starts of blocked traits before newer suspects

A report holds 64 traits. With more suspects than that, an entry that had just started and the reminders got the newest ones, and a block that was older was left out, so that its trait reached servers again through that entry. The most strikes come first now. The test failed before.

--- a/chervilgw/crashes/suspicion.py
+++ b/chervilgw/crashes/suspicion.py
@@ -402,12 +402,13 @@
         )
 
     def all_evidence(self, now_s: float) -> tuple[TraitEvidence, ...]:
-        """Return what is known of suspect and blocked traits, newest first."""
+        """Return what is known of suspect and blocked traits, most strikes first."""
         traits = [
             trait
             for trait in reversed(self._suspicions)
             if self.standing(trait, now_s) is not Standing.CLEAR
         ]
+        traits.sort(key=lambda trait: self._suspicions[trait].strikes(), reverse=True)
         return self.evidence(traits[:MAX_REPORTED_TRAITS], now_s)
 
     def reminders(self, now_s: float) -> tuple[TraitEvidence, ...]:
--- a/chervilgw/crashes/tests/test_suspicion.py
+++ b/chervilgw/crashes/tests/test_suspicion.py
@@ -135,6 +135,16 @@
     assert peer.standing("part/a", 1.1) is Standing.CLEAR
 
 
+def test_block_is_told_before_many_newer_suspects(table):
+    """Guards against a new entry that hears of the newest suspects only."""
+    crash(table, "s1/1", ("part/a",), 0.0)
+    crash(table, "s2/1", ("part/a",), 1.0)
+    for number in range(100):
+        crash(table, f"t{number}/1", (f"request/{number}",), 2.0)
+    for evidence in (table.all_evidence(3.0), table.reminders(3.0)):
+        assert evidence[0].trait == "part/a"
+
+
 def test_memory_is_bounded(table):
     for number in range(3_000):
         crash(table, f"s{number}/1", (f"request/{number}",), 0.0)
