Count one strike for a server however often its connections end

Each end of a connection to the same incarnation raised the strike of the crash that was known already, so that one living server could give all strikes. An incarnation crashes once, and gives one strike: the least that any entry knows of.

--- a/chervilgw/crashes/suspicion.py
+++ b/chervilgw/crashes/suspicion.py
@@ -506,10 +506,11 @@
     if known is None:
         suspicion.blames[crash] = _Blame(strike, heard_s)
         return True
-    changed = strike > known.strike
-    known.strike = max(known.strike, strike)
+    # An incarnation crashes once, so that it gives one strike however often its
+    # connections end.
+    known.strike = min(known.strike, strike)
     known.heard_s = min(known.heard_s, heard_s)
-    return changed
+    return False
 
 
 def _refute(suspicion: _Suspicion, crashes: Iterable[CrashId], now_s: float) -> None:
--- a/chervilgw/crashes/tests/test_suspicion.py
+++ b/chervilgw/crashes/tests/test_suspicion.py
@@ -38,6 +38,13 @@
     assert table.standing("part/a", 1.1) is Standing.SUSPECT
 
 
+def test_server_that_breaks_off_again_and_again_gives_one_strike(table):
+    """Guards against a block by one server that lives and breaks off its answers."""
+    for _ in range(6):
+        crash(table, "s1/1", ("request/a",), 1.0)
+    assert table.strikes(("request/a",)) == (1,)
+
+
 def test_one_request_at_a_time_is_tried(table):
     crash(table, "s1/1", ("part/a",), 1.0)
     assert table.verdict(("part/a",), 1.1).ruling is Ruling.TRY
