--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,9 @@
-"""Case 7: an entry that stops takes a request while it exits, and loses it."""
+"""Case 7: a spoiled header of one engine's answer takes pieces from other streams."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
 import sys
 import time
 from dataclasses import dataclass, field
@@ -12,183 +11,90 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+import engines
 import fakes
-import plain
 
-SEED = 7
-ROUNDS = 9
-ROUND_S = 15.0
-# The entries are stopped in turn; the platform starts each again after it has ended.
-GAP_S = 1.0
-GRACE_S = 8.0
-RESTART_S = 0.5
-CALLERS = 32
-# A run that lasts into the last sixth of the grace time is not counted.
-COUNTED_S = GRACE_S * 5 / 6
-# How long a caller takes to send its body, on a slow link.
-UPLOAD_S = (1.0, 4.0)
-PIECES = 6
-WORK_S = (0.06, 0.25)
+SEED = 6
+ENGINES = 4
+LOAD_S = 40.0
+REQUESTS_PER_S = 25.0
+# Half of the engines spoil this fraction of their answers.
+GARBLE_SHARE = 0.5
+GARBLE_X = 0.02
 
 
 @dataclass
-class Balancer:
-    """Chooses an entry for each new connection, by the checks of readiness."""
+class SpoilingEngine(engines.ModelEngine):
+    """An engine that spoils one byte in the signature of some of its answers."""
 
-    entries: list
-    misses: dict[str, int] = field(default_factory=dict)
+    spoils: bool = False
+    since_s: float = field(default_factory=time.monotonic)
+    spoiled: set[str] = field(default_factory=set)
 
-    async def check(self) -> None:
-        """Ask all entries once a second whether they are ready."""
-        while True:
-            for entry in self.entries:
-                try:
-                    await asyncio.wait_for(fakes.wait_ready(entry, 0.0), 0.5)
-                    self.misses[entry.fields["node_name"]] = 0
-                except TimeoutError:
-                    name = entry.fields["node_name"]
-                    self.misses[name] = self.misses.get(name, 0) + 1
-            await asyncio.sleep(1.0)
-
-    def choose(self):
-        """Return an entry in rotation, or any one if none is."""
-        usable = [
-            entry
-            for entry in self.entries
-            if self.misses.get(entry.fields["node_name"], 0) < 2
-        ]
-        return random.choice(usable or self.entries)
-
-
-@dataclass
-class Sent:
-    """A request: its entry, and when its last byte was sent; status 0 if cut."""
-
-    attempt: str
-    entry: str
-    sent_s: float = 0.0
-    status: int = 0
-    ended_s: float = 0.0
-
-
-async def send_booking(entry) -> Sent:
-    """Send one booking whose body goes out slowly, and read the answer."""
-    sent = Sent(fakes.new_id(), entry.fields["node_name"])
-    host, _, port = entry.fields["listen.front"].rpartition(":")
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-        body = b"x" * 600
-        writer.write(
-            f"POST /book/{sent.attempt} HTTP/1.1\r\nHost: desk.example\r\n"
-            f"X-Attempt-Id: {sent.attempt}\r\nX-Deadline-Ms: 6000\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-        )
-        pause_s = random.uniform(*UPLOAD_S) / PIECES
-        for start in range(0, len(body), len(body) // PIECES):
-            await asyncio.sleep(pause_s)
-            writer.write(body[start : start + len(body) // PIECES])
-            await writer.drain()
-        sent.sent_s = time.monotonic()
-        line, headers = await asyncio.wait_for(fakes.read_head(reader), 6.0)
-        await reader.readexactly(int(headers.get("content-length", "0")))
-        sent.status = int(line.split()[1])
-    except (EOFError, OSError, TimeoutError, asyncio.IncompleteReadError):
-        # The connection was refused, or ended before the answer did.
-        pass
-    finally:
-        sent.ended_s = time.monotonic()
-        if writer is not None:
-            writer.close()
-    return sent
-
-
-async def stop_and_start(record, entry, stopped_s: dict[str, list[float]]) -> None:
-    """Stop an entry as the platform does, and start it again."""
-    name = entry.fields["node_name"]
-    record.write(f"SIGTERM to {name}")
-    stopped_s.setdefault(name, []).append(time.monotonic())
-    entry.process.send_signal(signal.SIGTERM)
-    until_s = time.monotonic() + GRACE_S
-    while entry.process.poll() is None and time.monotonic() < until_s:
-        await asyncio.sleep(0.01)
-    record.write(f"{name} ended: {entry.process.poll()}")
-    entry.kill()
-    await asyncio.sleep(RESTART_S)
-    entry.start(first=False)
+    def on_run(self, run, seal: str) -> str:
+        """Set the highest bit of one byte of the signature, for some answers."""
+        is_garbling = self.spoils and fakes.is_garbling(self.since_s)
+        if not is_garbling or random.random() >= GARBLE_X:
+            return super().on_run(run, seal)
+        self.record.write(f"engine {self.name} spoils its answer to {run.attempt}")
+        self.spoiled.add(run.attempt)
+        place = random.randrange(len(seal))
+        return seal[:place] + chr(ord(seal[place]) | 0x80) + seal[place + 1 :]
 
 
 async def case(record: fakes.Record) -> bool:
-    """Return whether a request was lost around a planned stop."""
+    """Return whether a stream of a sound answer lacked a piece or held one twice."""
     random.seed(SEED)
-    async with fakes.Fleet(plain.CONFIGURATION) as fleet:
-        desks = [
-            plain.Desk(fakes.ip(30 + i), name=f"i-{i}", work_s=WORK_S, record=record)
-            for i in (1, 2)
-        ]
-        for desk in desks:
-            await fleet.add_server(desk)
-        entries = [fleet.add_entry(fakes.ip(11 + i), "ab"[i]) for i in range(2)]
-        for entry in entries:
-            await fakes.wait_ready(entry)
-        balancer = Balancer(entries)
-        checks = asyncio.create_task(balancer.check())
-        await asyncio.sleep(2.0)
-        all_sent: list[Sent] = []
-        stopped_s: dict[str, list[float]] = {}
-        until_s = time.monotonic() + ROUNDS * ROUND_S
-
-        async def call():
-            while time.monotonic() < until_s:
-                sent = await send_booking(balancer.choose())
-                all_sent.append(sent)
-                record.write(f"caller {sent.attempt} {sent.entry} got {sent.status}")
-                if not sent.sent_s:
-                    await asyncio.sleep(0.1)
-
-        callers = [asyncio.create_task(call()) for _ in range(CALLERS)]
-        for _ in range(ROUNDS):
-            await asyncio.sleep(1.0)
-            stops = []
-            for entry in entries:
-                if fakes.TROUBLE:
-                    stop = stop_and_start(record, entry, stopped_s)
-                    stops.append(asyncio.create_task(stop))
-                await asyncio.sleep(GAP_S)
-            await asyncio.gather(*stops)
-            for entry in entries:
-                await fakes.wait_ready(entry)
-            await asyncio.sleep(2.0)
-        until_s = 0.0
-        await asyncio.gather(*callers)
-        checks.cancel()
-        return judge(record, all_sent, desks, stopped_s)
-
-
-def judge(record, all_sent: list[Sent], desks: list, stopped_s) -> bool:
-    """Count the requests that were passed on and got no answer around a stop."""
-    ran = set().union(*(desk.ran for desk in desks))
-    whole = [sent for sent in all_sent if sent.sent_s]
-    cut = [sent for sent in whole if not sent.status and sent.attempt in ran]
-    lost = [
-        sent
-        for sent in cut
-        if any(
-            0 <= sent.ended_s - stop_s < COUNTED_S
-            for stop_s in stopped_s.get(sent.entry, ())
+    async with fakes.Fleet(engines.CONFIGURATION) as fleet:
+        servers = []
+        for number in range(ENGINES):
+            server = SpoilingEngine(
+                fakes.ip(20 + number),
+                record=record,
+                spoils=fakes.TROUBLE and number < GARBLE_SHARE * ENGINES,
+            )
+            servers.append(server)
+            await fleet.add_server(server)
+            fleet.add_agent(server, "a")
+        entry = fleet.add_entry(fakes.ip(11), "a")
+        await fakes.wait_ready(entry)
+        await asyncio.sleep(3.0)
+        calls = []
+        until_s = time.monotonic() + LOAD_S
+        while time.monotonic() < until_s:
+            call = engines.read_stream(fakes.new_id(), entry.fields["listen.front"])
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
+        _, pending = await asyncio.wait(calls, timeout=20.0)
+        for call in pending:
+            call.cancel()
+        outcomes = [call.result() for call in calls if call not in pending]
+        spoiled = set().union(*(server.spoiled for server in servers))
+        return judge(record, outcomes, spoiled, len(pending))
+
+
+def judge(record, outcomes: list, spoiled: set[str], pending: int) -> bool:
+    """Write what the callers got, and return whether ORDER was broken."""
+    broken = []
+    for outcome in outcomes:
+        is_sound = outcome.attempt not in spoiled
+        is_broken = is_sound and outcome.ids != list(range(1, len(outcome.ids) + 1))
+        record.write(
+            f"caller {outcome.attempt} status {outcome.status}"
+            f" {'complete' if outcome.complete else 'cut'}"
+            f" {'BROKEN' if is_broken else '-'} ids {outcome.ids}"
         )
-    ]
-    unread = [sent for sent in whole if not sent.status and sent.attempt not in ran]
-    for sent in lost:
-        record.write(f"LOST {sent.attempt} at {sent.entry}: it ran and got no answer")
+        if is_broken:
+            broken.append(outcome)
+    complete = sum(outcome.complete for outcome in broken)
     text = (
-        f"{len(whole)} requests sent whole; {len(cut)} passed on and without an answer,"
-        f" {len(lost)} of these under {COUNTED_S:.2f} s after the SIGTERM;"
-        f" {len(unread)} were cut and not passed on"
+        f"{len(outcomes)} answers, {len(spoiled)} spoiled by their engines,"
+        f" {len(broken)} others lack a piece, {complete} of these end as complete;"
+        f" {pending} callers got no end"
     )
     record.write(text)
     print(text)
-    return bool(lost)
+    return bool(broken)
 
 
 if __name__ == "__main__":
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,9 @@
 import ast
 import pathlib
 
-for path in sorted(pathlib.Path("review").glob("[678]/case.py")):
+names = ["fakes.py", "engines.py", "plain.py"]
+names += [f"{number}/case.py" for number in range(6, 11)]
+for name in names:
+    path = pathlib.Path("review") / name
     ast.parse(path.read_text(), str(path))
-for name in ("review/fakes.py", "review/engines.py"):
-    ast.parse(pathlib.Path(name).read_text(), name)
 END
--- a/review/fakes.py
+++ b/review/fakes.py
@@ -47,6 +47,10 @@
     "ceiling_over": "1.1",
 }
 
+# Longest time for which the site's engines spoil answers, and a pause before the next.
+GARBLE_S = 5.0
+GARBLE_PAUSE_S = 3.0
+
 
 class Record:
     """Record of what was sent, answered and run; one line an event."""
@@ -347,6 +351,12 @@
         return sock.getsockname()[1]
 
 
+def is_garbling(since_s: float) -> bool:
+    """Return whether engines spoil answers now, if they began to at a given time."""
+    elapsed_s = time.monotonic() - since_s
+    return elapsed_s % (GARBLE_S + GARBLE_PAUSE_S) < GARBLE_S
+
+
 def new_id(length: int = 16) -> str:
     """Return a random id in hexadecimal."""
     return "".join(random.choices("0123456789abcdef", k=length))
@@ -357,9 +367,16 @@
     record = Record(Path(folder) / "record.txt")
     record.write("trouble", int(TROUBLE))
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record), 110))
-    except Exception as error:
+        broken = asyncio.run(_run_until_stopped(case, record))
+    except (Exception, asyncio.CancelledError) as error:
         record.write("the case could not run:", repr(error))
         print(f"the case could not run: {error!r}")
         return 2
     return int(broken)
+
+
+async def _run_until_stopped(case, record: Record) -> bool:
+    """Run a case, which ends its processes also if the script gets SIGTERM."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(case(record), 112)
