Pass on header bytes of 0x80 or more, and end a failing answer alone

Cause: field values may hold bytes of 0x80 or more (RFC 9110, 5.5). They were decoded as ISO 8859-1 and encoded as ASCII, which raised in the handler of the answer's head. Each part of that answer then raised in the loop over the parts of all answers of one poll, so that the parts behind it were lost. The log tells the two apart: UnicodeEncodeError once an answer, LocalProtocolError once a part. A buffered answer left its caller without any answer, and a request with such a byte was never sent.

Change: header text is bytes in ISO 8859-1 in both directions, and h11 gets bytes. An answer that cannot be encoded is ended where it fails, with 502 or without its end, and the gateway is told. Same class: an answer with a length and chunks passed on a length that its body exceeds, a customer's name outside ASCII, and several Connection fields of which the last one alone counted.

--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -10,7 +10,7 @@
 import json
 import math
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 
@@ -108,9 +108,8 @@
     headers = http.headers
     model, _, adapter = headers.get(_MODEL_HEADER, "").partition("/")
     prompt, output = _decode_token_counts(headers.get(_TOKEN_COUNTS_HEADER))
-    forwarded = _end_to_end_headers(
-        http.raw_headers, headers.get("connection", ""), _SYSTEM_HEADERS
-    )
+    nominated = _nominated_headers(http.raw_headers)
+    forwarded = _end_to_end_headers(http.raw_headers, nominated | _SYSTEM_HEADERS)
     return OpaqueRequest(
         method=http.method,
         target=http.path + (f"?{http.query}" if http.query else ""),
@@ -130,12 +129,19 @@
     )
 
 
-def _end_to_end_headers(
-    pairs: Headers, connection: str, also_excluded: Iterable[str]
-) -> Headers:
-    hop_by_hop = {name.strip().lower() for name in connection.split(",")}
-    excluded = _HOP_BY_HOP_HEADERS | hop_by_hop | set(also_excluded)
-    return tuple(pair for pair in pairs if pair[0].lower() not in excluded)
+def _nominated_headers(pairs: Headers) -> set[str]:
+    """Return the headers that ``Connection`` fields name as of one connection only."""
+    lists = (value for name, value in pairs if name.lower() == "connection")
+    return {name.strip().lower() for names in lists for name in names.split(",")}
+
+
+def _end_to_end_headers(pairs: Headers, also_excluded: Collection[str]) -> Headers:
+    return tuple(
+        pair
+        for pair in pairs
+        if pair[0].lower() not in _HOP_BY_HOP_HEADERS
+        and pair[0].lower() not in also_excluded
+    )
 
 
 def _decode_token_counts(text: str | None) -> tuple[int | None, int | None]:
@@ -189,7 +195,9 @@
     if request.remaining_s is not None:
         headers.append(("X-Deadline-Ms", str(max(1, int(request.remaining_s * 1000)))))
     if request.customer is not None:
-        headers.append(("X-Tenant", request.customer))
+        # Names are not bound to the characters of a header field.
+        text = request.customer.encode().decode("latin-1")
+        headers.append(("X-Tenant", text))
     if opaque.model is not None and request.rank is not None:
         urgency = min(9, request.rank * URGENCY_PER_RANK)
         headers.append(("X-Request-Urgency", str(urgency)))
@@ -204,9 +212,11 @@
     Hop-by-hop headers are not forwarded to the caller, except the content length.
     """
     headers = {name.lower(): value for name, value in pairs}
-    length = headers.get("content-length")
+    # Of two framings only the chunks count (RFC 9112, section 6.3).
+    is_chunked = "transfer-encoding" in headers
+    length = None if is_chunked else headers.get("content-length")
     not_run = _NOT_RUN_HEADER in headers or status == HTTPStatus.MISDIRECTED_REQUEST
-    forwarded = _end_to_end_headers(pairs, headers.get("connection", ""), ())
+    forwarded = _end_to_end_headers(pairs, _nominated_headers(pairs))
     if length is not None:
         forwarded = (*forwarded, ("Content-Length", length))
     return ServerAnswer(
@@ -219,7 +229,7 @@
         is_event_stream=headers.get("content-type", "")
         .lower()
         .startswith(_EVENT_STREAM_TYPE),
-        framed=length is not None or "transfer-encoding" in headers,
+        framed=length is not None or is_chunked,
         signals=_signals_of(status, headers),
     )
 
--- a/chervilgw/platform/tests/test_requests.py
+++ b/chervilgw/platform/tests/test_requests.py
@@ -182,3 +182,26 @@
 @pytest.mark.parametrize("status", [200, 500, 503])
 def test_notice_of_a_server_counts_in_each_of_its_answers(status):
     assert decode_answer(status, (("Server-Leaving", "1"),)).signals.leaving
+
+
+def test_headers_of_one_connection_are_removed_by_each_connection_field():
+    pairs = [pair for pair in REQUEST if pair[0] != "Connection"]
+    fields = (("Connection", "X-Hop"), ("Connection", "close"))
+    opaque = decode_request(make_request(*pairs, *fields))
+    assert "X-Hop" not in dict(opaque.headers)
+
+
+def test_of_two_framings_of_an_answer_only_the_chunks_count():
+    """Guards against a body longer than the length that its caller was told."""
+    pairs = (("Content-Length", "3"), ("Transfer-Encoding", "chunked"))
+    answer = decode_answer(200, pairs)
+    assert answer.headers == ()
+    assert (answer.length_bytes, answer.framed) == (None, True)
+
+
+def test_customer_name_outside_ascii_is_sent_as_utf_8():
+    """Guards against requests that cannot be sent for the name of their customer."""
+    opaque = decode_request(make_request(*REQUEST))
+    name = "\u1eccr\u00ecnr\u00ecn"
+    headers = encode_request(ServerRequest(opaque, "i-1", 1.0, name, 1, None))
+    assert dict(headers)["X-Tenant"].encode("latin-1") == name.encode()
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -7,26 +7,33 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
-from typing import Any
 
 import h11
-from circuits import BaseComponent, Event, handler
-
-from chervilgw.core.answers import AnswerOwner, owner_of_answer
+from circuits import handler
+
+from chervilgw.core.answers import AnswerOwner
+from chervilgw.runtime.answer_parts import AnswerParts
+from chervilgw.runtime.client_call import (
+    ClientCall,
+    RequestEncodingError,
+    describe_excess,
+    is_body_overdue,
+    is_connect_overdue,
+    make_request_head,
+    owner_of,
+)
 from chervilgw.runtime.dialer import Dialer
 from chervilgw.runtime.events import (
-    CallData,
     CallDone,
     CallFailed,
     CallHead,
     HttpCall,
-    call_data,
     call_done,
     call_failed,
     call_head,
     call_sent,
 )
+from chervilgw.runtime.header_fields import decode_headers
 from chervilgw.runtime.idle_connections import (
     MAX_IDLE_PER_ADDRESS,
     IdleConnection,
@@ -35,70 +42,28 @@
 )
 from chervilgw.telemetry import log_event
 
-# Bounds the late answers to other requests and the interim heads before the head of a
-# call's answer.
-MAX_BEFORE_ANSWER_BYTES = 1_048_576
-# Bounds the body of an answer that is not streamed; the platform's longest page has
-# 1 MB. The receiver of a streamed answer bounds its parts.
-MAX_COLLECTED_BYTES = 16_777_216
-# Bytes of answers on their way through the tasks of this process. While there are more,
-# answers are left in the system's buffers.
-MAX_PASSING_BYTES = 2_097_152
-# Smaller batches are not counted; those of event streams are much smaller.
-MIN_COUNTED_BYTES = 16_384
-# Tasks behind this one that hold the bytes of an answer: its receiver and the task that
-# owns the caller's socket.
-TASKS_BEHIND = 2
-
-# Methods whose requests need no length if they have no body.
-_METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
-
-
-@dataclass(slots=True)
-class _Call:
-    spec: HttpCall
-    started_s: float
-    last_data_s: float
-    sock: Any = None
-    parser: Any = None
-    status: int = 0
-    headers: tuple = ()
-    body: list[bytes] = field(default_factory=list)
-    skipping: bool = False
-    is_connection_reused: bool = False
-    has_unproven_answer: bool = False
-    paused: bool = False
-    before_answer_bytes: int = 0
-    collected_bytes: int = 0
-
-
-class parts_due(Event):  # noqa: N801
-    """Send the parts of all answers that the last poll found readable."""
-
-
-class parts_passed(Event):  # noqa: N801
-    """Parts of answers have reached the next task: bytes, tasks still before them."""
 
-
-class HttpClient(BaseComponent):
+class HttpClient(AnswerParts):
     """HTTP client task; see :func:`make_http_client`."""
 
     def __init__(self, channel, max_idle: int, silence_timeout_s: float | None):
-        super().__init__(channel=channel)
+        super().__init__(channel)
         self._dialer = Dialer(
             channel, silence_timeout_s, on_data=self._on_read, on_reset=self._on_reset
         ).register(self)
-        self._calls: dict[str, _Call] = {}
-        self._by_sock: dict[Any, str] = {}
         self._idle = make_idle_connections(max_idle)
-        self._parts: dict[str, list[CallData]] = {}
-        self._passing_bytes = 0
-        self._held: dict[Any, None] = {}
 
     @handler("http_call")
     def _on_call(self, spec: HttpCall):
         now_s = time.monotonic()
-        call = self._calls[spec.call] = _Call(spec, now_s, now_s)
+        try:
+            request = make_request_head(spec)
+        except RequestEncodingError as error:
+            detail = f"the request cannot be sent: {error}"
+            failure = CallFailed(spec.call, False, detail)
+            self.fire(call_failed(failure), spec.reply_to)
+            return
+        call = self._calls[spec.call] = ClientCall(spec, now_s, now_s, request)
         idle = None if spec.new_connection else self._idle.take(spec.address)
         if idle is not None and now_s < idle.expires_s:
             call.is_connection_reused = True
@@ -125,22 +90,12 @@
         if not self._send(call, sock, h11.Connection(our_role=h11.CLIENT)):
             self._fail(call, sent=False, detail="connection closed before the request")
 
-    def _send(self, call: _Call, sock, parser) -> bool:
+    def _send(self, call: ClientCall, sock, parser) -> bool:
         """Write the request; return False if its connection is closed already."""
         spec = call.spec
         call.sock, call.parser = sock, parser
         self._by_sock[sock] = spec.call
-        headers = list(spec.headers)
-        if not spec.forwarded:
-            headers.insert(0, ("Host", spec.address))
-        if spec.body or not spec.forwarded or spec.method not in _METHODS_WITHOUT_BODY:
-            headers.append(("Content-Length", str(len(spec.body))))
-        try:
-            head = h11.Request(method=spec.method, target=spec.path, headers=headers)
-        except h11.LocalProtocolError as error:
-            self._fail(call, sent=False, detail=f"invalid request: {error}")
-            return True
-        parts = [parser.send(head)]
+        parts = [parser.send(call.request)]
         if spec.body:
             parts.append(parser.send(h11.Data(data=spec.body)))
         parts.append(parser.send(h11.EndOfMessage()))
@@ -165,21 +120,19 @@
         except h11.RemoteProtocolError as error:
             self._fail(call, sent=True, detail=f"malformed answer: {error}")
             return
-        if self._passing_bytes > MAX_PASSING_BYTES and self._dialer.is_open(sock):
-            self._held[sock] = None
-            self._dialer.pause_reading(sock)
-        excess = _describe_excess(call)
+        self.bound_passing(sock)
+        excess = describe_excess(call)
         if excess is not None and call.spec.call in self._calls:
             self._fail(call, sent=True, detail=excess)
 
-    def _parse(self, call: _Call):
+    def _parse(self, call: ClientCall):
         received: list[bytes] = []
         while True:
             event = call.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
             if isinstance(event, h11.Response):
-                owner = _owner_of(call, event)
+                owner = owner_of(call, event)
                 call.skipping = owner is not AnswerOwner.THIS_CALL
                 if call.skipping:
                     self._on_foreign_answer(call, owner, event.status_code)
@@ -191,14 +144,14 @@
             elif isinstance(event, h11.EndOfMessage) and call.skipping:
                 self._skip_answer(call)
             elif isinstance(event, h11.EndOfMessage):
-                self._deliver(call, received)
+                self.deliver(call, received)
                 self._finish(call)
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 break
-        self._deliver(call, received)
+        self.deliver(call, received)
 
-    def _on_foreign_answer(self, call: _Call, owner: AnswerOwner, status: int):
+    def _on_foreign_answer(self, call: ClientCall, owner: AnswerOwner, status: int):
         """Record an answer that is skipped; the call goes on waiting for its own."""
         if owner is AnswerOwner.UNPROVEN:
             call.has_unproven_answer = True
@@ -210,7 +163,7 @@
             call=call.spec.call,
         )
 
-    def _skip_answer(self, call: _Call):
+    def _skip_answer(self, call: ClientCall):
         """Prepare to parse the call's answer after one to another request.
 
         The old parser has ended its cycle and expects a request, so a new parser gets
@@ -225,61 +178,14 @@
         if following:
             call.parser.receive_data(following)
 
-    def _on_head(self, call: _Call, head):
+    def _on_head(self, call: ClientCall, head):
         call.status = head.status_code
-        call.headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in head.headers
-        )
+        call.headers = decode_headers(head.headers)
         if call.spec.stream:
             message = CallHead(call.spec.call, call.status, call.headers)
             self.fire(call_head(message), call.spec.reply_to)
 
-    def _deliver(self, call: _Call, received: list[bytes]):
-        if not received:
-            return
-        if not call.spec.stream:
-            call.body.extend(received)
-            call.collected_bytes += sum(map(len, received))
-            return
-        if not self._parts:
-            self.fire(parts_due(), self.channel)
-        part = CallData(call.spec.call, b"".join(received))
-        self._parts.setdefault(call.spec.reply_to, []).append(part)
-
-    @handler("parts_due")
-    def _on_parts_due(self):
-        for reply_to in list(self._parts):
-            self._send_parts(reply_to)
-
-    def _send_parts(self, reply_to: str):
-        parts = self._parts.pop(reply_to, None)
-        if parts is None:
-            return
-        self.fire(call_data(parts), reply_to)
-        size_bytes = sum(len(part.data) for part in parts)
-        if size_bytes >= MIN_COUNTED_BYTES:
-            self._passing_bytes += size_bytes
-            # Events are handled in their order, so that this one follows the parts.
-            self.fire(parts_passed(size_bytes, TASKS_BEHIND), self.channel)
-
-    @handler("parts_passed")
-    def _on_parts_passed(self, size_bytes: int, tasks_before: int):
-        if tasks_before:
-            self.fire(parts_passed(size_bytes, tasks_before - 1), self.channel)
-            return
-        self._passing_bytes -= size_bytes
-        if self._held and self._passing_bytes < MAX_PASSING_BYTES / 2:
-            held, self._held = self._held, {}
-            for sock in held:
-                self._resume(sock)
-
-    def _resume(self, sock):
-        call = self._calls.get(self._by_sock.get(sock, ""))
-        if sock not in self._held and not (call is not None and call.paused):
-            self._dialer.resume_reading(sock)
-
-    def _finish(self, call: _Call):
+    def _finish(self, call: ClientCall):
         spec = call.spec
         del self._calls[spec.call]
         del self._by_sock[call.sock]
@@ -288,10 +194,10 @@
         self._cache_or_close(call)
         body = b"".join(call.body)
         message = CallDone(spec.call, call.status, call.headers, body)
-        self._send_parts(spec.reply_to)
+        self.send_parts(spec.reply_to)
         self.fire(call_done(message), spec.reply_to)
 
-    def _cache_or_close(self, call: _Call):
+    def _cache_or_close(self, call: ClientCall):
         address = call.spec.address
         if not self._dialer.is_open(call.sock):
             # A body without a length ends with its connection.
@@ -336,7 +242,7 @@
 
     def _fail(
         self,
-        call: _Call,
+        call: ClientCall,
         sent: bool,
         detail: str,
         connection_lost: bool = False,
@@ -351,7 +257,7 @@
         # What ended the connection after an answer to another request is not known.
         connection_lost = connection_lost and not call.has_unproven_answer
         message = CallFailed(call.spec.call, sent, detail, connection_lost, is_silent)
-        self._send_parts(call.spec.reply_to)
+        self.send_parts(call.spec.reply_to)
         self.fire(call_failed(message), call.spec.reply_to)
 
     @handler("disconnect")
@@ -369,20 +275,6 @@
             detail = "connection closed before the answer"
             self._fail(call, sent=True, detail=detail, connection_lost=True)
 
-    @handler("http_call_pause")
-    def _on_pause(self, call_id: str):
-        call = self._calls.get(call_id)
-        if call is not None and call.sock is not None:
-            call.paused = True
-            self._dialer.pause_reading(call.sock)
-
-    @handler("http_call_resume")
-    def _on_resume(self, call_id: str):
-        call = self._calls.get(call_id)
-        if call is not None and call.sock is not None:
-            call.paused, call.last_data_s = False, time.monotonic()
-            self._resume(call.sock)
-
     @handler("http_call_cancel")
     def _on_cancel(self, call_id: str):
         call = self._calls.pop(call_id, None)
@@ -400,7 +292,7 @@
         if call is not None and call.sock is None:
             self._fail(call, sent=False, detail="withdrawn before it was sent")
 
-    def _close_unfinished(self, call: _Call):
+    def _close_unfinished(self, call: ClientCall):
         """Close the connection of an unfinished call.
 
         A forwarded request must not reach its server after its caller was answered or
@@ -416,52 +308,18 @@
         for call in list(self._calls.values()):
             if paused:
                 call.last_data_s = call.started_s = now_s
-            elif call.sock is None and _is_connect_overdue(call, now_s):
+            elif call.sock is None and is_connect_overdue(call, now_s):
                 self._fail(call, sent=False, detail="no connection in time")
             elif not call.status and now_s - call.started_s > call.spec.timeout_s:
                 self._fail(call, call.sock is not None, "no answer in time")
             elif call.status and now_s - call.last_data_s > call.spec.idle_timeout_s:
                 self._fail(call, sent=True, detail="the answer stalled")
-            elif _is_body_overdue(call, now_s):
+            elif is_body_overdue(call, now_s):
                 self._fail(call, sent=True, detail="the answer did not end in time")
         for idle in self._idle.take_expired(now_s):
             self._dialer.close(idle.sock)
 
 
-def _owner_of(call: _Call, head) -> AnswerOwner:
-    """Return whose an answer is, by its echo header."""
-    if call.spec.echo_header is None:
-        return AnswerOwner.THIS_CALL
-    name, expected = call.spec.echo_header
-    found = [
-        value.decode("latin-1") for key, value in head.headers if key == name.encode()
-    ]
-    return owner_of_answer(
-        expected, found[0] if found else None, call.is_connection_reused
-    )
-
-
-def _describe_excess(call: _Call) -> str | None:
-    """Return which size limit an answer exceeds, or None."""
-    if not call.status and call.before_answer_bytes > MAX_BEFORE_ANSWER_BYTES:
-        return f"over {MAX_BEFORE_ANSWER_BYTES} bytes came without an answer"
-    if call.collected_bytes > MAX_COLLECTED_BYTES:
-        return f"the answer is longer than {MAX_COLLECTED_BYTES} bytes"
-    return None
-
-
-def _is_body_overdue(call: _Call, now_s: float) -> bool:
-    """Return whether an answer that is not streamed exceeds its total time."""
-    spec = call.spec
-    limit_s = spec.timeout_s + spec.idle_timeout_s
-    return bool(call.status) and not spec.stream and now_s - call.started_s > limit_s
-
-
-def _is_connect_overdue(call: _Call, now_s: float) -> bool:
-    limit_s = call.spec.connect_timeout_s
-    return limit_s is not None and now_s - call.started_s > limit_s
-
-
 def make_http_client(
     channel: str = "http-client",
     max_idle: int = MAX_IDLE_PER_ADDRESS,
--- a/chervilgw/runtime/opaque_connection.py
+++ b/chervilgw/runtime/opaque_connection.py
@@ -8,9 +8,16 @@
 
 import h11
 
+from chervilgw.core.deployment import CallerLimits
 from chervilgw.runtime.memory_totals import head_cost_bytes
 from chervilgw.runtime.request_checks import header_bytes
 
+# How long the rest of a refused body is read, so that the caller receives the answer:
+# closing with unread bytes would reset the connection.
+LINGER_TIMEOUT_S = 2.0
+# A request is refused if its body makes no progress for this long.
+BODY_STALL_TIMEOUT_S = 5.0
+
 
 class Phase(Enum):
     """Phase of a caller's connection."""
@@ -56,6 +63,16 @@
         body, self.body = bytes(self.body), bytearray()
         return body
 
+    def is_overdue(self, limits: CallerLimits, now_s: float) -> bool:
+        """Return whether the caller has taken too long for the current phase."""
+        limit_s = {
+            Phase.IDLE: limits.idle_timeout_s,
+            Phase.HEAD: limits.header_timeout_s,
+            Phase.BODY: BODY_STALL_TIMEOUT_S,
+            Phase.LINGERING: LINGER_TIMEOUT_S,
+        }.get(self.phase)
+        return limit_s is not None and now_s - self.waiting_since_s > limit_s
+
     @property
     def ahead_bytes(self) -> int:
         """Return the bytes received and not parsed yet."""
--- a/chervilgw/runtime/opaque_server.py
+++ b/chervilgw/runtime/opaque_server.py
@@ -9,30 +9,17 @@
 
 import time
 from itertools import count
-from typing import Any
 
 import h11
-from circuits import BaseComponent, handler
+from circuits import handler
 
 from chervilgw.core.deployment import CallerLimits
 from chervilgw.core.refusals import Refusal
-from chervilgw.runtime.events import (
-    HttpPart,
-    HttpPushStart,
-    HttpReply,
-    connection_dropped,
-    http_disconnected,
-    http_push_blocked,
-    http_push_unblocked,
-    http_request,
-)
-from chervilgw.runtime.memory_totals import (
-    DropReason,
-    input_limit_bytes,
-    make_held_bytes,
-)
+from chervilgw.runtime.events import http_disconnected, http_request
+from chervilgw.runtime.memory_totals import DropReason, input_limit_bytes
+from chervilgw.runtime.opaque_answers import OpaqueAnswers
 from chervilgw.runtime.opaque_connection import Connection, Phase
-from chervilgw.runtime.opaque_messages import encode_head, encode_reply, make_request
+from chervilgw.runtime.opaque_messages import make_request
 from chervilgw.runtime.opaque_options import OpaqueServerOptions
 from chervilgw.runtime.request_checks import (
     body_too_large,
@@ -43,40 +30,28 @@
     protocol_refusal,
     request_timeout,
 )
-from chervilgw.runtime.sockets import PAUSE_UNREAD_BYTES, DirectServer, detect_silence
-from chervilgw.telemetry import log_event
-
-# How long the rest of a refused body is read, so that the caller receives the answer:
-# closing with unread bytes would reset the connection.
-LINGER_TIMEOUT_S = 2.0
-# A request is refused if its body makes no progress for this long.
-BODY_STALL_TIMEOUT_S = 5.0
+from chervilgw.runtime.sockets import DirectServer, detect_silence
+
 # A caller that acknowledges nothing for this long is disconnected. Longer than the
 # longest pause after which a healthy caller ends its stream.
 CALLER_SILENCE_TIMEOUT_S = 6.0
 
-
 _WAITING_PHASES = frozenset({Phase.ANSWERING, Phase.LINGERING})
 
 
-class OpaqueServer(BaseComponent):
+class OpaqueServer(OpaqueAnswers):
     """HTTP server task; see :func:`make_opaque_server`."""
 
     def __init__(self, options: OpaqueServerOptions, channel):
-        super().__init__(channel=channel)
-        self._options = options
+        super().__init__(options, channel)
         self._set_limits(CallerLimits())
-        self._connections: dict[Any, Connection] = {}
-        self._by_exchange: dict[int, Connection] = {}
         self._exchange_numbers = count(1)
-        self._held = make_held_bytes()
-        self._draining = False
         self.server = DirectServer(
             (options.host, options.port),
             channel,
             on_data=self._on_data,
             on_end=self._on_end,
-            on_drained=self._on_drained,
+            on_drained=self.on_drained,
             backlog=1024,
         ).register(self)
 
@@ -115,9 +90,9 @@
         if connection is None or connection.phase is Phase.LINGERING:
             return
         connection.parser.receive_data(data)
-        self._proceed(connection)
+        self.proceed(connection)
 
-    def _proceed(self, connection: Connection):
+    def proceed(self, connection: Connection):
         """Parse what has been received, and read on unless requests wait."""
         if connection.phase not in _WAITING_PHASES and not connection.blocked:
             self._parse(connection)
@@ -129,7 +104,7 @@
         else:
             self.server.resume_reading(connection.sock)
         while self._held.total_bytes > self._limit_bytes:
-            self._drop(self._connections[self._held.largest()], DropReason.HELD_INPUT)
+            self.drop(self._connections[self._held.largest()], DropReason.HELD_INPUT)
 
     def _parse(self, connection: Connection):
         now_s = time.monotonic()
@@ -144,7 +119,7 @@
                 if not self._on_parser_event(connection, event, now_s):
                     return
         except h11.RemoteProtocolError as error:
-            self._refuse(connection, protocol_refusal(error))
+            self.refuse(connection, protocol_refusal(error))
 
     def _on_need_data(self, connection: Connection, now_s: float):
         started = bool(connection.parser.trailing_data[0])
@@ -170,10 +145,10 @@
 
     def _add_to_body(self, connection: Connection, data) -> bool:
         if len(connection.body) + len(data) > self._limits.max_body_bytes:
-            self._refuse(connection, body_too_large(self._limits))
+            self.refuse(connection, body_too_large(self._limits))
             return False
         if self._held.total_bytes + len(data) > self._limit_bytes:
-            self._refuse(connection, out_of_memory())
+            self.refuse(connection, out_of_memory())
             return False
         connection.body += data
         connection.request_bytes += len(data)
@@ -188,7 +163,7 @@
                 self._held.add(connection.sock, connection.request_bytes)
                 return True
             refusal = out_of_memory()
-        self._refuse(connection, refusal)
+        self.refuse(connection, refusal)
         return False
 
     def _deliver(self, connection: Connection):
@@ -200,13 +175,13 @@
         )
         self.fire(http_request(message), self._options.owner)
 
-    def _refuse(self, connection: Connection, refusal: Refusal):
+    def refuse(self, connection: Connection, refusal: Refusal):
         """Answer a request that was not read completely, and linger before closing."""
         status, headers, body = self._options.write_refusal(refusal)
         self.server.write(connection.sock, encode_closing_answer(status, headers, body))
-        self._linger(connection)
+        self.linger(connection)
 
-    def _linger(self, connection: Connection):
+    def linger(self, connection: Connection):
         """Discard what the caller sends for a while, and then close the connection."""
         connection.phase, connection.waiting_since_s = Phase.LINGERING, time.monotonic()
         connection.end_request()
@@ -215,60 +190,6 @@
         self._held.put(connection.sock, 0)
         self.server.resume_reading(connection.sock)
 
-    @handler("http_reply")
-    def _on_reply(self, reply: HttpReply):
-        connection = self._by_exchange.get(reply.exchange)
-        if connection is None:
-            return
-        data = encode_reply(connection.parser, connection.head, reply, self._draining)
-        self.server.write(connection.sock, data)
-        self._finish(connection)
-
-    @handler("http_push_start")
-    def _on_push_start(self, start: HttpPushStart):
-        connection = self._by_exchange.get(start.exchange)
-        if connection is not None:
-            data = encode_head(connection.parser, start, self._draining)
-            self.server.write(connection.sock, data)
-
-    @handler("http_push_data")
-    def _on_push_data(self, parts: list[HttpPart]):
-        for part in parts:
-            connection = self._by_exchange.get(part.exchange)
-            if connection is not None and part.data:
-                data = self._encode(connection, h11.Data(data=part.data))
-                self.server.write(connection.sock, data)
-                self._check_unread(connection)
-
-    def _check_unread(self, connection: Connection):
-        """Pause the source of an answer that is not read, and bound all such bytes."""
-        unsent = self.server.unsent_bytes(connection.sock)
-        if unsent > PAUSE_UNREAD_BYTES and not connection.blocked:
-            connection.blocked = True
-            if connection.exchange is not None:
-                event = http_push_blocked(connection.exchange)
-                self.fire(event, self._options.owner)
-        while self.server.total_unsent_bytes > self._options.totals.unread_bytes:
-            sock = self.server.most_unsent()
-            if sock in self._connections:
-                self._drop(self._connections[sock], DropReason.UNREAD_ANSWERS)
-            else:
-                self.server.drop(sock)
-
-    def _drop(self, connection: Connection, reason: DropReason):
-        """Close the connection that takes the most memory."""
-        sock = connection.sock
-        log_event(
-            "caller_dropped",
-            level="warning",
-            reason=reason.value,
-            unread_bytes=self.server.unsent_bytes(sock),
-            held_bytes=self._held.of(sock),
-        )
-        self.fire(connection_dropped(reason), "metrics")
-        self._on_disconnect(sock)
-        self.server.drop(sock)
-
     def _on_end(self, sock):
         connection = self._connections.get(sock)
         if connection is not None and connection.exchange is not None:
@@ -277,68 +198,19 @@
         else:
             self.server.close(sock)
 
-    def _on_drained(self, sock):
-        connection = self._connections.get(sock)
-        if connection is None or not connection.blocked:
-            return
-        connection.blocked = False
-        if connection.exchange is not None:
-            event = http_push_unblocked(connection.exchange)
-            self.fire(event, self._options.owner)
-        self._proceed(connection)
-
-    @handler("http_push_end")
-    def _on_push_end(self, number: int, complete: bool = True):
-        connection = self._by_exchange.get(number)
-        if connection is None:
-            return
-        if complete:
-            try:
-                data = self._encode(connection, h11.EndOfMessage())
-            except h11.LocalProtocolError:
-                # The body is shorter than its declared length.
-                complete = False
-            else:
-                self.server.write(connection.sock, data)
-        if complete:
-            self._finish(connection)
-        else:
-            # Closing before the end of the framing marks the answer as incomplete.
-            self._close_connection(connection)
-
-    def _encode(self, connection: Connection, event) -> bytes:
-        return connection.parser.send(event) or b""
-
-    def _finish(self, connection: Connection):
-        del self._by_exchange[connection.exchange]
-        connection.exchange = None
-        connection.end_request()
-        self._check_unread(connection)
-        if connection.sock not in self._connections:
-            return
-        if connection.parser.our_state is h11.MUST_CLOSE:
-            if connection.must_wait or connection.ahead_bytes:
-                # Closing with unread requests would reset the connection.
-                self._linger(connection)
-            else:
-                self._close_connection(connection)
-            return
-        connection.parser.start_next_cycle()
-        connection.phase, connection.waiting_since_s = Phase.IDLE, time.monotonic()
-        self._proceed(connection)
-
-    def _close_connection(self, connection: Connection):
+    def close_connection(self, connection: Connection):
+        """Send what is queued for the caller, close, and read nothing further."""
         if connection.exchange is not None:
             self._by_exchange.pop(connection.exchange, None)
             connection.exchange = None
         self._connections.pop(connection.sock, None)
         self._held.put(connection.sock, 0)
         self.server.close(connection.sock)
-        # What is queued for the caller is still sent; nothing further is read.
         self.server.pause_reading(connection.sock)
 
     @handler("disconnect")
-    def _on_disconnect(self, sock):
+    def on_disconnect(self, sock):
+        """Forget a connection that is lost, and its request."""
         connection = self._connections.pop(sock, None)
         if connection is None:
             return
@@ -354,18 +226,16 @@
             return
         self.server.drop_stalled(now_s)
         for connection in list(self._connections.values()):
-            self._check_time(connection, now_s - connection.waiting_since_s)
-
-    def _check_time(self, connection: Connection, waited_s: float):
-        limits = self._limits
-        if connection.phase is Phase.IDLE and waited_s > limits.idle_timeout_s:
-            self._close_connection(connection)
-        elif connection.phase is Phase.HEAD and waited_s > limits.header_timeout_s:
-            self._refuse(connection, request_timeout("the request head took too long"))
-        elif connection.phase is Phase.BODY and waited_s > BODY_STALL_TIMEOUT_S:
-            self._refuse(connection, request_timeout("the request body stalled"))
-        elif connection.phase is Phase.LINGERING and waited_s > LINGER_TIMEOUT_S:
-            self._close_connection(connection)
+            if connection.is_overdue(self._limits, now_s):
+                self._end_overdue(connection)
+
+    def _end_overdue(self, connection: Connection):
+        if connection.phase is Phase.HEAD:
+            self.refuse(connection, request_timeout("the request head took too long"))
+        elif connection.phase is Phase.BODY:
+            self.refuse(connection, request_timeout("the request body stalled"))
+        else:
+            self.close_connection(connection)
 
     @handler("http_drain")
     def _on_drain(self):
@@ -380,7 +250,7 @@
     def _on_close_idle(self):
         for connection in list(self._connections.values()):
             if connection.phase is Phase.IDLE:
-                self._close_connection(connection)
+                self.close_connection(connection)
 
 
 def make_opaque_server(options: OpaqueServerOptions, channel="http") -> OpaqueServer:
--- a/chervilgw/runtime/request_checks.py
+++ b/chervilgw/runtime/request_checks.py
@@ -8,7 +8,7 @@
 
 from chervilgw.core.deployment import CallerLimits
 from chervilgw.core.refusals import Refusal, make_refusal
-from chervilgw.core.states import RefusalReason
+from chervilgw.core.states import RefusalReason, RunState
 
 # A body that is read without a stall takes up to some seconds.
 BODIES_RETRY_AFTER_S = 1.0
@@ -90,6 +90,12 @@
     return make_refusal(RefusalReason.REQUEST_TIMEOUT, detail)
 
 
+def answer_not_encoded() -> Refusal:
+    """Return the refusal in the place of an answer that cannot be passed on."""
+    detail = "the backend server's answer cannot be passed on"
+    return Refusal(RefusalReason.BACKEND_LOST, RunState.UNKNOWN, detail)
+
+
 def protocol_refusal(error: h11.RemoteProtocolError) -> Refusal:
     """Return the refusal of bytes that are no request in the protocol."""
     if error.error_status_hint == 431:
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -29,14 +29,14 @@
         self.done = []
         self.failed = []
 
-    def call(self, name, body=b""):
+    def call(self, name, body=b"", headers=(("Host", "h"),)):
         spec = HttpCall(
             name,
             "caller",
             self.address,
             "POST" if body else "GET",
             "/",
-            (("Host", "h"),),
+            headers,
             body,
             timeout_s=30.0,
             forwarded=True,
@@ -336,3 +336,15 @@
     wait_until(lambda: caller.failed)
     assert not caller.done
     assert caller.failed[0].sent
+
+
+def test_header_bytes_outside_ascii_are_sent_and_received(pair):
+    """Guards against a request that waits for an answer and was never sent."""
+    listener, caller = pair
+    caller.call("c1", headers=(("Host", "h"), ("X-Name", "\xe9\xff")))
+    connection, _ = listener.accept()
+    with connection:
+        assert b"X-Name: \xe9\xff\r\n" in connection.recv(65536)
+        connection.sendall(OWN)
+        wait_until(lambda: caller.done)
+    assert caller.failed == []
--- a/chervilgw/runtime/tests/test_opaque_server.py
+++ b/chervilgw/runtime/tests/test_opaque_server.py
@@ -160,3 +160,65 @@
             wait_until(lambda: owner.requests)
         wait_until(lambda: owner.gone)
     assert owner.gone == [owner.requests[0].exchange]
+
+
+UNSENDABLE = (("X-Id", "\u1ecc"),)
+
+
+@pytest.mark.parametrize(
+    ("start", "status"),
+    [
+        (HttpPushStart(0, 200, UNSENDABLE), b"502"),
+        (HttpPushStart(0, 200, (("Content-Length", "2"),)), b"200"),
+    ],
+)
+def test_answer_that_cannot_be_encoded_takes_no_parts_from_others(start, status):
+    """Guards against events of other streams that are lost in the same batch."""
+    server, owner, runs = serve(answer="none")
+    with runs:
+        address = (server.server.host, server.server.port)
+        odd, sound = (socket.create_connection(address, 5) for _ in range(2))
+        for sock in (odd, sound):
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            count = 1 if sock is odd else 2
+            wait_until(lambda count=count: len(owner.requests) == count)
+        first, second = (request.exchange for request in owner.requests)
+        odd_start = HttpPushStart(first, start.status, start.headers)
+        server.fire(http_push_start(odd_start), "http")
+        server.fire(http_push_start(HttpPushStart(second, 200, ())), "http")
+        parts = [HttpPart(first, b"part"), HttpPart(second, b"sound part")]
+        server.fire(http_push_data(parts), "http")
+        server.fire(http_push_end(second), "http")
+        received = read_answer(sound, b"0\r\n\r\n")
+        refused = read_answer(odd, b"")
+        # The owner is told, so that it cancels its call to the server.
+        wait_until(lambda: owner.gone == [first])
+    assert b"sound part" in received
+    assert refused.startswith(b"HTTP/1.1 " + status)
+    assert b"part" not in refused.partition(b"\r\n\r\n")[2]
+
+
+def test_buffered_answer_that_cannot_be_encoded_gets_an_error():
+    """Guards against callers that wait for an answer that was lost."""
+    server, owner, runs = serve(answer="none")
+    with runs:
+        address = (server.server.host, server.server.port)
+        with socket.create_connection(address, 5) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            wait_until(lambda: owner.requests)
+            reply = HttpReply(owner.requests[0].exchange, 200, UNSENDABLE, b"ok")
+            server.fire(http_reply(reply), "http")
+            answer = read_answer(sock, b"")
+    # 502 promises nothing: the server has run the request.
+    assert answer.startswith(b"HTTP/1.1 502 ")
+
+
+def read_answer(sock, end):
+    """Return what a connection brings until an ending, or until it is closed."""
+    data = b""
+    while not (end and data.endswith(end)):
+        received = sock.recv(65536)
+        if not received:
+            return data
+        data += received
+    return data
