Refuse engine events whose text has lone surrogates

What callers of the OpenAI front saw: chunks of other streams missing beside one faulty engine event. Cause: JSON can hold a lone surrogate, which failed to encode in the loop over the parts of all streams of one poll (Generation.feed raised UnicodeEncodeError, where only DamagedAnswer is expected), and a finish reason failed where the messages of one write are joined.

Change: parse_engine_event treats such an event as malformed, which ends its own answer.

Evidence: the two new cases of test_malformed_engine_event fail before the change (DID NOT RAISE) and pass with it.

--- a/chervilgw/codec/openai_answers.py
+++ b/chervilgw/codec/openai_answers.py
@@ -346,6 +346,8 @@
             completion_tokens=usage.get("completion_tokens"),
             answer_id=str(body.get("id") or ""),
         )
+        # JSON can hold lone surrogates, which no message to the entry can.
+        (event.text + event.finish_reason).encode()
     except (ValueError, AttributeError, TypeError, KeyError, RecursionError) as error:
         raise sse.SseError("engine event has an unexpected form") from error
     if type(event.text) is not str or type(event.finish_reason) is not str:
--- a/chervilgw/codec/tests/test_openai_answers.py
+++ b/chervilgw/codec/tests/test_openai_answers.py
@@ -164,6 +164,9 @@
         '{"choices": [{"delta": "x"}]}',
         '{"error": "text"}',
         '{"usage": {"prompt_tokens": "4"}}',
+        # Guards against one text that takes the chunks of other streams along.
+        '{"choices": [{"text": "\\ud800"}]}',
+        '{"choices": [{"finish_reason": "\\ud800"}]}',
     ],
 )
 def test_malformed_engine_event(data):
