Tell requests that cannot be sent from servers out of reach

Cause: without Host the request cannot be built, and the HTTP client reported that as it reports a failed connect. The gateway ejected the server and tried the next, up to four for one request. In the OpenAI front a header that cannot be encoded counted against its service, or left the caller without an answer.

Change: call_failed tells the two apart, before a connection is used; gateway and sidecar refuse with 400 and record nothing about the server. A Connection field that names Host, the id of the attempt or the model is refused when the request is decoded.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -11,7 +11,7 @@
 from chervilgw.core.answers import AnswerKind, proves_survival
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import Incarnation
-from chervilgw.core.refusals import Refusal
+from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.exchange import Exchange, Stage
@@ -221,6 +221,12 @@
         now_s = time.monotonic()
         server, ejected_s = exchange.server, None
         self._release_server(exchange, now_s)
+        if failed.is_unsendable:
+            exchange.may_have_run.discard(server)
+            log_attempt_failed(exchange, failed, ejected_s, now_s)
+            refusal = make_refusal(RefusalReason.BAD_REQUEST, failed.detail)
+            self.fail(exchange, refusal, now_s)
+            return
         if not failed.sent:
             exchange.may_have_run.discard(server)
             # A request that was withdrawn says nothing of its server.
--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -54,6 +54,9 @@
         "expect",
     }
 )
+# Headers without which a server cannot read a request, run it, or name it when it
+# answers.
+_REQUIRED_HEADERS = frozenset({"host", ATTEMPT_HEADER, _MODEL_HEADER})
 # Request headers that are removed from a caller's request: the system alone sets or
 # rewrites them.
 _SYSTEM_HEADERS = frozenset(
@@ -109,6 +112,8 @@
     model, _, adapter = headers.get(_MODEL_HEADER, "").partition("/")
     prompt, output = _decode_token_counts(headers.get(_TOKEN_COUNTS_HEADER))
     nominated = _nominated_headers(http.raw_headers)
+    if not _REQUIRED_HEADERS.isdisjoint(nominated):
+        raise DecodeError("the connection header names a header that must be forwarded")
     forwarded = _end_to_end_headers(http.raw_headers, nominated | _SYSTEM_HEADERS)
     return OpaqueRequest(
         method=http.method,
--- a/chervilgw/platform/tests/test_requests.py
+++ b/chervilgw/platform/tests/test_requests.py
@@ -184,6 +184,14 @@
     assert decode_answer(status, (("Server-Leaving", "1"),)).signals.leaving
 
 
+@pytest.mark.parametrize("name", ["host", " X-Attempt-Id", "X-MODEL"])
+def test_header_that_servers_need_must_not_concern_one_connection(name):
+    """Guards against requests that no server can read (RFC 9110, section 7.6.1)."""
+    pairs = [pair for pair in REQUEST if pair[0] != "Connection"]
+    with pytest.raises(DecodeError):
+        decode_request(make_request(*pairs, ("Connection", f"close,{name}")))
+
+
 def test_headers_of_one_connection_are_removed_by_each_connection_field():
     pairs = [pair for pair in REQUEST if pair[0] != "Connection"]
     fields = (("Connection", "X-Hop"), ("Connection", "close"))
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -123,6 +123,8 @@
     ``sent`` is False only if no byte of the request can have reached the server.
     ``connection_lost`` is True if the server closed or reset the connection, and with
     ``is_silent`` if it acknowledged nothing: its VM or the network is down.
+    ``is_unsendable`` is True if the request cannot be encoded, so that no connection
+    was used and nothing is known of the server.
     """
 
     call: str
@@ -130,6 +132,7 @@
     detail: str
     connection_lost: bool = False
     is_silent: bool = False
+    is_unsendable: bool = False
 
 
 class http_request(Event):  # noqa: N801
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -60,7 +60,7 @@
             request = make_request_head(spec)
         except RequestEncodingError as error:
             detail = f"the request cannot be sent: {error}"
-            failure = CallFailed(spec.call, False, detail)
+            failure = CallFailed(spec.call, False, detail, is_unsendable=True)
             self.fire(call_failed(failure), spec.reply_to)
             return
         call = self._calls[spec.call] = ClientCall(spec, now_s, now_s, request)
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -348,3 +348,16 @@
         connection.sendall(OWN)
         wait_until(lambda: caller.done)
     assert caller.failed == []
+
+
+@pytest.mark.parametrize(
+    "headers", [(), (("Host", "h"), ("X-Name", "\u1ecc")), (("Host", "h"), ("a b", ""))]
+)
+def test_request_that_cannot_be_encoded_fails_at_once(pair, headers):
+    """Guards against a server that counts as out of reach by a caller's request."""
+    listener, caller = pair
+    caller.call("c1", headers=headers)
+    wait_until(lambda: caller.failed)
+    failed = caller.failed[0]
+    assert (failed.call, failed.sent, failed.is_unsendable) == ("c1", False, True)
+    assert failed.connection_lost is False
--- a/chervilgw/sidecar/run_task.py
+++ b/chervilgw/sidecar/run_task.py
@@ -213,7 +213,9 @@
         run = self._run_of(failed.call)
         if run is None:
             return
-        if not failed.sent:
+        if failed.is_unsendable:
+            self._refuse(run, make_refusal(RefusalReason.BAD_REQUEST, failed.detail))
+        elif not failed.sent:
             if run.generation is None:
                 self.fire(service_refuses(), "queue")
             detail = "the backend server's engine or service refuses connections"
--- a/fleet/tests/test_bad_input.py
+++ b/fleet/tests/test_bad_input.py
@@ -91,6 +91,24 @@
     assert 9.0 < time.monotonic() - started_s < 13.0
 
 
+@pytest.mark.parametrize(
+    ("value", "status"), [(b"caf\xe9", 200), (b"\\u1ecc", 400)], ids=["byte", "escape"]
+)
+def test_odd_header_for_a_service_says_nothing_of_the_service(
+    fleet, bystander, value, status
+):
+    """Guards against callers without an answer, and services taken as out of reach."""
+    address, key = fleet.entry_addresses()[0], fleet.keys["surveyors"].encode()
+    path = "/services/casework/stock/bed"
+    data = (
+        b"GET " + path.encode() + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Authorization: Bearer " + key + b"\r\nX-Name: " + value + b"\r\n\r\n"
+    )
+    for _ in range(5):
+        assert exchange(address, data).startswith(b"HTTP/1.1 %d " % status)
+        assert call(address, "GET", path, key=key.decode()).status == 200
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/fleet/tests/test_odd_headers.py
+++ b/fleet/tests/test_odd_headers.py
@@ -75,3 +75,32 @@
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert ODD_VALUE.encode("latin-1") in answer
     assert server.runs[0]["headers"]["x-name"] == ODD_VALUE
+
+
+def test_request_that_cannot_be_sent_on_says_nothing_of_its_servers(fleet):
+    """Guards against a caller whose odd requests take all servers away."""
+    server = fleet.add_server(name="i-1")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    for number in range(5):
+        odd = send_raw(entry, f"/stock/{number}", ["Connection: close, host"])
+        assert odd.startswith(b"HTTP/1.1 400 ")
+        odd = send_raw(entry, f"/stock/{number}", ["Connection: host"])
+        assert odd.startswith(b"HTTP/1.1 400 ")
+        assert entry.send(f"/reserve/{number}").status_code == 200
+    assert len(server.runs) == 5
+    assert '"attempt_failed"' not in entry.program.log_text()
+
+
+def test_customer_whose_name_cannot_be_sent_takes_no_server_from_others(fleet):
+    """Guards against servers that count as out of reach by a name in a header."""
+    customers = [*fleet.configuration["tenants"], {"name": "a\nb", "api_keys": ["odd"]}]
+    configuration = fleet.configuration | {"version": 4, "tenants": customers}
+    fleet.store.put("keyed.op", "config", configuration)
+    server = fleet.add_server(name="i-1")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    for number in range(5):
+        assert entry.send(f"/stock/{number}", key="odd").status_code == 400
+        assert entry.send(f"/reserve/{number}").status_code == 200
+    assert len(server.runs) == 5
