Let a later start at an address count only while it is listed and not contradicted

Cause: ServerDirectory kept the latest start that any entry had named for an address, of any service, and nothing lowered it.

Change: a later start counts while its service is named by the configuration, its entry is listed and the earlier server has not written since. Of the same class: a start under a server's own id gives way to entries of an earlier start that go on for four seconds; notices of leaving are kept by incarnation; a plain server at whose address another one answers gets nothing until its next entry; the record of cold servers follows the directory.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -90,6 +90,8 @@
             time.monotonic(),
         )
         self.record_refused(exchange, time.monotonic())
+        if exchange.is_refused_by_another_server:
+            self.on_disowned(exchange.server, exchange.server_started_ms)
         if answer.head.from_server and not answer.not_run:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
         if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -14,6 +14,7 @@
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.crashes.suspicion import Verdict
+from chervilgw.forward.caller_waits import urgency_of
 from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.cold_dispatch import ColdDispatch, make_cold_dispatch
 from chervilgw.forward.decisions import (
@@ -24,7 +25,7 @@
     WaitForModel,
     WaitForServer,
 )
-from chervilgw.forward.exchange import Exchange, urgency_of
+from chervilgw.forward.exchange import Exchange
 from chervilgw.forward.messages import ServerRequest
 from chervilgw.membership.fleet_view import PLANNING_DELAY_S, FleetView, LoadEstimate
 from chervilgw.routing.completion import ExpectedWork
--- a/chervilgw/forward/drain_policy.py
+++ b/chervilgw/forward/drain_policy.py
@@ -7,7 +7,7 @@
 from chervilgw.core.deployment import RouteKind
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason
-from chervilgw.forward.exchange import max_answer_wait_s
+from chervilgw.forward.caller_waits import max_answer_wait_s
 from chervilgw.forward.messages import AdmittedRequest
 from chervilgw.membership.peer_entries import PeerEntries, make_peer_entries
 
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -10,17 +10,16 @@
 from chervilgw.core.answers import AnswerKind, classify_answer, proves_survival
 from chervilgw.core.deployment import RouteKind, ServerId
 from chervilgw.core.ids import CustomerId, RequestId, RequestTrait
-from chervilgw.core.states import RunState, Urgency
+from chervilgw.core.states import RunState
+from chervilgw.forward.caller_waits import (
+    max_answer_wait_s,
+    max_first_token_wait_s,
+)
 from chervilgw.forward.messages import AdmittedRequest, Headers, ServerAnswer
 from chervilgw.routing.request_cost import OutputEstimate, RequestKind, StatedOutput
 
 # Servers that one request is sent to, including those that did not run it.
 MAX_SENDS = 4
-# Callers abandon a stream after the longest of two seconds, four times the route's
-# target and eight times its longest allowed pause.
-ABANDON_AFTER_S = 2.0
-ABANDON_TARGET_FACTOR = 4.0
-ABANDON_PAUSE_FACTOR = 8.0
 # A server that a request crashes writes the head of the answer and perhaps the first
 # events. Events that still come after this time are past that point.
 SURVIVAL_S = 0.25
@@ -141,6 +140,15 @@
         is_refusal = self.answer_kind is AnswerKind.REFUSAL
         return is_refusal and self.answer.status == HTTPStatus.SERVICE_UNAVAILABLE
 
+    @property
+    def is_refused_by_another_server(self) -> bool:
+        """Return whether another server has answered at the address.
+
+        An engine answers in the same way if it does not hold the model.
+        """
+        is_plain = self.admitted.opaque.model is None
+        return is_plain and self.answer.status == HTTPStatus.MISDIRECTED_REQUEST
+
     @property
     def written_tokens(self) -> int:
         """Return the output tokens of the events that have arrived, 0 if unknown."""
@@ -371,38 +379,6 @@
         return self.cutter.can_resume and self.may_retry()
 
 
-def max_first_token_wait_s(admitted: AdmittedRequest, stream_s: float = 0.0) -> float:
-    """Return how long a first token is of use to a caller, in s.
-
-    Parameters
-    ----------
-    admitted : AdmittedRequest
-    stream_s : float
-        How long the stream surely takes after its first event. If the caller states a
-        deadline, the stream has to end by then.
-    """
-    route = admitted.route
-    if route.kind is not RouteKind.STREAMING:
-        return route.timeout_s
-    longest = max(
-        ABANDON_AFTER_S,
-        ABANDON_TARGET_FACTOR * route.target_s,
-        ABANDON_PAUSE_FACTOR * route.max_pause_s,
-    )
-    return min(longest, route.timeout_s, max_answer_wait_s(admitted) - stream_s)
-
-
-def max_answer_wait_s(admitted: AdmittedRequest) -> float:
-    """Return how long a caller waits for its complete answer at most, in s."""
-    max_wait_s, timeout_s = admitted.opaque.max_wait_s, admitted.route.timeout_s
-    return timeout_s if max_wait_s is None else min(max_wait_s, timeout_s)
-
-
-def urgency_of(rank: int) -> Urgency:
-    """Return the urgency class at an engine for a rank; 0 is the most urgent."""
-    return Urgency(min(max(rank, 0), Urgency.OVERNIGHT))
-
-
 def make_exchange(
     number: int,
     server_channel: str,
--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -7,7 +7,7 @@
 from circuits import handler
 
 from chervilgw.core.answers import ServerSignals
-from chervilgw.core.deployment import RegisteredServer, ServerId
+from chervilgw.core.deployment import Deployment, RegisteredServer, ServerId
 from chervilgw.forward.events import servers_updated
 from chervilgw.forward.warm_up_tracker import WarmUpTracker
 from chervilgw.routing.warm_up import ColdSource
@@ -17,10 +17,17 @@
 class FleetTracker(WarmUpTracker):
     """Task that owns a :class:`FleetView` and updates it from the platform's list."""
 
+    @handler("deployment_changed", channel="*")
+    def _on_services_changed(self, deployment: Deployment):
+        self.fleet.directory.set_services(deployment.services)
+
     @handler("server_registered", channel="*")
     def _on_server_registered(self, entry: RegisteredServer, offset):
-        self.on_cold_listed(entry, offset)
-        if self.fleet.directory.on_entry(entry, offset):
+        directory = self.fleet.directory
+        changed = directory.on_entry(entry, offset, time.monotonic())
+        if directory.find(entry.server).started_ms == entry.started_ms:
+            self.on_cold_listed(entry, offset)
+        if changed:
             log_event(
                 "server_changed",
                 server=entry.server,
@@ -69,6 +76,11 @@
             server, started_ms, ColdSource.ANSWER, signals.cold_s, now_s
         )
 
+    def on_disowned(self, server: ServerId, started_ms: int):
+        """Apply the answer of another server at a server's address."""
+        if self.fleet.directory.on_disowned(server, started_ms):
+            log_event("server_disowned", server=server, started_ms=started_ms)
+
     def on_leaving(self, server: ServerId, started_ms: int, source: str, now_s: float):
         """Apply a server's notice that it leaves, from an answer or another entry."""
         if self.fleet.directory.on_leaving(server, started_ms, now_s):
--- a/chervilgw/forward/tests/test_exchange.py
+++ b/chervilgw/forward/tests/test_exchange.py
@@ -7,11 +7,11 @@
 from chervilgw.codec.event_stream import EventOrderError
 from chervilgw.core.deployment import OpaqueRequest, RouteKind, RouteRule
 from chervilgw.core.states import RunState
+from chervilgw.forward.caller_waits import max_first_token_wait_s
 from chervilgw.forward.exchange import (
     MAX_SENDS,
     Stage,
     make_exchange,
-    max_first_token_wait_s,
 )
 from chervilgw.forward.messages import AdmittedRequest, ServerAnswer
 from chervilgw.routing.request_cost import OutputEstimate
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -1,11 +1,14 @@
 """Directory of the backend servers registered on the platform's list.
 
-The list lags, may hold registrations of former incarnations, and may lose those of live
-servers while its store is down. The directory decides which servers get requests.
+The list lags, may hold registrations of former incarnations and entries of other
+writers, and may lose those of live servers while its store is down. The directory
+decides which servers get requests. A later start counts against an earlier one, until
+its entry is removed or later writes of the earlier one contradict it.
 """
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -19,6 +22,10 @@
 # Servers that are gone are retained for this long, so that a late registration of the
 # same incarnation does not make a draining server ready again.
 GONE_RETENTION_S = 60.0
+# A server that has written nothing for three heartbeat intervals of 1.2 s is off the
+# list. A later start that is not renewed for longer was not that of the server which
+# writes, unless writes of its former start are that late.
+CONTRADICTION_TIMEOUT_S = 4.0
 # How long a server's notice is passed on to other entries. Within it the platform's
 # list names the server as draining.
 LEAVING_REPORT_S = 10.0
@@ -26,16 +33,27 @@
 
 @dataclass(slots=True)
 class _ServerRecord:
+    """What is believed of a server.
+
+    ``first_offset`` is the position of the first entry of this start, ``offset`` that
+    of the latest one. ``contradicted`` holds the position and the time of the first
+    later entry that names an earlier start. ``is_disowned`` means that another server
+    has answered at the address since the latest entry.
+    """
+
     entry: RegisteredServer
+    first_offset: Offset
     offset: Offset
     missing_since_s: float | None = None
     missing_after_outage: bool = False
+    contradicted: tuple[Offset, float] | None = None
+    is_disowned: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _Leaving:
-    started_ms: int
+@dataclass(slots=True)
+class _Draining:
     since_s: float
+    gave_notice: bool
 
 
 class ServerDirectory:
@@ -44,11 +62,16 @@
     def __init__(self):
         self.evacuations: Evacuations = make_evacuations()
         self._records: dict[ServerId, _ServerRecord] = {}
-        self._newest_start_ms: dict[str, int] = {}
-        self._leaving: dict[ServerId, _Leaving] = {}
+        self._by_address: dict[str, set[ServerId]] = defaultdict(set)
+        self._services: frozenset[ServiceName] | None = None
+        self._draining: dict[tuple[ServerId, int], _Draining] = {}
         self._store_lost = False
         self._store_recovered_s = float("-inf")
 
+    def set_services(self, services: Iterable[ServiceName]) -> None:
+        """Use the services of a configuration; entries of others name no server."""
+        self._services = frozenset(services)
+
     def on_store_lost(self) -> None:
         """Record that the store does not answer."""
         self._store_lost = True
@@ -63,7 +86,7 @@
             self._store_lost = False
             self._store_recovered_s = now_s
 
-    def on_entry(self, entry: RegisteredServer, offset: Offset) -> bool:
+    def on_entry(self, entry: RegisteredServer, offset: Offset, now_s: float) -> bool:
         """Apply an entry of the list.
 
         Parameters
@@ -71,6 +94,8 @@
         entry : RegisteredServer
         offset : Offset
             Position of the entry in the list's log.
+        now_s : float
+            Monotonic time.
 
         Returns
         -------
@@ -78,24 +103,53 @@
             Whether the server is new, or its state, address or models changed.
         """
         record = self._records.get(entry.server)
-        leaving = self._leaving.get(entry.server)
-        if leaving is not None and leaving.started_ms == entry.started_ms:
-            entry = replace(entry, state=ServerState.DRAINING)
-        newest_ms = self._newest_start_ms.get(entry.address, entry.started_ms)
-        self._newest_start_ms[entry.address] = max(newest_ms, entry.started_ms)
-        if record is None:
-            self._records[entry.server] = _ServerRecord(entry, offset)
-            return True
-        if offset <= record.offset or entry.started_ms < record.entry.started_ms:
-            return False
-        same_incarnation = entry.started_ms == record.entry.started_ms
-        if same_incarnation and record.entry.state is ServerState.DRAINING:
+        if record is not None:
+            if offset <= record.offset:
+                return False
+            if entry.started_ms < record.entry.started_ms and not self._is_refuted(
+                record, offset, now_s
+            ):
+                return False
+        if entry.state is ServerState.DRAINING:
+            self._begin_draining(entry.server, entry.started_ms, False, now_s)
+        elif (entry.server, entry.started_ms) in self._draining:
             # A draining server never becomes ready again in the same incarnation.
             entry = replace(entry, state=ServerState.DRAINING)
-        changed = record.missing_since_s is not None or _differ(entry, record.entry)
-        self._records[entry.server] = _ServerRecord(entry, offset)
+        changed = record is None or (
+            record.missing_since_s is not None or _differ(entry, record.entry)
+        )
+        first_offset = offset
+        if record is not None:
+            self._by_address[record.entry.address].discard(entry.server)
+            if entry.started_ms == record.entry.started_ms:
+                first_offset = record.first_offset
+        self._by_address[entry.address].add(entry.server)
+        self._records[entry.server] = _ServerRecord(entry, first_offset, offset)
         return changed
 
+    def _is_refuted(self, record: _ServerRecord, offset: Offset, now_s: float) -> bool:
+        """Return whether later entries of an earlier start refute the recorded one.
+
+        A single one may be a delayed write of the server's former process.
+        """
+        if record.contradicted is None:
+            record.contradicted = (offset, now_s)
+        first_offset, since_s = record.contradicted
+        return offset > first_offset and now_s - since_s >= CONTRADICTION_TIMEOUT_S
+
+    def _begin_draining(
+        self, server: ServerId, started_ms: int, gave_notice: bool, now_s: float
+    ) -> bool:
+        """Record that an incarnation drains; return whether that notice is new."""
+        known = self._draining.get((server, started_ms))
+        if known is None:
+            self._draining[server, started_ms] = _Draining(now_s, gave_notice)
+            return True
+        if not gave_notice or known.gave_notice:
+            return False
+        known.gave_notice, known.since_s = True, now_s
+        return True
+
     def on_removed(self, server: ServerId, offset: Offset, now_s: float) -> bool:
         """Apply the removal of an entry; return whether the server was registered."""
         record = self._records.get(server)
@@ -141,11 +195,14 @@
             or now_s < self._store_recovered_s + REREGISTRATION_TIMEOUT_S
         )
 
-    def on_draining_reported(self, server: ServerId, started_ms: int) -> bool:
+    def on_draining_reported(
+        self, server: ServerId, started_ms: int, now_s: float
+    ) -> bool:
         """Apply an agent's report that a server drains; return whether that is new."""
         record = self._records.get(server)
         if record is None or record.entry.started_ms != started_ms:
             return False
+        self._begin_draining(server, started_ms, False, now_s)
         if record.entry.state is ServerState.DRAINING:
             return False
         record.entry = replace(record.entry, state=ServerState.DRAINING)
@@ -157,21 +214,30 @@
         The notice may arrive before the entry of this incarnation, and binds also while
         the store does not answer.
         """
-        known = self._leaving.get(server)
-        if known is not None and known.started_ms >= started_ms:
-            return False
-        self._leaving[server] = _Leaving(started_ms, now_s)
-        self.on_draining_reported(server, started_ms)
-        return True
+        is_new = self._begin_draining(server, started_ms, True, now_s)
+        self.on_draining_reported(server, started_ms, now_s)
+        return is_new
 
     def leaving(self, now_s: float) -> dict[str, int]:
         """Return the servers that gave notice lately, and their incarnations."""
         return {
-            server: notice.started_ms
-            for server, notice in self._leaving.items()
-            if now_s - notice.since_s < LEAVING_REPORT_S
+            server: started_ms
+            for (server, started_ms), draining in self._draining.items()
+            if draining.gave_notice and now_s - draining.since_s < LEAVING_REPORT_S
         }
 
+    def on_disowned(self, server: ServerId, started_ms: int) -> bool:
+        """Record that another server answered at a server's address.
+
+        The server gets nothing until it writes an entry again. Returned is whether it
+        is the incarnation that is believed in.
+        """
+        record = self._records.get(server)
+        if record is None or record.entry.started_ms != started_ms:
+            return False
+        record.is_disowned = True
+        return True
+
     def is_usable(self, server: ServerId, now_s: float) -> bool:
         """Return whether a server may get new requests."""
         record = self._records.get(server)
@@ -180,7 +246,7 @@
     def _is_usable(self, record: _ServerRecord, now_s: float) -> bool:
         is_ready = record.entry.state is ServerState.READY
         is_ready = is_ready and record.entry.zone not in self.evacuations
-        return is_ready and self._is_present(record, now_s)
+        return is_ready and not record.is_disowned and self._is_present(record, now_s)
 
     def is_evacuated(self, server: ServerId) -> bool:
         """Return whether a server is in an evacuated zone."""
@@ -214,6 +280,8 @@
         ]
 
     def _is_present(self, record: _ServerRecord, now_s: float) -> bool:
+        if not self._is_named(record):
+            return False
         if record.missing_since_s is None:
             return not self._is_replaced(record)
         if not record.missing_after_outage:
@@ -223,21 +291,37 @@
             or now_s < self._store_recovered_s + REREGISTRATION_TIMEOUT_S
         )
 
+    def _is_named(self, record: _ServerRecord) -> bool:
+        return self._services is None or record.entry.service in self._services
+
     def _is_replaced(self, record: _ServerRecord) -> bool:
-        """Return whether a later start has registered the same address."""
-        return record.entry.started_ms < self._newest_start_ms[record.entry.address]
+        """Return whether a later start is listed at the address of a server.
+
+        It does not count if the server has written an entry since, as it still lives.
+        """
+        others = self._by_address[record.entry.address]
+        return len(others) > 1 and any(
+            other.entry.started_ms > record.entry.started_ms
+            and other.first_offset > record.offset
+            and other.missing_since_s is None
+            and self._is_named(other)
+            for other in map(self._records.__getitem__, others)
+        )
 
     def drop_gone(self, now_s: float) -> None:
         """Drop servers that have been gone for :data:`GONE_RETENTION_S`."""
-        for server, notice in list(self._leaving.items()):
-            if server not in self._records and (
-                now_s - notice.since_s > GONE_RETENTION_S
-            ):
-                del self._leaving[server]
         for server, record in list(self._records.items()):
             since_s = record.missing_since_s
             if since_s is not None and now_s - since_s > GONE_RETENTION_S:
                 del self._records[server]
+                self._by_address[record.entry.address].discard(server)
+                if not self._by_address[record.entry.address]:
+                    del self._by_address[record.entry.address]
+        for (server, started_ms), draining in list(self._draining.items()):
+            record = self._records.get(server)
+            is_current = record is not None and record.entry.started_ms == started_ms
+            if not is_current and now_s - draining.since_s > GONE_RETENTION_S:
+                del self._draining[server, started_ms]
 
 
 def _differ(entry: RegisteredServer, former: RegisteredServer) -> bool:
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -106,7 +106,7 @@
             server, report.started_ms, ColdSource.REPORT, report.cold_s, now_s
         )
         if report.draining:
-            self.directory.on_draining_reported(server, report.started_ms)
+            self.directory.on_draining_reported(server, report.started_ms, now_s)
         return True
 
     def is_current(self, report: EngineReport) -> bool:
--- a/chervilgw/routing/warm_up.py
+++ b/chervilgw/routing/warm_up.py
@@ -135,7 +135,7 @@
     def on_registered(
         self, entry: RegisteredServer, offset: Offset, age_s: float, now_s: float
     ) -> None:
-        """Apply an entry of the list.
+        """Apply an entry of the list that the directory has accepted.
 
         Parameters
         ----------
@@ -150,10 +150,10 @@
         """
         server = self._servers.get(entry.server)
         if server is not None:
-            if offset <= server.offset or entry.started_ms < server.state.started_ms:
+            if offset <= server.offset:
                 return
             server.offset, server.is_registered = offset, True
-        if server is None or entry.started_ms > server.state.started_ms:
+        if server is None or entry.started_ms != server.state.started_ms:
             state = ColdState(entry.started_ms, now_s - max(0.0, age_s))
             server = _Server(entry.service, offset, state)
             self._servers[entry.server] = server
--- a/fleet/tests/test_odd_entries.py
+++ b/fleet/tests/test_odd_entries.py
@@ -83,3 +83,42 @@
     )
     assert entry.send("/reserve/1").status_code == 200
     assert "handler_failed" not in entry.program.log_text()
+
+
+def put_at_address(fleet, key, server, **fields):
+    """Write an entry of another writer for the address of a server."""
+    entry = server.entry() | {"born": server.born + 1000} | fields
+    fleet.store.put("keyed.servers", key, entry)
+
+
+def test_entry_of_an_unnamed_service_takes_no_server_away(fleet):
+    """Guards against one odd entry that takes a server out for good (RECOVER)."""
+    server = fleet.add_server(name="i-1")
+    put_at_address(fleet, "odd", server, service="desk-next")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    assert entry.send("/reserve/1").status_code == 200
+    entry.program.kill()
+    entry.program.start()
+    wait_for(entry.is_ready, "the entry is ready again")
+    wait_for(lambda: entry.send("/stock/1").status_code == 200, "it serves again")
+
+
+def test_entry_with_a_later_start_takes_no_writing_server_away(fleet):
+    """Guards against a belief that neither heartbeats nor a removal end."""
+    server = fleet.add_server(name="i-1")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    put_at_address(fleet, "odd", server)
+    wait_for(lambda: '"server": "odd"' in entry.program.log_text(), "it was read")
+    fleet.register(server)
+    wait_for(lambda: entry.send("/stock/1").status_code == 200, "it serves again")
+    fleet.store.put("keyed.servers", "odd", None)
+    put_at_address(fleet, "i-1", server, state="draining")
+    wait_for(lambda: '"draining"' in entry.program.log_text(), "that was read, too")
+
+    def serves():
+        fleet.register(server)
+        return entry.send("/stock/1").status_code == 200
+
+    wait_for(serves, "the server's own entries count again")
