Let an agent take its engine's own start for true, not the latest registration

What callers saw: after an odd entry for the address of a model engine the engine got no turns any more, also after the entry was removed: reports of its agent bore the id and the start of the odd entry, so that no entry took them.

Cause: an agent worked for the subscription with the latest start, and kept that for good.

Change: once the engine has stated its start, only a registration with that start is the engine's. The reports to the entries are built in a module of their own.

--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -19,7 +19,6 @@
 from chervilgw.core.errors import ChervilError
 from chervilgw.core.ids import Incarnation, ModelName
 from chervilgw.core.messages import (
-    EngineReport,
     EngineRestarted,
     ModelLoadRequest,
     ReportSubscription,
@@ -28,9 +27,11 @@
     TurnRequest,
 )
 from chervilgw.forward.engine_codec import EngineCodec
+from chervilgw.forward.engine_reports import make_engine_report, make_silence_report
 from chervilgw.forward.events import fencing_token_requested
 from chervilgw.forward.metrics_task import order_counted
 from chervilgw.forward.turn_granter import TurnGranter
+from chervilgw.membership.registration import is_registration_of_engine
 from chervilgw.membership.restart_notices import make_restart_notices
 from chervilgw.placement.engine_orders import (
     Order,
@@ -139,7 +140,10 @@
         self._restart_notices.on_subscription(
             subscription.address, ServerId(subscription.server), subscription.started_ms
         )
-        if subscription.started_ms >= self.server_started_ms:
+        engine_ms = self.orders.state.started_ms if self.orders.state else 0
+        if is_registration_of_engine(
+            subscription.started_ms, self.server_started_ms, engine_ms
+        ):
             if subscription.server != self.server:
                 log_event("engine_known", server=subscription.server)
             self.server = ServerId(subscription.server)
@@ -321,33 +325,15 @@
         self._call(self._order_call, "POST", self._codec.order_path, headers, body)
 
     def _forward_report(self, addresses: list[str], now_s: float):
-        state = self.orders.state
         if not self.is_registered() or not addresses:
             return
         self._forwarded_s = now_s
-        available = self.orders.available_models()
-        report = EngineReport(
+        report = make_engine_report(
             self.server,
             self.server_started_ms,
-            state.orders,
-            state.draining,
-            state.busy,
-            self.orders.expected_model() or "",
-            {name: tuple(sorted(adapters)) for name, adapters in available.items()},
-            state.waiting,
-            state.running,
-            state.used_tokens,
-            tuple(sorted(state.local_models)),
-            prefill_tokens_per_s=round(self.turns.speeds.tokens_per_s),
-            model_speeds={
-                model: float(round(speed))
-                for model, speed in self.turns.speeds.measured.items()
-            },
-            token_s={
-                model: round(token_s, 6)
-                for model, token_s in self.turns.budget.decoding.measured.items()
-            },
-            cold_s=self.cold.stated_s(now_s),
+            self.orders,
+            self.turns,
+            self.cold.stated_s(now_s),
         )
         self.fire(datagram_send(report, addresses), "datagrams")
 
@@ -366,19 +352,8 @@
     def _report_engine_down(self):
         if not self.is_registered():
             return
-        orders = self.orders.state.orders
-        report = EngineReport(
-            self.server,
-            self.server_started_ms,
-            orders,
-            False,
-            False,
-            "",
-            {},
-            0,
-            0,
-            0,
-            responding=False,
+        report = make_silence_report(
+            self.server, self.server_started_ms, self.orders.state.orders
         )
         watchers = list(self._subscribers)
         if watchers:
--- a/fleet/tests/test_odd_entries.py
+++ b/fleet/tests/test_odd_entries.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fleet.deployed import DeployedFleet, wait_for
-from fleet.tests.test_deployed import listed
+from fleet.tests.test_deployed import MODEL, listed
 from standins.opaque_platform import ServerStandIn
 
 DEEP = b"[" * 100_000
@@ -122,3 +122,25 @@
         return entry.send("/stock/1").status_code == 200
 
     wait_for(serves, "the server's own entries count again")
+
+
+def test_entry_with_a_later_start_does_not_take_the_agent_of_an_engine(fleet):
+    """Guards against an agent that works for an entry of another writer for good."""
+    engine = fleet.add_server(name="i-1", service="llm", models={"m1": []})
+    agent = fleet.add_agent(engine)
+    entry = fleet.add_entry()
+    wait_for(listed(entry, engine), "the engine is known")
+    wait_for(lambda: '"engine_known"' in agent.log_text(), "the agent knows it")
+    put_at_address(fleet, "odd", engine)
+    wait_for(lambda: '"server": "odd"' in entry.program.log_text(), "it was read")
+    fleet.store.put("keyed.servers", "odd", None)
+    wait_for(lambda: '"server_removed"' in entry.program.log_text(), "it was removed")
+    fleet.register(engine)
+
+    def has_turn():
+        answer = entry.send("/draft/1", headers=MODEL)
+        granted = '"result": "given"' in agent.log_text()
+        return answer.status_code == 200 and granted
+
+    wait_for(has_turn, "the agent grants a turn")
+    assert '"server": "odd"' not in agent.log_text()
