Blame requests that were given up just before their server ended

Cause: a crash is seen by the end of the connection of the request that is under way.

Change: a run that is given up is kept until its server has answered a later request. If the list shows that the server has ended without notice, the run is blamed.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -92,6 +92,9 @@
         self.record_refused(exchange, time.monotonic())
         if exchange.is_refused_by_another_server:
             self.on_disowned(exchange.server, exchange.server_started_ms)
+        self.stopped_runs.on_answered(
+            exchange.server, exchange.server_started_ms, exchange.sent_s
+        )
         if answer.head.from_server and not answer.not_run:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
         if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
@@ -286,4 +289,5 @@
         """Close the connection to the server, so that it stops work on the request."""
         if self._by_call.pop(exchange.call, None) is not None:
             self.fire(http_call_cancel(exchange.call), "server-client")
+            self.on_run_stopped(exchange, now_s)
             self._release_server(exchange, now_s)
--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -7,7 +7,12 @@
 from circuits import handler
 
 from chervilgw.core.answers import ServerSignals
-from chervilgw.core.deployment import Deployment, RegisteredServer, ServerId
+from chervilgw.core.deployment import (
+    Deployment,
+    RegisteredServer,
+    ServerId,
+    ServerState,
+)
 from chervilgw.forward.events import servers_updated
 from chervilgw.forward.warm_up_tracker import WarmUpTracker
 from chervilgw.routing.warm_up import ColdSource
@@ -15,7 +20,11 @@
 
 
 class FleetTracker(WarmUpTracker):
-    """Task that owns a :class:`FleetView` and updates it from the platform's list."""
+    """Task that owns a :class:`FleetView` and updates it from the platform's list.
+
+    Subclasses define ``on_server_ended``, which learns of servers that have ended
+    without notice.
+    """
 
     @handler("deployment_changed", channel="*")
     def _on_services_changed(self, deployment: Deployment):
@@ -24,9 +33,13 @@
     @handler("server_registered", channel="*")
     def _on_server_registered(self, entry: RegisteredServer, offset):
         directory = self.fleet.directory
-        changed = directory.on_entry(entry, offset, time.monotonic())
+        now_s = time.monotonic()
+        ended = directory.ended_by(entry, offset)
+        changed = directory.on_entry(entry, offset, now_s)
         if directory.find(entry.server).started_ms == entry.started_ms:
             self.on_cold_listed(entry, offset)
+        for server, started_ms in ended:
+            self.on_server_ended(server, started_ms, now_s)
         if changed:
             log_event(
                 "server_changed",
@@ -41,8 +54,12 @@
 
     @handler("server_unregistered", channel="*")
     def _on_server_unregistered(self, server: ServerId, offset):
-        if self.fleet.directory.on_removed(server, offset, time.monotonic()):
+        now_s, directory = time.monotonic(), self.fleet.directory
+        if directory.on_removed(server, offset, now_s):
             log_event("server_removed", server=server, offset=offset)
+            removed = directory.find(server)
+            if removed.state is ServerState.READY:
+                self.on_server_ended(server, removed.started_ms, now_s)
             self.fleet.drop_server(server)
 
     @handler("server_list_read", channel="*")
--- a/chervilgw/forward/request_log.py
+++ b/chervilgw/forward/request_log.py
@@ -6,6 +6,7 @@
 from chervilgw.core.ids import CrashId, RequestId, RequestTrait
 from chervilgw.core.messages import SuspicionReport, TurnRefused
 from chervilgw.core.refusals import Refusal
+from chervilgw.crashes.stopped_runs import StoppedRun
 from chervilgw.forward.exchange import Exchange
 from chervilgw.runtime.events import CallFailed
 from chervilgw.scheduling.fair_queue import QueuedItem
@@ -103,6 +104,17 @@
     )
 
 
+def log_late_blame(run: StoppedRun, crash: CrashId, now_s: float) -> None:
+    """Log that a run which had been given up is blamed for the end of its server."""
+    log_event(
+        "crash_blamed",
+        crash=crash,
+        traits=list(run.traits),
+        known_strikes=list(run.strikes),
+        stopped_before_s=round(now_s - run.stopped_s, 3),
+    )
+
+
 def log_chosen(
     exchange: Exchange, server: ServerId, unread_tokens: int, cost_s: float | None
 ) -> None:
--- a/chervilgw/forward/suspect_tracker.py
+++ b/chervilgw/forward/suspect_tracker.py
@@ -9,8 +9,10 @@
 
 from circuits import handler
 
+from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import CrashId, Incarnation, RequestTrait, VmId
 from chervilgw.core.messages import EngineReport, SuspicionReport
+from chervilgw.crashes.stopped_runs import make_stopped_runs
 from chervilgw.crashes.suspicion import Verdict, make_suspicion_table
 from chervilgw.forward.cost_tracker import CostTracker
 from chervilgw.forward.events import suspicion_reminder_due, suspicion_report_due
@@ -19,6 +21,7 @@
 from chervilgw.forward.request_log import (
     log_blame,
     log_evidence,
+    log_late_blame,
     log_traits_blocked,
     log_trial_ended,
 )
@@ -34,6 +37,7 @@
         super().__init__(channel)
         self.incarnation = incarnation
         self.suspicions = make_suspicion_table(incarnation)
+        self.stopped_runs = make_stopped_runs()
         self._peer_starts: dict[VmId, int] = {}
 
     def rule_on(self, exchange: Exchange, now_s: float) -> Verdict:
@@ -79,6 +83,29 @@
         self._publish(now_s)
         self._stop_blocked(blocked, now_s)
 
+    def on_run_stopped(self, exchange: Exchange, now_s: float):
+        """Keep a run that was given up, as it may still crash its server."""
+        if exchange.survived or exchange.server not in exchange.may_have_run:
+            return
+        self.stopped_runs.on_stopped(
+            exchange.server,
+            exchange.server_started_ms,
+            exchange.traits,
+            exchange.known_strikes,
+            now_s,
+        )
+
+    def on_server_ended(self, server: ServerId, started_ms: int, now_s: float):
+        """Blame the runs that were given up just before a server ended."""
+        crash = CrashId(f"{server}/{started_ms}")
+        runs = self.stopped_runs.take_ended(server, started_ms, now_s)
+        for run in runs:
+            log_late_blame(run, crash, now_s)
+            blocked = self.suspicions.on_crash(crash, run.traits, run.strikes, now_s)
+            self._stop_blocked(blocked, now_s)
+        if runs:
+            self._publish(now_s)
+
     def _publish(self, now_s: float):
         evidence = self.suspicions.take_changed(now_s)
         if evidence:
@@ -123,6 +150,7 @@
     def remind_of_suspicions(self, now_s: float):
         """Drop past evidence, and send the rest to a few entries."""
         self.suspicions.drop_past(now_s)
+        self.stopped_runs.drop_past(now_s)
         evidence = self.suspicions.reminders(now_s)
         if evidence:
             report = SuspicionReport(self.incarnation, evidence)
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -127,6 +127,26 @@
         self._records[entry.server] = _ServerRecord(entry, first_offset, offset)
         return changed
 
+    def ended_by(
+        self, entry: RegisteredServer, offset: Offset
+    ) -> list[tuple[ServerId, int]]:
+        """Return the incarnations that have ended without notice, as an entry shows.
+
+        A later start under the same id, or at the same address, shows that.
+        """
+        same_place = {entry.server, *self._by_address.get(entry.address, ())}
+        records = [
+            self._records[server] for server in same_place if server in self._records
+        ]
+        return [
+            (record.entry.server, record.entry.started_ms)
+            for record in records
+            if record.entry.started_ms < entry.started_ms
+            and record.entry.service == entry.service
+            and record.entry.state is ServerState.READY
+            and record.offset < offset
+        ]
+
     def _is_refuted(self, record: _ServerRecord, offset: Offset, now_s: float) -> bool:
         """Return whether later entries of an earlier start refute the recorded one.
 
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -134,6 +134,19 @@
     assert usable(directory, 1.2) == ["s1"]
 
 
+def test_later_start_shows_that_a_server_ended_without_notice():
+    """Guards against crashes that nobody hears of (BUDGET)."""
+    directory = make_server_directory()
+    directory.on_entry(server("s1", started_ms=1), 1, 0.0)
+    assert directory.ended_by(server("s1", started_ms=1), 2) == []
+    assert directory.ended_by(server("s1", started_ms=5), 2) == [("s1", 1)]
+    assert directory.ended_by(server("s2", started_ms=5), 2) == [("s1", 1)]
+    other = replace(server("s2", started_ms=5), service=ServiceName("desk"))
+    assert directory.ended_by(other, 2) == []
+    directory.on_entry(server("s1", state=ServerState.DRAINING), 3, 0.0)
+    assert directory.ended_by(server("s2", started_ms=5), 4) == []
+
+
 def test_removed_server_gets_no_work_at_once():
     directory = make_server_directory()
     directory.on_entry(server(), 1, 0.0)
