Treat an answer whose status or version is none as malformed

What callers saw: a server's answer with status 600 or 999, or in HTTP/2.0, was passed on to them as an answer, in streams too; one with status 199 and a length was waited for until the deadline (MIXED, from the users' report on other systems; status 000 was refused already).

Cause: the parser accepts statuses up to 999 and any version, and takes each 1xx head for an interim one. Nothing behind it looked.

Change: the HTTP client checks each head and fails the call, so that its caller gets 502 or another server's answer. Malformed answers count as failures that the server caused.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -237,7 +237,7 @@
             # A request that was withdrawn says nothing of its server.
             if not self.fleet.directory.is_evacuated(server):
                 ejected_s = self.fleet.board.on_unreachable(server, now_s)
-        elif failed.connection_lost:
+        elif failed.connection_lost or failed.is_malformed:
             self.fleet.board.on_answer(server, True)
         self.fire(attempt_counted("failed" if failed.sent else "unreached"), "metrics")
         log_attempt_failed(exchange, failed, ejected_s, now_s)
--- a/chervilgw/runtime/client_call.py
+++ b/chervilgw/runtime/client_call.py
@@ -18,6 +18,9 @@
 # Bounds the body of an answer that is not streamed; the platform's longest page has
 # 1 MB. The receiver of a streamed answer bounds its parts.
 MAX_COLLECTED_BYTES = 16_777_216
+# First number above the statuses of answers.
+STATUS_END = 600
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Methods whose requests need no length if they have no body.
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -26,6 +29,10 @@
     """A request cannot be sent, for instance as a header field is missing."""
 
 
+class MalformedAnswerError(ChervilError):
+    """What a server sent is no answer, though it has the form of one."""
+
+
 @dataclass(slots=True)
 class ClientCall:
     """A call of the HTTP client task, and how far its answer has come."""
@@ -67,6 +74,28 @@
         raise RequestEncodingError(str(error)) from error
 
 
+def check_answer_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Check the parts of a head that the parser does not.
+
+    Raises
+    ------
+    MalformedAnswerError
+        If the status is none of RFC 9110, section 15, or the version not HTTP/1; or if
+        an interim head announces a body, as its server then means a final one.
+    """
+    if not head.http_version.startswith(b"1."):
+        version = head.http_version.decode("latin-1")
+        raise MalformedAnswerError(f"an answer in HTTP/{version}")
+    if head.status_code >= STATUS_END:
+        raise MalformedAnswerError(f"an answer with status {head.status_code}")
+    if isinstance(head, h11.InformationalResponse):
+        names = {name for name, _ in head.headers}
+        if not names.isdisjoint(_FRAMING_HEADERS):
+            raise MalformedAnswerError(
+                f"an interim answer with status {head.status_code} and a body"
+            )
+
+
 def owner_of(call: ClientCall, head) -> AnswerOwner:
     """Return whose an answer is, by its echo header."""
     if call.spec.echo_header is None:
--- a/chervilgw/runtime/events.py
+++ b/chervilgw/runtime/events.py
@@ -124,7 +124,8 @@
     ``connection_lost`` is True if the server closed or reset the connection, and with
     ``is_silent`` if it acknowledged nothing: its VM or the network is down.
     ``is_unsendable`` is True if the request cannot be encoded, so that no connection
-    was used and nothing is known of the server.
+    was used and nothing is known of the server. ``is_malformed`` is True if what came
+    is no answer.
     """
 
     call: str
@@ -133,6 +134,7 @@
     connection_lost: bool = False
     is_silent: bool = False
     is_unsendable: bool = False
+    is_malformed: bool = False
 
 
 class http_request(Event):  # noqa: N801
--- a/chervilgw/runtime/http_client.py
+++ b/chervilgw/runtime/http_client.py
@@ -15,7 +15,9 @@
 from chervilgw.runtime.answer_parts import AnswerParts
 from chervilgw.runtime.client_call import (
     ClientCall,
+    MalformedAnswerError,
     RequestEncodingError,
+    check_answer_head,
     describe_excess,
     is_body_overdue,
     is_connect_overdue,
@@ -117,8 +119,9 @@
         try:
             call.parser.receive_data(data)
             self._parse(call)
-        except h11.RemoteProtocolError as error:
-            self._fail(call, sent=True, detail=f"malformed answer: {error}")
+        except (h11.RemoteProtocolError, MalformedAnswerError) as error:
+            detail = f"malformed answer: {error}"
+            self._fail(call, sent=True, detail=detail, is_malformed=True)
             return
         self.bound_passing(sock)
         excess = describe_excess(call)
@@ -131,6 +134,8 @@
             event = call.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
+            if isinstance(event, (h11.Response, h11.InformationalResponse)):
+                check_answer_head(event)
             if isinstance(event, h11.Response):
                 owner = owner_of(call, event)
                 call.skipping = owner is not AnswerOwner.THIS_CALL
@@ -247,6 +252,7 @@
         detail: str,
         connection_lost: bool = False,
         is_silent: bool = False,
+        is_malformed: bool = False,
     ):
         self._calls.pop(call.spec.call, None)
         if call.sock is not None:
@@ -256,7 +262,14 @@
             self._dialer.abandon(call.spec.call)
         # What ended the connection after an answer to another request is not known.
         connection_lost = connection_lost and not call.has_unproven_answer
-        message = CallFailed(call.spec.call, sent, detail, connection_lost, is_silent)
+        message = CallFailed(
+            call.spec.call,
+            sent,
+            detail,
+            connection_lost,
+            is_silent,
+            is_malformed=is_malformed,
+        )
         self.send_parts(call.spec.reply_to)
         self.fire(call_failed(message), call.spec.reply_to)
 
@@ -269,7 +282,7 @@
         try:
             call.parser.receive_data(b"")
             self._parse(call)
-        except h11.RemoteProtocolError:
+        except (h11.RemoteProtocolError, MalformedAnswerError):
             pass
         if call.spec.call in self._calls:
             detail = "connection closed before the answer"
--- a/chervilgw/runtime/tests/test_forwarding_client.py
+++ b/chervilgw/runtime/tests/test_forwarding_client.py
@@ -28,8 +28,9 @@
         self.address = address
         self.done = []
         self.failed = []
+        self.heads = []
 
-    def call(self, name, body=b"", headers=(("Host", "h"),)):
+    def call(self, name, body=b"", headers=(("Host", "h"),), stream=False):
         spec = HttpCall(
             name,
             "caller",
@@ -41,6 +42,7 @@
             timeout_s=30.0,
             forwarded=True,
             echo_header=("x-id", "own"),
+            stream=stream,
         )
         self.fire(http_call(spec), "http-client")
 
@@ -48,6 +50,10 @@
     def _on_done(self, done):
         self.done.append((done.call, done.body))
 
+    @handler("call_head")
+    def _on_head(self, head):
+        self.heads.append(head)
+
     @handler("call_failed")
     def _on_failed(self, failed):
         self.failed.append(failed)
@@ -361,3 +367,38 @@
     failed = caller.failed[0]
     assert (failed.call, failed.sent, failed.is_unsendable) == ("c1", False, True)
     assert failed.connection_lost is False
+
+
+NO_ANSWERS = [
+    b"HTTP/1.1 000 Odd",
+    b"HTTP/1.1 099 Odd",
+    b"HTTP/1.1 199 Odd",
+    b"HTTP/1.1 600 Odd",
+    b"HTTP/1.1 999 Odd",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/0.9 200 OK",
+]
+
+
+@pytest.mark.parametrize("stream", [False, True], ids=["buffered", "stream"])
+@pytest.mark.parametrize("status_line", NO_ANSWERS)
+def test_status_that_is_none_is_no_answer(pair, status_line, stream):
+    """Guards against failures of a server that its callers get as answers (MIXED)."""
+    listener, caller = pair
+    caller.call("c1", stream=stream)
+    with accept(listener) as connection:
+        connection.sendall(OWN.replace(b"HTTP/1.1 200 OK", status_line))
+        wait_until(lambda: caller.failed)
+    failed = caller.failed[0]
+    assert (failed.sent, failed.is_malformed) == (True, True)
+    assert (caller.heads, caller.done) == ([], [])
+
+
+def test_interim_answer_and_statuses_at_the_bounds_are_passed_on(pair):
+    listener, caller = pair
+    caller.call("c1")
+    with accept(listener) as connection:
+        final = OWN.replace(b"200 OK", b"599 Odd")
+        connection.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n" + final)
+        wait_until(lambda: caller.done)
+    assert caller.failed == []
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -201,7 +201,8 @@
     connection. ``stale_answer`` is written before each answer on a kept connection, as
     if it were the answer to an earlier request. ``on_resume`` says how a request that
     resumes a stream is answered. ``signals`` are headers that all answers bear.
-    ``zone`` is the availability zone that the server registers with.
+    ``zone`` is the availability zone that the server registers with. ``status_line``
+    takes the place of the first line of each answer to a request.
     """
 
     name: str = "i-1"
@@ -225,6 +226,7 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     refused_s: list[float] = field(default_factory=list)
     zone: str = "a"
+    status_line: bytes = b""
 
     def __post_init__(self) -> None:
         self.born = next(_BORN)
@@ -314,7 +316,9 @@
         if not self.sealed:
             seal = {}
         seal |= self.signals
-        if self.endless:
+        if self.status_line:
+            self._answer_oddly(handler, seal)
+        elif self.endless:
             self._pour(handler, seal)
         elif "last-event-id" in headers and self.on_resume in _RESUME_ERRORS:
             status, content_type = _RESUME_ERRORS[self.on_resume]
@@ -325,6 +329,13 @@
         else:
             handler.reply(200, b"answer of " + self.name.encode(), seal)
 
+    def _answer_oddly(self, handler: _Handler, seal: dict):
+        """Send a signed answer that has an odd first line."""
+        lines = [f"{name}: {value}".encode() for name, value in seal.items()]
+        lines += [b"Content-Type: text/event-stream", b"Content-Length: 20", b"", b""]
+        head = b"\r\n".join([self.status_line, *lines])
+        handler.wfile.write(head + b"id: 1\ndata: odd one\n\n"[:20])
+
     def _pour(self, handler: _Handler, seal: dict):
         """Send a body until the other end closes the connection."""
         handler.send_response(200)
