Let no other server's answer clear a run that was given up

Cause: an answer 421 at the address of a server that has ended comes from its successor, and was taken as a sign that the server had survived the run. The request that crashed it was not blamed.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -4,6 +4,7 @@
 
 import time
 from collections import defaultdict
+from http import HTTPStatus
 
 from circuits import handler
 
@@ -92,9 +93,11 @@
         self.record_refused(exchange, time.monotonic())
         if exchange.is_refused_by_another_server:
             self.on_disowned(exchange.server, exchange.server_started_ms)
-        self.stopped_runs.on_answered(
-            exchange.server, exchange.server_started_ms, exchange.sent_s
-        )
+        if answer.status != HTTPStatus.MISDIRECTED_REQUEST:
+            # Else another server may have answered at the address.
+            self.stopped_runs.on_answered(
+                exchange.server, exchange.server_started_ms, exchange.sent_s
+            )
         if answer.head.from_server and not answer.not_run:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
         if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -120,13 +120,19 @@
         )
         first_offset = offset
         if record is not None:
-            self._by_address[record.entry.address].discard(entry.server)
+            self._leave_address(record.entry)
             if entry.started_ms == record.entry.started_ms:
                 first_offset = record.first_offset
         self._by_address[entry.address].add(entry.server)
         self._records[entry.server] = _ServerRecord(entry, first_offset, offset)
         return changed
 
+    def _leave_address(self, entry: RegisteredServer) -> None:
+        servers = self._by_address[entry.address]
+        servers.discard(entry.server)
+        if not servers:
+            del self._by_address[entry.address]
+
     def ended_by(
         self, entry: RegisteredServer, offset: Offset
     ) -> list[tuple[ServerId, int]]:
@@ -334,9 +340,7 @@
             since_s = record.missing_since_s
             if since_s is not None and now_s - since_s > GONE_RETENTION_S:
                 del self._records[server]
-                self._by_address[record.entry.address].discard(server)
-                if not self._by_address[record.entry.address]:
-                    del self._by_address[record.entry.address]
+                self._leave_address(record.entry)
         for (server, started_ms), draining in list(self._draining.items()):
             record = self._records.get(server)
             is_current = record is not None and record.entry.started_ms == started_ms
--- a/chervilgw/quota/window_peers.py
+++ b/chervilgw/quota/window_peers.py
@@ -72,6 +72,7 @@
         if is_same and 0 < sequence <= peer.sequence:
             return
         if peer is not None and not is_same:
+            self.drop_past(now_s)
             self._ended[peer.incarnation] = peer.history
             peer = None
         history = peer.history if peer else make_grant_history(self._window_s)
