--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -22,9 +22,8 @@
 # Servers that are gone are retained for this long, so that a late registration of the
 # same incarnation does not make a draining server ready again.
 GONE_RETENTION_S = 60.0
-# A server that has written nothing for three heartbeat intervals of 1.2 s is off the
-# list. A later start that is not renewed for longer was not that of the server which
-# writes, unless writes of its former start are that late.
+# Longer than the three heartbeat intervals of 1.2 s after which a silent server is off
+# the list. Entries of an earlier start that come for so long are no delayed writes.
 CONTRADICTION_TIMEOUT_S = 4.0
 # How long a server's notice is passed on to other entries. Within it the platform's
 # list names the server as draining.
