Log the era of the store and ignored configurations

Cause of this change: nothing read Store-Era, and a configuration that was not applied left no line, so that the hypotheses of docs/incidents/store-restore.md could not be told apart. Change: store_restored, configuration_ignored, and the gauge chervilgw_store_era.

--- a/chervilgw/forward/metrics_task.py
+++ b/chervilgw/forward/metrics_task.py
@@ -63,6 +63,10 @@
     """A call of the store ended: result."""
 
 
+class store_era_observed(Event):  # noqa: N801
+    """The store states an era: number of the era."""
+
+
 class cold_servers_counted(Event):  # noqa: N801
     """Servers that are cold: number."""
 
@@ -132,6 +136,10 @@
     def _on_store_call(self, result):
         self._metrics.store_calls.labels(result).inc()
 
+    @handler("store_era_observed")
+    def _on_store_era(self, era):
+        self._metrics.store_era.set(era)
+
     @handler("connection_dropped")
     def _on_connection_dropped(self, reason: DropReason):
         self._metrics.dropped_connections.labels(reason.value).inc()
--- a/chervilgw/platform/operator_records.py
+++ b/chervilgw/platform/operator_records.py
@@ -98,7 +98,11 @@
 
     def _decode_configuration(self, record) -> ConfigurationRead | None:
         """Return the configuration of a record, or None if it is not newer."""
-        if record.offset <= self._config_offset or record.value is None:
+        if record.value is None:
+            return None
+        if record.offset <= self._config_offset:
+            if record.offset < self._config_offset:
+                self._log_ignored(record, "read at a lower offset")
             return None
         try:
             deployment = decode_configuration(record.value)
@@ -106,10 +110,22 @@
             log_event("configuration_malformed", level="error", detail=str(error))
             return None
         if deployment.version <= self._version:
+            if deployment.version < self._version:
+                self._log_ignored(record, "of an older version")
             return None
         self._version, self._config_offset = deployment.version, record.offset
         return ConfigurationRead(deployment, record.offset)
 
+    def _log_ignored(self, record: log_format.KeyedRecord, detail: str) -> None:
+        log_event(
+            "configuration_ignored",
+            level="warning",
+            offset=record.offset,
+            version_in_force=self._version,
+            offset_in_force=self._config_offset,
+            detail=detail,
+        )
+
 
 def make_operator_records() -> OperatorRecords:
     """Return the decoder of a process that has read no record."""
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -29,7 +29,7 @@
     usage_recorded,
     zone_record_read,
 )
-from chervilgw.forward.metrics_task import store_call_counted
+from chervilgw.forward.metrics_task import store_call_counted, store_era_observed
 from chervilgw.platform import log_format
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.followers import (
@@ -47,6 +47,7 @@
     make_operator_records,
 )
 from chervilgw.platform.servers import decode_server
+from chervilgw.platform.store_era import EraStep, decode_era, make_era_tracker
 from chervilgw.platform.usage import decode_usage, encode_usage
 from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.settings.vm import VmSettings
@@ -70,6 +71,7 @@
         self._call_numbers = count(1)
         self._operator_records = make_operator_records()
         self._is_store_lost = False
+        self._eras = make_era_tracker()
         self._writes: list[Write] = []
         self._ignored_offsets: dict[str, Offset] = {}
         self._fencing_token_reply_to = ""
@@ -133,6 +135,7 @@
     @handler("call_done")
     def _on_call_done(self, done):
         now_s = time.monotonic()
+        self._observe_era(done)
         if done.status >= 500 or done.status == 429:
             self._handle_failure(done.call, f"status {done.status}", now_s)
             return
@@ -149,6 +152,16 @@
                 self._send_due_calls(now_s)
                 return
 
+    def _observe_era(self, done):
+        former = self._eras.era
+        step = self._eras.on_answer(decode_era(done.headers))
+        if self._eras.era != former:
+            self.fire(store_era_observed(self._eras.era), "metrics")
+        if step is EraStep.RESTORED:
+            log_event(
+                "store_restored", level="warning", era=self._eras.era, former=former
+            )
+
     @handler("call_failed")
     def _on_call_failed(self, failed):
         self._handle_failure(failed.call, failed.detail, time.monotonic())
--- /dev/null
+++ b/chervilgw/platform/store_era.py
@@ -0,0 +1,82 @@
+"""Era of the platform's store, which rises when the store comes back from a copy.
+
+Records that the store acknowledged after the copy was made are lost, and their offsets
+are assigned again. An offset therefore identifies a record only within an era.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+from chervilgw.runtime.events import Headers
+
+StoreEra = NewType("StoreEra", int)
+
+_ERA_HEADER = "store-era"
+# An era that no number of restores reaches is not believed.
+MAX_ERA = 2**16
+_DIGITS = re.compile(r"[0-9]{1,10}")
+
+
+class EraStep(Enum):
+    """What an answer's era says of the store."""
+
+    SAME = "same"
+    RESTORED = "restored"
+    OUTDATED = "outdated"
+
+
+@dataclass(slots=True)
+class EraTracker:
+    """Newest era seen by one process; see :func:`make_era_tracker`."""
+
+    era: StoreEra | None = None
+
+    def on_answer(self, era: StoreEra | None) -> EraStep:
+        """Apply the era of an answer.
+
+        Parameters
+        ----------
+        era : StoreEra or None
+            None if the answer states no valid era, which says nothing of the store.
+
+        Returns
+        -------
+        EraStep
+            ``OUTDATED`` if the store answered before it came back from its copy.
+
+        Examples
+        --------
+        >>> tracker = make_era_tracker()
+        >>> [tracker.on_answer(StoreEra(era)).value for era in (1, 2, 1, 2)]
+        ['same', 'restored', 'outdated', 'same']
+        """
+        if era is None or era == self.era:
+            return EraStep.SAME
+        if self.era is not None and era < self.era:
+            return EraStep.OUTDATED
+        is_first, self.era = self.era is None, era
+        return EraStep.SAME if is_first else EraStep.RESTORED
+
+
+def make_era_tracker() -> EraTracker:
+    """Return the tracker of a process that has no answer of the store yet."""
+    return EraTracker()
+
+
+def decode_era(headers: Headers) -> StoreEra | None:
+    """Return the era that an answer states, or None without a valid one.
+
+    Examples
+    --------
+    >>> decode_era((("Store-Era", "3"),)), decode_era((("Store-Era", "-1"),))
+    (3, None)
+    """
+    for name, value in headers:
+        if name.lower() == _ERA_HEADER and _DIGITS.fullmatch(value.strip()):
+            era = int(value)
+            return StoreEra(era) if era <= MAX_ERA else None
+    return None
--- a/chervilgw/telemetry/scrape.py
+++ b/chervilgw/telemetry/scrape.py
@@ -130,6 +130,11 @@
         self.store_calls = Counter(
             "chervilgw_store_calls", "Calls of the store", ["result"], registry=registry
         )
+        self.store_era = Gauge(
+            "chervilgw_store_era",
+            "Era of the store, which rises when it comes back from a copy",
+            registry=registry,
+        )
         self.dropped_connections = Counter(
             "chervilgw_dropped_connections",
             "Callers' connections closed to bound the memory",
