Give the log output a close method

Cause: at exit the logging library closes the stream of its handler. Evidence: an entry stopped by SIGTERM logs shutdown_finished, exits with status 0 and writes the traceback then, so that no process ended by it. Change: close writes the buffered output and leaves the descriptor open.

--- a/chervilgw/telemetry/bounded.py
+++ b/chervilgw/telemetry/bounded.py
@@ -49,6 +49,13 @@
         """Write as much buffered output as the reader accepts without blocking."""
         self._write_pending()
 
+    def close(self) -> None:
+        """Write the buffered output; the descriptor stays open.
+
+        The logging library closes a handler's stream when the process exits.
+        """
+        self._write_pending()
+
     def _write_pending(self) -> None:
         while self._pending:
             try:
--- a/chervilgw/telemetry/tests/test_bounded.py
+++ b/chervilgw/telemetry/tests/test_bounded.py
@@ -1,6 +1,8 @@
 """Tests that log output never blocks and that dropped lines are counted."""
 
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -67,3 +69,19 @@
     # Lines are dropped only as a whole.
     assert set(data.splitlines()) == {line.strip().encode()}
     assert len(data) <= MAX_PENDING_BYTES + (1 << 20)
+
+
+def test_process_that_logs_to_the_stream_exits_without_a_traceback():
+    """Guards against an error of the logging library at each planned exit."""
+    script = (
+        "import sys\n"
+        "from chervilgw.telemetry import configure_logs, log_event\n"
+        "from chervilgw.telemetry.bounded import make_bounded_stream\n"
+        "configure_logs(stream=make_bounded_stream(sys.stdout.fileno()))\n"
+        "log_event('process_stopped')\n"
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, timeout=60
+    )
+    assert '"event": "process_stopped"' in ended.stdout
+    assert ended.stderr == ""
