Define positions that are comparable over restores of the store

Cause: offsets are assigned again when the store comes back from a copy, so that an offset names a record only within an era. Change: LogPosition, and the event store_restored, which no task handles yet. No behaviour changes.

--- a/chervilgw/core/ids.py
+++ b/chervilgw/core/ids.py
@@ -21,9 +21,13 @@
 Digest = NewType("Digest", str)
 RequestTrait = NewType("RequestTrait", str)
 Offset = NewType("Offset", int)
+# Position of a record in the platform's log, comparable also after the store came back
+# from a copy and assigned offsets again.
+LogPosition = NewType("LogPosition", int)
 ShareUnits = NewType("ShareUnits", int)
 
 NO_OFFSET = Offset(-1)
+NO_POSITION = LogPosition(-1)
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -41,6 +41,10 @@
     """The platform's store answers again."""
 
 
+class store_restored(Event):  # noqa: N801
+    """The store came back from a copy: it lost what was written since the copy."""
+
+
 class announce_entry(Event):  # noqa: N801
     """Register this entry in the store: VM id, datagram address."""
 
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -26,6 +26,7 @@
     server_unregistered,
     store_lost,
     store_recovered,
+    store_restored,
     usage_recorded,
     zone_record_read,
 )
@@ -161,6 +162,7 @@
             log_event(
                 "store_restored", level="warning", era=self._eras.era, former=former
             )
+            self.fire(store_restored(), "*")
 
     @handler("call_failed")
     def _on_call_failed(self, failed):
--- a/chervilgw/platform/store_era.py
+++ b/chervilgw/platform/store_era.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import NewType
 
+from chervilgw.core.ids import LogPosition, Offset
+from chervilgw.platform.errors import DecodeError
 from chervilgw.runtime.events import Headers
 
 StoreEra = NewType("StoreEra", int)
@@ -18,6 +20,9 @@
 _ERA_HEADER = "store-era"
 # An era that no number of restores reaches is not believed.
 MAX_ERA = 2**16
+# Positions and fencing tokens stay below 2**53, so that JSON parsers that read numbers
+# as floats keep all their digits.
+_OFFSET_BITS = 36
 _DIGITS = re.compile(r"[0-9]{1,10}")
 
 
@@ -80,3 +85,29 @@
             era = int(value)
             return StoreEra(era) if era <= MAX_ERA else None
     return None
+
+
+def to_position(era: StoreEra | None, offset: Offset) -> LogPosition:
+    """Return the position of a record; those of a later era are higher.
+
+    Parameters
+    ----------
+    era : StoreEra or None
+        Era in which the store assigned the offset, None if it states none.
+    offset : Offset
+
+    Raises
+    ------
+    DecodeError
+        If the offset is higher than a log can grow within an era.
+
+    Examples
+    --------
+    >>> to_position(StoreEra(1), Offset(15)) < to_position(StoreEra(2), Offset(3))
+    True
+    >>> to_position(None, Offset(15))
+    15
+    """
+    if offset >= 1 << _OFFSET_BITS:
+        raise DecodeError(f"offset {offset} is out of range")
+    return LogPosition(((era or 0) << _OFFSET_BITS) + offset)
