Show CONFIG and DRAIN after a restore of the store by failing tests

The stand-in of the store states its era and can go back to a copy. Three tests with processes fail on this code, each in one run of one: the first for offsets compared over the restore, the second for a position that was assigned again, the third for a server's entry at a lower offset.

--- /dev/null
+++ b/fleet/tests/test_store_restore.py
@@ -0,0 +1,98 @@
+"""Tests of a store that comes back from a copy: what it forgot stays in force."""
+
+from __future__ import annotations
+
+import copy
+
+import pytest
+
+from fleet.deployed import CONFIGURATION, DeployedFleet, wait_for
+
+DRAIN_S = 2.0
+CONFIGURATION_DEADLINE_S = 2.0
+SETTINGS = {"bounds.drain_ms": "2000", "bounds.config_deadline_ms": "2000"}
+
+
+@pytest.fixture
+def fleet():
+    with DeployedFleet() as fleet:
+        yield fleet
+
+
+def configuration(version, keys=("key-a",)):
+    """Return a configuration whose first customer has these keys."""
+    changed = copy.deepcopy(CONFIGURATION)
+    changed["version"] = version
+    changed["tenants"][0]["api_keys"] = list(keys)
+    return changed
+
+
+def has_applied(entry, version):
+    return f'"configuration_applied", "version": {version},' in entry.program.log_text()
+
+
+def write_and_wait(fleet, entry, version, keys=("key-a",)):
+    fleet.store.put("keyed.op", "config", configuration(version, keys))
+    wait_for(lambda: has_applied(entry, version), f"version {version} is in force")
+
+
+def test_key_withdrawn_after_a_restore_is_refused(fleet):
+    """Guards against ignoring a configuration at a lower offset than the last one."""
+    fleet.add_server()
+    entry = fleet.add_entry(settings=SETTINGS)
+    before = fleet.store.take_copy()
+    for version in (10, 11, 12):
+        write_and_wait(fleet, entry, version, ("key-a", "key-b"))
+    assert entry.send("/stock/1", "key-b").status_code == 200
+    fleet.store.restore(before)
+    fleet.store.put("keyed.op", "config", configuration(12, ("key-a", "key-b")))
+    fleet.store.put("keyed.op", "config", configuration(20))
+    wait_for(
+        lambda: entry.send("/stock/2", "key-b").status_code == 401,
+        "the withdrawn key is refused",
+        CONFIGURATION_DEADLINE_S,
+    )
+
+
+def test_configuration_below_the_position_of_a_follower_is_applied(fleet):
+    """Guards against reading on from an offset that was assigned again."""
+    fleet.add_server()
+    entry = fleet.add_entry(settings=SETTINGS)
+    write_and_wait(fleet, entry, 10, ("key-a", "key-b"))
+    before = fleet.store.take_copy()
+    for zone in ("x", "y", "z"):
+        fleet.store.put("keyed.op", f"evacuate/{zone}", {"reason": "drill"})
+    text = entry.program.log_text
+    wait_for(lambda: '"zone": "z"' in text(), "the evacuations are read")
+    fleet.store.down = True
+    fleet.store.restore(before)
+    fleet.store.put("keyed.op", "config", configuration(20))
+    for zone in ("x", "y", "z"):
+        fleet.store.put("keyed.op", f"evacuate/{zone}", {"reason": "drill"})
+    fleet.store.down = False
+    wait_for(
+        lambda: entry.send("/stock/2", "key-b").status_code == 401,
+        "the withdrawn key is refused",
+        CONFIGURATION_DEADLINE_S,
+    )
+
+
+def test_server_that_drains_after_a_restore_gets_no_request(fleet):
+    """Guards against ignoring an entry at a lower offset than the last one."""
+    leaving, other = fleet.add_server(name="i-1"), fleet.add_server(name="i-2")
+    entry = fleet.add_entry(settings=SETTINGS)
+    before = fleet.store.take_copy()
+    for _ in range(6):
+        fleet.register(leaving)
+        fleet.register(other)
+    fleet.store.put("keyed.servers", "i-9", other.entry() | {"service": "none"})
+    text = entry.program.log_text
+    wait_for(lambda: '"server": "i-9"' in text(), "the entries are read")
+    fleet.store.restore(before)
+    fleet.register(other)
+    fleet.register(leaving, "draining")
+    wait_for(
+        lambda: '"server": "i-1", "service": "desk", "state": "draining"' in text(),
+        "the server drains",
+        DRAIN_S,
+    )
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -92,6 +92,10 @@
         """Refuse further connections and break off the open ones."""
         self.server.shutdown()
         self.server.server_close()
+        self.break_connections()
+
+    def break_connections(self) -> None:
+        """Break off the open connections."""
         for connection in list(self.server.open):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
@@ -105,10 +109,12 @@
 class StoreStandIn(StandIn):
     """The store: topics with one partition, records with keys.
 
-    ``down`` refuses all calls with 503.
+    ``down`` refuses all calls with 503. ``era`` is stated in all answers and rises when
+    the store comes back from a copy.
     """
 
     down: bool = False
+    era: int = 1
     topics: dict[str, list[tuple[str, bytes]]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -121,10 +127,21 @@
         """Append a record with a value that need not be JSON."""
         self.topics[topic].append((key, value))
 
+    def take_copy(self) -> dict[str, int]:
+        """Return the end of each topic, for :meth:`restore`."""
+        return {topic: len(records) for topic, records in self.topics.items()}
+
+    def restore(self, copy: dict[str, int]) -> None:
+        """Break off all connections and go back to a copy, in a new era."""
+        for topic, records in list(self.topics.items()):
+            self.topics[topic] = records[: copy.get(topic, 0)]
+        self.era += 1
+        self.break_connections()
+
     def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
         """Serve appends, reads and listings."""
         if self.down:
-            handler.reply(503, b"")
+            self._reply(handler, 503, b"")
             return
         parts = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
@@ -134,7 +151,10 @@
         elif parts.path == "/log-newest":
             self._newest(handler, records)
         else:
-            self._read(handler, records, query)
+            self._read(handler, query)
+
+    def _reply(self, handler: _Handler, status: int, body: bytes):
+        handler.reply(status, body, {"Store-Era": str(self.era)})
 
     def _append(self, handler: _Handler, topic: str, body: bytes):
         content = body[4:]
@@ -145,7 +165,7 @@
         else:
             self.topics[topic].append(("", content))
         answer = {"offset": offset, "end": offset + 1}
-        handler.reply(200, json.dumps(answer).encode())
+        self._reply(handler, 200, json.dumps(answer).encode())
 
     def _newest(self, handler: _Handler, records: list):
         newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
@@ -155,18 +175,25 @@
             if value
         ]
         answer = {"items": items, "truncated": False, "end": len(records)}
-        handler.reply(200, json.dumps(answer).encode())
+        self._reply(handler, 200, json.dumps(answer).encode())
 
-    def _read(self, handler: _Handler, records: list, query: dict[str, str]):
-        start = int(query["from"])
+    def _read(self, handler: _Handler, query: dict[str, str]):
+        start, era = int(query["from"]), self.era
+        records = self.topics[query["topic"]]
+        if start > len(records):
+            self._reply(handler, 410, json.dumps({"first": 0}).encode())
+            return
         until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         while len(records) <= start and time.monotonic() < until_s and not self.down:
             threading.Event().wait(WAIT_STEP_S)
+        if self.era != era:
+            handler.drop()
+            return
         body = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
-        handler.reply(200, body)
+        self._reply(handler, 200, body)
 
 
 class OnResume(Enum):
