Compare positions, not offsets, after the store came back from a copy

Cause: an offset was taken for the version of a record. After a restore the store assigns offsets again: a new configuration, or the entry of a draining server, at a lower offset was ignored as old, and a follower read on behind records that it had never seen. Change: a position holds the era of the store above the offset, so that records of a later era are newer. At the first answer of a later era all topics are listed again; answers of an earlier era are discarded and their calls repeated.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -22,11 +22,11 @@
 class EvacuatedZones:
     """Availability zones whose servers get no requests.
 
-    ``offsets`` maps a zone to the position in the operators' log of the record that
+    ``positions`` maps a zone to the position in the operators' log of the record that
     evacuated it. ``end`` is the end of the part of the log that the set reflects.
     """
 
-    offsets: dict[str, int]
+    positions: dict[str, int]
     end: int
 
 
--- a/chervilgw/forward/evacuation_tracker.py
+++ b/chervilgw/forward/evacuation_tracker.py
@@ -6,7 +6,7 @@
 
 from circuits import handler
 
-from chervilgw.core.ids import Offset, ZoneId
+from chervilgw.core.ids import LogPosition, ZoneId
 from chervilgw.core.messages import EntryReport
 from chervilgw.forward.fleet_tracker import FleetTracker
 from chervilgw.forward.metrics_task import evacuated_zones_counted
@@ -22,30 +22,32 @@
     """
 
     @handler("zone_record_read", channel="*")
-    def _on_zone_record(self, zone: ZoneId, is_evacuated: bool, offset: Offset):
+    def _on_zone_record(self, zone: ZoneId, is_evacuated: bool, position: LogPosition):
         evacuations = self.fleet.directory.evacuations
-        changes = evacuations.on_record(zone, is_evacuated, offset)
-        self._apply_changes(changes, "store", Offset(offset + 1))
+        changes = evacuations.on_record(zone, is_evacuated, position)
+        self._apply_changes(changes, "store", LogPosition(position + 1))
 
     @handler("evacuations_listed", channel="*")
-    def _on_evacuations_listed(self, offsets: dict[ZoneId, Offset], end: Offset):
-        changes = self.fleet.directory.evacuations.on_set(offsets, end)
+    def _on_evacuations_listed(
+        self, positions: dict[ZoneId, LogPosition], end: LogPosition
+    ):
+        changes = self.fleet.directory.evacuations.on_set(positions, end)
         self._apply_changes(changes, "store", end)
 
     @handler("entry_reported")
     def _on_peer_evacuations(self, report: EntryReport):
         if report.evacuated is None:
             return
-        end = Offset(report.evacuated.end)
-        offsets = {
-            ZoneId(zone): Offset(offset)
-            for zone, offset in report.evacuated.offsets.items()
+        end = LogPosition(report.evacuated.end)
+        positions = {
+            ZoneId(zone): LogPosition(position)
+            for zone, position in report.evacuated.positions.items()
         }
-        changes = self.fleet.directory.evacuations.on_set(offsets, end)
+        changes = self.fleet.directory.evacuations.on_set(positions, end)
         self._apply_changes(changes, str(report.sender.vm), end)
 
     def _apply_changes(
-        self, changes: tuple[EvacuationChange, ...], source: str, end: Offset
+        self, changes: tuple[EvacuationChange, ...], source: str, end: LogPosition
     ):
         if not changes:
             return
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -10,23 +10,23 @@
 
 
 class zone_record_read(Event):  # noqa: N801
-    """A record evacuates a zone or revokes that: zone, is evacuated, offset."""
+    """A record evacuates a zone or revokes that: zone, is evacuated, position."""
 
 
 class evacuations_listed(Event):  # noqa: N801
-    """All evacuated zones were read: offsets by zone, offset before the read."""
+    """All evacuated zones were read: positions by zone, position before the read."""
 
 
 class server_registered(Event):  # noqa: N801
-    """The platform registered or changed a server: ``RegisteredServer``, offset."""
+    """The platform registered or changed a server: ``RegisteredServer``, position."""
 
 
 class server_unregistered(Event):  # noqa: N801
-    """The platform removed a server: server id, offset."""
+    """The platform removed a server: server id, position."""
 
 
 class server_list_read(Event):  # noqa: N801
-    """The list of servers was read in full: server ids, offset before the read."""
+    """The list of servers was read in full: server ids, position before the read."""
 
 
 class entry_list_read(Event):  # noqa: N801
--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -31,13 +31,13 @@
         self.fleet.directory.set_services(deployment.services)
 
     @handler("server_registered", channel="*")
-    def _on_server_registered(self, entry: RegisteredServer, offset):
+    def _on_server_registered(self, entry: RegisteredServer, position):
         directory = self.fleet.directory
         now_s = time.monotonic()
-        ended = directory.ended_by(entry, offset)
-        changed = directory.on_entry(entry, offset, now_s)
+        ended = directory.ended_by(entry, position)
+        changed = directory.on_entry(entry, position, now_s)
         if directory.find(entry.server).started_ms == entry.started_ms:
-            self.on_cold_listed(entry, offset)
+            self.on_cold_listed(entry, position)
         for server, started_ms in ended:
             self.on_server_ended(server, started_ms, now_s)
         if changed:
@@ -49,14 +49,14 @@
                 address=entry.address,
                 models=sorted(entry.adapters),
                 started_ms=entry.started_ms,
-                offset=offset,
+                position=position,
             )
 
     @handler("server_unregistered", channel="*")
-    def _on_server_unregistered(self, server: ServerId, offset):
+    def _on_server_unregistered(self, server: ServerId, position):
         now_s, directory = time.monotonic(), self.fleet.directory
-        if directory.on_removed(server, offset, now_s):
-            log_event("server_removed", server=server, offset=offset)
+        if directory.on_removed(server, position, now_s):
+            log_event("server_removed", server=server, position=position)
             removed = directory.find(server)
             if removed.state is ServerState.READY:
                 self.on_server_ended(server, removed.started_ms, now_s)
@@ -67,7 +67,7 @@
         now_s = time.monotonic()
         self.fleet.on_listed(now_s)
         for server in self.fleet.directory.on_listing(listed, end, now_s):
-            log_event("server_removed", server=server, offset=end)
+            log_event("server_removed", server=server, position=end)
             self.fleet.warm_up.on_removed(server)
 
     @handler("store_lost", channel="*")
--- a/chervilgw/forward/warm_up_tracker.py
+++ b/chervilgw/forward/warm_up_tracker.py
@@ -50,11 +50,11 @@
     def _on_entry_seen(self, report: EntryReport):
         self._cold.entries.on_report(report.address, report.draining, time.monotonic())
 
-    def on_cold_listed(self, entry: RegisteredServer, offset):
+    def on_cold_listed(self, entry: RegisteredServer, position):
         """Apply what an entry of the platform's list says of a server's start."""
         now_s = time.monotonic()
         age_s = now_s + self._clock_offset_s - entry.started_ms / 1000
-        self.fleet.warm_up.on_registered(entry, offset, age_s, now_s)
+        self.fleet.warm_up.on_registered(entry, position, age_s, now_s)
 
     def with_cold_times(
         self, servers: list[RegisteredServer], now_s: float
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServerState
-from chervilgw.core.ids import Offset, ServiceName
+from chervilgw.core.ids import LogPosition, ServiceName
 from chervilgw.membership.evacuations import Evacuations, make_evacuations
 
 # Registrations that lapsed during an outage of the store are back about 2 s after it
@@ -34,18 +34,18 @@
 class _ServerRecord:
     """What is believed of a server.
 
-    ``first_offset`` is the position of the first entry of this start, ``offset`` that
-    of the latest one. ``contradicted`` holds the position and the time of the first
+    ``first_position`` is the position of the first entry of this start, ``position``
+    that of the latest one. ``contradicted`` holds the position and the time of the first
     later entry that names an earlier start. ``is_disowned`` means that another server
     has answered at the address since the latest entry.
     """
 
     entry: RegisteredServer
-    first_offset: Offset
-    offset: Offset
+    first_position: LogPosition
+    position: LogPosition
     missing_since_s: float | None = None
     missing_after_outage: bool = False
-    contradicted: tuple[Offset, float] | None = None
+    contradicted: tuple[LogPosition, float] | None = None
     is_disowned: bool = False
 
 
@@ -85,13 +85,15 @@
             self._store_lost = False
             self._store_recovered_s = now_s
 
-    def on_entry(self, entry: RegisteredServer, offset: Offset, now_s: float) -> bool:
+    def on_entry(
+        self, entry: RegisteredServer, position: LogPosition, now_s: float
+    ) -> bool:
         """Apply an entry of the list.
 
         Parameters
         ----------
         entry : RegisteredServer
-        offset : Offset
+        position : LogPosition
             Position of the entry in the list's log.
         now_s : float
             Monotonic time.
@@ -103,10 +105,10 @@
         """
         record = self._records.get(entry.server)
         if record is not None:
-            if offset <= record.offset:
+            if position <= record.position:
                 return False
             if entry.started_ms < record.entry.started_ms and not self._is_refuted(
-                record, offset, now_s
+                record, position, now_s
             ):
                 return False
         if entry.state is ServerState.DRAINING:
@@ -117,13 +119,13 @@
         changed = record is None or (
             record.missing_since_s is not None or _differ(entry, record.entry)
         )
-        first_offset = offset
+        first_position = position
         if record is not None:
             self._leave_address(record.entry)
             if entry.started_ms == record.entry.started_ms:
-                first_offset = record.first_offset
+                first_position = record.first_position
         self._by_address[entry.address].add(entry.server)
-        self._records[entry.server] = _ServerRecord(entry, first_offset, offset)
+        self._records[entry.server] = _ServerRecord(entry, first_position, position)
         return changed
 
     def _leave_address(self, entry: RegisteredServer) -> None:
@@ -133,7 +135,7 @@
             del self._by_address[entry.address]
 
     def ended_by(
-        self, entry: RegisteredServer, offset: Offset
+        self, entry: RegisteredServer, position: LogPosition
     ) -> list[tuple[ServerId, int]]:
         """Return the incarnations that have ended without notice, as an entry shows.
 
@@ -149,18 +151,20 @@
             if record.entry.started_ms < entry.started_ms
             and record.entry.service == entry.service
             and record.entry.state is ServerState.READY
-            and record.offset < offset
+            and record.position < position
         ]
 
-    def _is_refuted(self, record: _ServerRecord, offset: Offset, now_s: float) -> bool:
+    def _is_refuted(
+        self, record: _ServerRecord, position: LogPosition, now_s: float
+    ) -> bool:
         """Return whether later entries of an earlier start refute the recorded one.
 
         A single one may be a delayed write of the server's former process.
         """
         if record.contradicted is None:
-            record.contradicted = (offset, now_s)
-        first_offset, since_s = record.contradicted
-        return offset > first_offset and now_s - since_s >= CONTRADICTION_TIMEOUT_S
+            record.contradicted = (position, now_s)
+        first_position, since_s = record.contradicted
+        return position > first_position and now_s - since_s >= CONTRADICTION_TIMEOUT_S
 
     def _begin_draining(
         self, server: ServerId, started_ms: int, gave_notice: bool, now_s: float
@@ -175,12 +179,12 @@
         known.gave_notice, known.since_s = True, now_s
         return True
 
-    def on_removed(self, server: ServerId, offset: Offset, now_s: float) -> bool:
+    def on_removed(self, server: ServerId, position: LogPosition, now_s: float) -> bool:
         """Apply the removal of an entry; return whether the server was registered."""
         record = self._records.get(server)
-        if record is None or offset <= record.offset:
+        if record is None or position <= record.position:
             return False
-        record.offset = offset
+        record.position = position
         if record.missing_since_s is not None:
             return False
         record.missing_since_s = now_s
@@ -188,7 +192,7 @@
         return True
 
     def on_listing(
-        self, listed: Iterable[ServerId], end: Offset, now_s: float
+        self, listed: Iterable[ServerId], end: LogPosition, now_s: float
     ) -> tuple[ServerId, ...]:
         """Remove all servers that a complete listing leaves out; return their ids.
 
@@ -196,7 +200,7 @@
         ----------
         listed : iterable of ServerId
             Keys of the listing.
-        end : Offset
+        end : LogPosition
             Where the log ended before the listing was read.
         now_s : float
             Monotonic time.
@@ -206,7 +210,7 @@
             server
             for server, record in self._records.items()
             if server not in present
-            and record.offset < end
+            and record.position < end
             and record.missing_since_s is None
         ]
         for server in absent:
@@ -327,7 +331,7 @@
         others = self._by_address[record.entry.address]
         return len(others) > 1 and any(
             other.entry.started_ms > record.entry.started_ms
-            and other.first_offset > record.offset
+            and other.first_position > record.position
             and other.missing_since_s is None
             and self._is_named(other)
             for other in map(self._records.__getitem__, others)
--- a/chervilgw/membership/evacuations.py
+++ b/chervilgw/membership/evacuations.py
@@ -1,7 +1,7 @@
 """Availability zones that operators have evacuated, and the version of that set.
 
-A set is known from the operators' log, read in the order of offsets, or from another
-entry. The end offset of the part of the log that it reflects is its version: of two
+A set is known from the operators' log, read in the order of positions, or from another
+entry. The end position of the part of the log that it reflects is its version: of two
 sets the one with the higher version is in force.
 """
 
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from chervilgw.core.forward_messages import EvacuatedZones
-from chervilgw.core.ids import Offset, ZoneId
+from chervilgw.core.ids import LogPosition, ZoneId
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,19 +26,19 @@
 class Evacuations:
     """Evacuated zones known to one process; see :func:`make_evacuations`."""
 
-    _offsets: dict[ZoneId, Offset] = field(default_factory=dict)
-    _end: Offset = Offset(0)
+    _positions: dict[ZoneId, LogPosition] = field(default_factory=dict)
+    _end: LogPosition = LogPosition(0)
 
     def __contains__(self, zone: ZoneId) -> bool:
         """Return whether the servers of a zone get no requests."""
-        return zone in self._offsets
+        return zone in self._positions
 
     def __len__(self) -> int:
         """Return the number of evacuated zones."""
-        return len(self._offsets)
+        return len(self._positions)
 
     def on_record(
-        self, zone: ZoneId, is_evacuated: bool, offset: Offset
+        self, zone: ZoneId, is_evacuated: bool, position: LogPosition
     ) -> tuple[EvacuationChange, ...]:
         """Apply the next record of the log that concerns a zone.
 
@@ -47,38 +47,38 @@
         zone : ZoneId
         is_evacuated : bool
             False if the record revokes the evacuation.
-        offset : Offset
+        position : LogPosition
             Position of the record. A record that the set reflects already is ignored.
 
         Returns
         -------
         tuple of EvacuationChange
         """
-        if offset < self._end:
+        if position < self._end:
             return ()
-        self._end = Offset(offset + 1)
+        self._end = LogPosition(position + 1)
         # A listing may hold records that were appended while it was read.
-        if offset <= self._offsets.get(zone, -1):
+        if position <= self._positions.get(zone, -1):
             return ()
-        was_evacuated = zone in self._offsets
+        was_evacuated = zone in self._positions
         if is_evacuated:
-            self._offsets[zone] = offset
+            self._positions[zone] = position
         else:
-            self._offsets.pop(zone, None)
+            self._positions.pop(zone, None)
         if was_evacuated == is_evacuated:
             return ()
         return (EvacuationChange(zone, is_evacuated),)
 
     def on_set(
-        self, offsets: Mapping[ZoneId, Offset], end: Offset
+        self, positions: Mapping[ZoneId, LogPosition], end: LogPosition
     ) -> tuple[EvacuationChange, ...]:
         """Apply a complete set, from a listing of the log or from another entry.
 
         Parameters
         ----------
-        offsets : mapping of ZoneId to Offset
+        positions : mapping of ZoneId to LogPosition
             Evacuated zones, and the positions of the records that evacuated them.
-        end : Offset
+        end : LogPosition
             End of the part of the log that the set reflects. A set that reflects no
             more than the present one is ignored.
 
@@ -88,12 +88,12 @@
         """
         if end <= self._end:
             return ()
-        former, self._end = self._offsets, end
-        self._offsets = {zone: at for zone, at in former.items() if at >= end}
-        for zone, at in offsets.items():
-            self._offsets[zone] = max(at, self._offsets.get(zone, at))
-        added = sorted(self._offsets.keys() - former.keys())
-        removed = sorted(former.keys() - self._offsets.keys())
+        former, self._end = self._positions, end
+        self._positions = {zone: at for zone, at in former.items() if at >= end}
+        for zone, at in positions.items():
+            self._positions[zone] = max(at, self._positions.get(zone, at))
+        added = sorted(self._positions.keys() - former.keys())
+        removed = sorted(former.keys() - self._positions.keys())
         return (
             *(EvacuationChange(zone, True) for zone in added),
             *(EvacuationChange(zone, False) for zone in removed),
@@ -103,7 +103,7 @@
         """Return the set for the other entries, or None before one is known."""
         if not self._end:
             return None
-        return EvacuatedZones(dict(self._offsets), self._end)
+        return EvacuatedZones(dict(self._positions), self._end)
 
 
 def make_evacuations() -> Evacuations:
@@ -112,15 +112,15 @@
     Examples
     --------
     >>> evacuations = make_evacuations()
-    >>> evacuations.on_record(ZoneId("a"), True, Offset(3))
+    >>> evacuations.on_record(ZoneId("a"), True, LogPosition(3))
     (EvacuationChange(zone='a', is_evacuated=True),)
     >>> ZoneId("a") in evacuations
     True
-    >>> evacuations.on_set({}, Offset(3))
+    >>> evacuations.on_set({}, LogPosition(3))
     ()
-    >>> evacuations.on_set({}, Offset(4))
+    >>> evacuations.on_set({}, LogPosition(4))
     ()
-    >>> evacuations.on_set({}, Offset(5))
+    >>> evacuations.on_set({}, LogPosition(5))
     (EvacuationChange(zone='a', is_evacuated=False),)
     """
     return Evacuations()
--- a/chervilgw/membership/tests/test_evacuations.py
+++ b/chervilgw/membership/tests/test_evacuations.py
@@ -67,14 +67,14 @@
     def receive_report(self, reader, data):
         if self.reports:
             report = data.draw(st.sampled_from(self.reports))
-            changes = self.readers[reader].on_set(report.offsets, report.end)
+            changes = self.readers[reader].on_set(report.positions, report.end)
             self.apply(reader, changes)
 
     @invariant()
     def sets_equal_the_log(self):
         for index, reader in enumerate(self.readers):
             report, known = reader.report(), self.known[index]
-            zones, end = (report.offsets, report.end) if report else ({}, 0)
+            zones, end = (report.positions, report.end) if report else ({}, 0)
             assert end >= self.ends[index]
             self.ends[index] = end
             assert zones == self.expected(end)
--- a/chervilgw/platform/followers.py
+++ b/chervilgw/platform/followers.py
@@ -70,6 +70,11 @@
         self.step, self.page_after = FollowerStep.LIST, None
         self.due_s = now_s
 
+    def on_restored(self, now_s: float) -> None:
+        """Discard the position and the call, which refer to an earlier era."""
+        self.call = None
+        self.restart_listing(now_s)
+
 
 @dataclass(slots=True)
 class Write:
--- a/chervilgw/platform/log_format.py
+++ b/chervilgw/platform/log_format.py
@@ -16,9 +16,10 @@
 
 from pydantic import Field
 
-from chervilgw.core.ids import Offset, ZoneId
+from chervilgw.core.ids import LogPosition, Offset, ZoneId
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.records import Record, parse_record
+from chervilgw.platform.store_era import MAX_OFFSET, StoreEra, to_position
 
 CONFIGURATION_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
@@ -34,7 +35,6 @@
 _READ_HEADER = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _MAX_KEY_BYTES = 255
-MAX_OFFSET = 2**63 - 1
 MAX_APPEND_ANSWER_BYTES = 65_536
 
 
@@ -42,7 +42,7 @@
 class KeyedRecord:
     """One record of a keyed topic; ``value`` is None if the key was removed."""
 
-    offset: Offset
+    position: LogPosition
     key: str
     value: bytes | None
 
@@ -117,13 +117,13 @@
     return ZoneId(zone) if zone and zone != key else None
 
 
-def decode_page(body: bytes, start: Offset) -> Page:
-    """Decode the answer to a read from ``start``.
+def decode_page(body: bytes, start: Offset, era: StoreEra | None) -> Page:
+    """Decode the answer to a read from ``start`` in an era of the store.
 
     Raises
     ------
     DecodeError
-        If the body ends within a record.
+        If the body ends within a record, or an offset is out of range.
     """
     if len(body) < _READ_HEADER.size:
         raise DecodeError("log read: truncated header")
@@ -138,25 +138,27 @@
         if len(content) < size:
             raise DecodeError("log read: truncated record")
         position += size
-        record = _decode_keyed(content, offset)
+        record = _decode_keyed(content, to_position(era, offset))
         if record is not None:
             records.append(record)
         offset = Offset(offset + 1)
     return Page(tuple(records), offset)
 
 
-def _decode_keyed(content: bytes, offset: Offset) -> KeyedRecord | None:
+def _decode_keyed(content: bytes, position: LogPosition) -> KeyedRecord | None:
     """Return the record, or None for malformed bytes of another writer."""
     if not content or len(content) < 1 + content[0]:
         return None
     end = 1 + content[0]
     key = content[1:end].decode("utf-8", "replace")
     value = content[end:]
-    return KeyedRecord(offset, key, value or None)
+    return KeyedRecord(position, key, value or None)
 
 
-def decode_listing(body: bytes) -> Listing:
-    """Decode one page of a listing; items that are no keyed records are left out.
+def decode_listing(body: bytes, era: StoreEra | None) -> Listing:
+    """Decode one page of a listing in an era of the store.
+
+    Items that are no keyed records are left out.
 
     Raises
     ------
@@ -169,7 +171,7 @@
         continue_after = items[-1]["key"] if answer.get("truncated") and items else None
         if not isinstance(continue_after, str | None):
             raise TypeError("the last key is not a string")
-        records = tuple(map(_decode_item, items))
+        records = tuple(_decode_item(item, era) for item in items)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise DecodeError(f"log listing: {type(error).__name__}: {error}") from error
     except RecursionError:
@@ -181,7 +183,7 @@
     return Listing(kept, continue_after, Offset(end), malformed)
 
 
-def _decode_item(item: dict[str, Any]) -> KeyedRecord | None:
+def _decode_item(item: dict[str, Any], era: StoreEra | None) -> KeyedRecord | None:
     """Return the record of a listing's item, or None if its content is malformed.
 
     Raises
@@ -197,7 +199,9 @@
         content = base64.b64decode(value, validate=True)
     except (UnicodeEncodeError, binascii.Error):
         return None
-    return KeyedRecord(Offset(offset), key, content) if _is_offset(offset) else None
+    if not _is_offset(offset):
+        return None
+    return KeyedRecord(to_position(era, Offset(offset)), key, content)
 
 
 def _is_offset(value: Any) -> bool:
--- a/chervilgw/platform/operator_records.py
+++ b/chervilgw/platform/operator_records.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from chervilgw.core.deployment import Deployment
-from chervilgw.core.ids import NO_OFFSET, Offset, ZoneId
+from chervilgw.core.ids import NO_POSITION, LogPosition, ZoneId
 from chervilgw.platform import log_format
 from chervilgw.platform.configuration import decode_configuration
 from chervilgw.platform.errors import DecodeError
@@ -20,10 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """A newer configuration, and the offset of its record."""
+    """A newer configuration, and the position of its record."""
 
     deployment: Deployment
-    offset: Offset
+    position: LogPosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,15 +32,15 @@
 
     zone: ZoneId
     is_evacuated: bool
-    offset: Offset
+    position: LogPosition
 
 
 @dataclass(frozen=True, slots=True)
 class ZonesListed:
-    """All evacuated zones with the offsets of their records, as of offset ``end``."""
+    """All evacuated zones with the positions of their records, as of ``end``."""
 
-    offsets: dict[ZoneId, Offset]
-    end: Offset
+    positions: dict[ZoneId, LogPosition]
+    end: LogPosition
 
 
 Output = ConfigurationRead | ZoneRecordRead | ZonesListed
@@ -51,10 +51,10 @@
     """Operators' records read by one process; see :func:`make_operator_records`."""
 
     _version: int = -1
-    _config_offset: Offset = NO_OFFSET
+    _config_position: LogPosition = NO_POSITION
     _is_listed: bool = False
     _held: ConfigurationRead | None = None
-    _zones: dict[ZoneId, Offset] = field(default_factory=dict)
+    _zones: dict[ZoneId, LogPosition] = field(default_factory=dict)
 
     def on_record(self, record: log_format.KeyedRecord) -> list[Output]:
         """Decode a record of a read; return what it changes."""
@@ -64,7 +64,7 @@
         zone = log_format.evacuated_zone(record.key)
         if zone is None:
             return []
-        return [ZoneRecordRead(zone, bool(record.value), record.offset)]
+        return [ZoneRecordRead(zone, bool(record.value), record.position)]
 
     def on_listing_started(self) -> None:
         """Forget the zones of a listing that was not completed."""
@@ -80,15 +80,15 @@
             return []
         zone = log_format.evacuated_zone(record.key)
         if zone is not None and record.value:
-            self._zones[zone] = record.offset
+            self._zones[zone] = record.position
         return []
 
-    def on_listing_ended(self, end: Offset) -> list[Output]:
+    def on_listing_ended(self, end: LogPosition) -> list[Output]:
         """Return what takes effect at the end of a listing, in order.
 
         Parameters
         ----------
-        end : Offset
+        end : LogPosition
             End of the log before the listing was read.
         """
         listed = ZonesListed(self._zones, end)
@@ -100,9 +100,9 @@
         """Return the configuration of a record, or None if it is not newer."""
         if record.value is None:
             return None
-        if record.offset <= self._config_offset:
-            if record.offset < self._config_offset:
-                self._log_ignored(record, "read at a lower offset")
+        if record.position <= self._config_position:
+            if record.position < self._config_position:
+                self._log_ignored(record, "read at a lower position")
             return None
         try:
             deployment = decode_configuration(record.value)
@@ -113,16 +113,16 @@
             if deployment.version < self._version:
                 self._log_ignored(record, "of an older version")
             return None
-        self._version, self._config_offset = deployment.version, record.offset
-        return ConfigurationRead(deployment, record.offset)
+        self._version, self._config_position = deployment.version, record.position
+        return ConfigurationRead(deployment, record.position)
 
     def _log_ignored(self, record: log_format.KeyedRecord, detail: str) -> None:
         log_event(
             "configuration_ignored",
             level="warning",
-            offset=record.offset,
+            position=record.position,
             version_in_force=self._version,
-            offset_in_force=self._config_offset,
+            position_in_force=self._config_position,
             detail=detail,
         )
 
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -15,7 +15,7 @@
 
 from chervilgw.core.addresses import is_address
 from chervilgw.core.deployment import ServerId
-from chervilgw.core.ids import Offset
+from chervilgw.core.ids import LogPosition
 from chervilgw.forward.events import (
     deployment_changed,
     entry_list_read,
@@ -48,7 +48,12 @@
     make_operator_records,
 )
 from chervilgw.platform.servers import decode_server
-from chervilgw.platform.store_era import EraStep, decode_era, make_era_tracker
+from chervilgw.platform.store_era import (
+    EraStep,
+    decode_era,
+    make_era_tracker,
+    to_position,
+)
 from chervilgw.platform.usage import decode_usage, encode_usage
 from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.settings.vm import VmSettings
@@ -74,7 +79,7 @@
         self._is_store_lost = False
         self._eras = make_era_tracker()
         self._writes: list[Write] = []
-        self._ignored_offsets: dict[str, Offset] = {}
+        self._ignored: dict[str, LogPosition] = {}
         self._fencing_token_reply_to = ""
         topic = log_format.CONFIGURATION_TOPIC
         # A silent connection delays a record by the time that a read waits.
@@ -136,7 +141,9 @@
     @handler("call_done")
     def _on_call_done(self, done):
         now_s = time.monotonic()
-        self._observe_era(done)
+        if self._observe_era(done, now_s) is EraStep.OUTDATED:
+            self._repeat(done.call, now_s)
+            return
         if done.status >= 500 or done.status == 429:
             self._handle_failure(done.call, f"status {done.status}", now_s)
             return
@@ -153,7 +160,7 @@
                 self._send_due_calls(now_s)
                 return
 
-    def _observe_era(self, done):
+    def _observe_era(self, done, now_s: float) -> EraStep:
         former = self._eras.era
         step = self._eras.on_answer(decode_era(done.headers))
         if self._eras.era != former:
@@ -163,6 +170,17 @@
                 "store_restored", level="warning", era=self._eras.era, former=former
             )
             self.fire(store_restored(), "*")
+            for follower in self._followers:
+                follower.on_restored(now_s)
+            self._send_due_calls(now_s)
+        return step
+
+    def _repeat(self, call: str, now_s: float):
+        """Repeat a call whose answer refers to an earlier era of the store."""
+        for pending in (*self._followers, *self._writes):
+            if pending.call == call:
+                pending.call, pending.due_s = None, now_s
+        self._send_due_calls(now_s)
 
     @handler("call_failed")
     def _on_call_failed(self, failed):
@@ -195,7 +213,9 @@
             if follower.step is FollowerStep.LIST:
                 self._apply_listing_page(follower, done, now_s)
             elif done.status == 200:
-                page = log_format.decode_page(done.body, follower.position)
+                page = log_format.decode_page(
+                    done.body, follower.position, self._eras.era
+                )
                 follower.position = page.next_offset
                 for record in page.records:
                     self._apply_record(follower, record)
@@ -217,7 +237,7 @@
             # A topic does not exist before its first record.
             follower.schedule_retry(now_s)
             return
-        listing = log_format.decode_listing(done.body)
+        listing = log_format.decode_listing(done.body, self._eras.era)
         if listing.malformed:
             log_event(
                 "log_items_ignored",
@@ -239,15 +259,16 @@
             self._finish_listing(follower)
 
     def _finish_listing(self, follower: Follower):
+        end = to_position(self._eras.era, follower.listed_end)
         if follower.topic == log_format.SERVERS_TOPIC:
             listed = tuple(map(ServerId, follower.listed_keys))
-            self.fire(server_list_read(listed, follower.listed_end), "*")
+            self.fire(server_list_read(listed, end), "*")
         elif follower.topic == log_format.ENTRIES_TOPIC:
             addresses = tuple(filter(is_address, follower.listed_keys))
             self.fire(entry_list_read(addresses), "*")
             self._followers.remove(follower)
         elif follower.topic == log_format.CONFIGURATION_TOPIC:
-            ended = self._operator_records.on_listing_ended(follower.listed_end)
+            ended = self._operator_records.on_listing_ended(end)
             self._fire_outputs(ended)
 
     def _apply_record(self, follower: Follower, record: log_format.KeyedRecord):
@@ -273,45 +294,45 @@
 
     def _apply_server_record(self, record: log_format.KeyedRecord):
         if record.value is None:
-            self.fire(server_unregistered(ServerId(record.key), record.offset), "*")
+            self.fire(server_unregistered(ServerId(record.key), record.position), "*")
             return
         try:
             entry = decode_server(record.key, record.value)
         except DecodeError as error:
             self._log_ignored(record, str(error))
             return
-        self.fire(server_registered(entry, record.offset), "*")
+        self.fire(server_registered(entry, record.position), "*")
 
     def _log_ignored(self, record: log_format.KeyedRecord, detail: str):
         """Log a malformed record once, although each listing returns it again."""
-        if self._ignored_offsets.get(record.key) == record.offset:
+        if self._ignored.get(record.key) == record.position:
             return
-        if len(self._ignored_offsets) >= MAX_IGNORED_KEYS:
-            self._ignored_offsets.clear()
-        self._ignored_offsets[record.key] = record.offset
+        if len(self._ignored) >= MAX_IGNORED_KEYS:
+            self._ignored.clear()
+        self._ignored[record.key] = record.position
         log_event(
             "server_entry_ignored",
             level="warning",
             server=record.key,
-            offset=record.offset,
+            position=record.position,
             detail=detail,
         )
 
     def _fire_outputs(self, outputs: list[Output]):
         for output in outputs:
             match output:
-                case ConfigurationRead(deployment, offset):
+                case ConfigurationRead(deployment, position):
                     log_event(
                         "configuration_applied",
                         version=deployment.version,
-                        offset=offset,
+                        position=position,
                         routes=len(deployment.routes),
                     )
                     self.fire(deployment_changed(deployment), "*")
-                case ZoneRecordRead(zone, is_evacuated, offset):
-                    self.fire(zone_record_read(zone, is_evacuated, offset), "*")
-                case ZonesListed(offsets, end):
-                    self.fire(evacuations_listed(offsets, end), "*")
+                case ZoneRecordRead(zone, is_evacuated, position):
+                    self.fire(zone_record_read(zone, is_evacuated, position), "*")
+                case ZonesListed(positions, end):
+                    self.fire(evacuations_listed(positions, end), "*")
 
     @handler("announce_entry")
     def _on_announce_entry(self, vm: str, address: str):
--- a/chervilgw/platform/store_era.py
+++ b/chervilgw/platform/store_era.py
@@ -23,6 +23,7 @@
 # Positions and fencing tokens stay below 2**53, so that JSON parsers that read numbers
 # as floats keep all their digits.
 _OFFSET_BITS = 36
+MAX_OFFSET = 2**_OFFSET_BITS - 1
 _DIGITS = re.compile(r"[0-9]{1,10}")
 
 
@@ -108,6 +109,6 @@
     >>> to_position(None, Offset(15))
     15
     """
-    if offset >= 1 << _OFFSET_BITS:
+    if offset > MAX_OFFSET:
         raise DecodeError(f"offset {offset} is out of range")
     return LogPosition(((era or 0) << _OFFSET_BITS) + offset)
--- a/chervilgw/platform/tests/test_odd_records.py
+++ b/chervilgw/platform/tests/test_odd_records.py
@@ -8,6 +8,7 @@
 
 import base64
 import json
+from functools import partial
 
 import pytest
 from hypothesis import example, given
@@ -15,7 +16,7 @@
 
 from chervilgw.codec.frames import FrameError, encode, make_decoder
 from chervilgw.core.addresses import is_address
-from chervilgw.core.ids import NO_OFFSET, Offset
+from chervilgw.core.ids import NO_OFFSET, LogPosition
 from chervilgw.platform.boot import decode_settings
 from chervilgw.platform.configuration import decode_configuration
 from chervilgw.platform.engines import decode_report
@@ -29,6 +30,7 @@
 )
 from chervilgw.platform.requests import decode_request
 from chervilgw.platform.servers import decode_server
+from chervilgw.platform.store_era import MAX_OFFSET
 from chervilgw.runtime.events import HttpRequest
 
 ENTRY = {
@@ -168,7 +170,7 @@
 @example(b"\0" * 16 + b"\xff\xff\xff\xff")
 def test_any_page_is_records_or_an_error(body):
     try:
-        page = decode_page(body, NO_OFFSET)
+        page = decode_page(body, NO_OFFSET, None)
     except DecodeError:
         return
     for record in page.records:
@@ -180,13 +182,13 @@
 @example(b'{"items": [], "end": 1e999}')
 @example(b'{"offset": 1e999}')
 def test_any_listing_is_records_or_an_error(body):
-    for decode in (decode_listing, decode_appended):
+    for decode in (partial(decode_listing, era=None), decode_appended):
         try:
             decoded = decode(body)
         except DecodeError:
             continue
         end = decoded.end if hasattr(decoded, "end") else decoded
-        assert 0 <= end < 2**63
+        assert 0 <= end <= MAX_OFFSET
 
 
 def test_odd_item_of_a_listing_does_not_hide_those_beside_it():
@@ -199,8 +201,8 @@
         {"key": "\ud800", "value": value, "offset": 6},
     ]
     body = json.dumps({"items": items, "truncated": True, "end": 9}).encode()
-    listing = decode_listing(body)
-    assert listing.records == (KeyedRecord(Offset(4), "i-1", b"{}"),)
+    listing = decode_listing(body, None)
+    assert listing.records == (KeyedRecord(LogPosition(4), "i-1", b"{}"),)
     assert listing.malformed == 3
     # The next page follows the last item, also if that one is odd.
     assert listing_path("keyed.servers", listing.continue_after)
--- a/chervilgw/platform/tests/test_operator_records.py
+++ b/chervilgw/platform/tests/test_operator_records.py
@@ -88,7 +88,7 @@
     value = json.dumps(CONFIGURATION).encode()
     records.on_listing_started()
     [read] = records.on_listed(KeyedRecord(4, "config", value))
-    assert (read.deployment.version, read.offset) == (CONFIGURATION["version"], 4)
+    assert (read.deployment.version, read.position) == (CONFIGURATION["version"], 4)
     assert records.on_listing_ended(5) == [ZonesListed({}, 5)]
 
 
--- a/chervilgw/routing/warm_up.py
+++ b/chervilgw/routing/warm_up.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServiceRule
-from chervilgw.core.ids import Offset, ServiceName
+from chervilgw.core.ids import LogPosition, ServiceName
 
 # A process that was not scheduled for longer than this may have missed that a server
 # became cold.
@@ -108,7 +108,7 @@
 @dataclass(slots=True)
 class _Server:
     service: ServiceName
-    offset: Offset
+    position: LogPosition
     state: ColdState
     is_registered: bool = True
 
@@ -133,14 +133,14 @@
         return self._rules.get(service)
 
     def on_registered(
-        self, entry: RegisteredServer, offset: Offset, age_s: float, now_s: float
+        self, entry: RegisteredServer, position: LogPosition, age_s: float, now_s: float
     ) -> None:
         """Apply an entry of the list that the directory has accepted.
 
         Parameters
         ----------
         entry : RegisteredServer
-        offset : Offset
+        position : LogPosition
             Position in the list's log. A full listing repeats earlier entries; these
             say nothing of the present.
         age_s : float
@@ -150,12 +150,12 @@
         """
         server = self._servers.get(entry.server)
         if server is not None:
-            if offset <= server.offset:
+            if position <= server.position:
                 return
-            server.offset, server.is_registered = offset, True
+            server.position, server.is_registered = position, True
         if server is None or entry.started_ms != server.state.started_ms:
             state = ColdState(entry.started_ms, now_s - max(0.0, age_s))
-            server = _Server(entry.service, offset, state)
+            server = _Server(entry.service, position, state)
             self._servers[entry.server] = server
         server.state.on_stated(ColdSource.LIST, entry.cold_s, now_s)
 
