--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -35,9 +35,9 @@
     """What is believed of a server.
 
     ``first_position`` is the position of the first entry of this start, ``position``
-    that of the latest one. ``contradicted`` holds the position and the time of the first
-    later entry that names an earlier start. ``is_disowned`` means that another server
-    has answered at the address since the latest entry.
+    that of the latest one. ``contradicted`` holds the position and the time of the
+    first later entry that names an earlier start. ``is_disowned`` means that another
+    server has answered at the address since the latest entry.
     """
 
     entry: RegisteredServer
