Derive fencing tokens from positions, which rise over restores of the store

Cause: a token was the offset of a record plus one, and offsets go back after a restore. Evidence: test_agent_started_after_a_restore_gets_a_higher_fencing_token failed before with "assert 1 > 2". Change: the token is the record's position plus one.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -379,13 +379,14 @@
             return
         try:
             offset = log_format.decode_appended(done.body)
+            token = to_position(self._eras.era, offset) + 1
         except DecodeError as error:
             log_event("store_answer_malformed", level="warning", detail=str(error))
             write.call = None
             write.due_s = time.monotonic() + MAX_RETRY_DELAY_S
             self._writes.append(write)
             return
-        self.fire(fencing_token_assigned(int(offset) + 1), self._fencing_token_reply_to)
+        self.fire(fencing_token_assigned(token), self._fencing_token_reply_to)
 
 
 def make_store_task(
--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import re
 
 import pytest
 
@@ -96,3 +97,28 @@
         "the server drains",
         DRAIN_S,
     )
+
+
+def fencing_tokens(agent):
+    """Return the tokens that the runs of an agent were given, in order."""
+    return list(
+        map(int, re.findall(r'"fence_taken", "fence": (\d+)', agent.log_text()))
+    )
+
+
+def test_agent_started_after_a_restore_gets_a_higher_fencing_token(fleet):
+    """Guards against orders by a lower token than one that the engine has seen."""
+    engines = [
+        fleet.add_server(ip=ip, name=f"i-{number}", service="llm", models={"m1": []})
+        for number, ip in enumerate(("127.0.0.2", "127.0.0.3"))
+    ]
+    before = fleet.store.take_copy()
+    for engine in engines:
+        agent = fleet.add_agent(engine)
+        wait_for(lambda agent=agent: fencing_tokens(agent), "the agent has its token")
+    fleet.store.restore(before)
+    agent.kill()
+    agent.start()
+    wait_for(lambda: len(fencing_tokens(agent)) == 2, "the agent has a new token")
+    former, latter = fencing_tokens(agent)
+    assert latter > former
