Announce entries again after the store came back from a copy

An entry that starts after a restore did not find those that started after the copy, and each of them grants quotas as if it were alone. Cause: an entry appends its address once, at its start, and lists the others once. Evidence: test_entries_find_each_other_after_a_restore_that_forgot_them failed before. Change: on a later era the address is appended again, and the others are listed after it.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -81,6 +81,7 @@
         self._writes: list[Write] = []
         self._ignored: dict[str, LogPosition] = {}
         self._fencing_token_reply_to = ""
+        self._announcement: bytes | None = None
         topic = log_format.CONFIGURATION_TOPIC
         # A silent connection delays a record by the time that a read waits.
         bounds = settings.bounds
@@ -172,6 +173,7 @@
             self.fire(store_restored(), "*")
             for follower in self._followers:
                 follower.on_restored(now_s)
+            self._announce()
             self._send_due_calls(now_s)
         return step
 
@@ -336,10 +338,17 @@
 
     @handler("announce_entry")
     def _on_announce_entry(self, vm: str, address: str):
-        body = log_format.encode_keyed(address, vm.encode())
-        self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "entry"))
+        self._announcement = log_format.encode_keyed(address, vm.encode())
+        self._announce()
         self._send_due_calls(time.monotonic())
 
+    def _announce(self):
+        """Append the address of this entry, and list those of the others after it."""
+        is_pending = any(write.kind == "entry" for write in self._writes)
+        if self._announcement is not None and not is_pending:
+            write = Write(log_format.ENTRIES_TOPIC, self._announcement, "entry")
+            self._writes.append(write)
+
     @handler("server_list_outdated")
     def _on_server_list_outdated(self):
         now_s = time.monotonic()
--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -99,6 +99,12 @@
     )
 
 
+def knows_another(entry):
+    """Return whether an entry has heard or listed an entry beside itself."""
+    text = entry.program.log_text()
+    return '"entry_found"' in text or '"entries_listed", "count": 2' in text
+
+
 def fencing_tokens(agent):
     """Return the tokens that the runs of an agent were given, in order."""
     return list(
@@ -122,3 +128,14 @@
     wait_for(lambda: len(fencing_tokens(agent)) == 2, "the agent has a new token")
     former, latter = fencing_tokens(agent)
     assert latter > former
+
+
+def test_entries_find_each_other_after_a_restore_that_forgot_them(fleet):
+    """Guards against entries on no list, which grant a whole quota each."""
+    fleet.add_server()
+    before = fleet.store.take_copy()
+    first = fleet.add_entry("127.0.0.1", SETTINGS)
+    fleet.store.restore(before)
+    second = fleet.add_entry("127.0.0.2", SETTINGS)
+    for entry in (first, second):
+        wait_for(lambda entry=entry: knows_another(entry), "the entry is found")
