Move the decoding of followed records out of the store task

The decoders of the list of servers and of used quotas need no socket, and get the present time as an argument. No behaviour changes: the tests of chervilgw/platform, of odd entries and of the restore pass.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -15,19 +15,15 @@
 
 from chervilgw.core.addresses import is_address
 from chervilgw.core.deployment import ServerId
-from chervilgw.core.ids import LogPosition
 from chervilgw.forward.events import (
     deployment_changed,
     entry_list_read,
     evacuations_listed,
     fencing_token_assigned,
     server_list_read,
-    server_registered,
-    server_unregistered,
     store_lost,
     store_recovered,
     store_restored,
-    usage_recorded,
     zone_record_read,
 )
 from chervilgw.forward.metrics_task import store_call_counted, store_era_observed
@@ -47,14 +43,14 @@
     ZonesListed,
     make_operator_records,
 )
-from chervilgw.platform.servers import decode_server
 from chervilgw.platform.store_era import (
     EraStep,
     decode_era,
     make_era_tracker,
     to_position,
 )
-from chervilgw.platform.usage import decode_usage, encode_usage
+from chervilgw.platform.topic_records import decode_usage_record, make_server_records
+from chervilgw.platform.usage import encode_usage
 from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.settings.vm import VmSettings
 from chervilgw.telemetry import log_event
@@ -64,8 +60,6 @@
 # How long a read waits for a new configuration in a process that needs only the sizes
 # of models, which rarely change.
 MODEL_SIZES_WAIT_S = 10.0
-# Malformed entries whose versions are remembered, so that each is logged once.
-MAX_IGNORED_KEYS = 1_000
 
 
 class StoreTask(BaseComponent):
@@ -79,7 +73,7 @@
         self._is_store_lost = False
         self._eras = make_era_tracker()
         self._writes: list[Write] = []
-        self._ignored: dict[str, LogPosition] = {}
+        self._server_records = make_server_records()
         self._fencing_token_reply_to = ""
         self._announcement: bytes | None = None
         topic = log_format.CONFIGURATION_TOPIC
@@ -275,50 +269,18 @@
 
     def _apply_record(self, follower: Follower, record: log_format.KeyedRecord):
         if follower.topic == log_format.SERVERS_TOPIC:
-            self._apply_server_record(record)
+            event = self._server_records.decode(record)
+            if event is not None:
+                self.fire(event, "*")
         elif follower.topic == log_format.CONFIGURATION_TOPIC:
             records = self._operator_records
             is_listing = follower.step is FollowerStep.LIST
             decode = records.on_listed if is_listing else records.on_record
             self._fire_outputs(decode(record))
         elif record.key == log_format.USAGE_KEY and record.value is not None:
-            self._apply_usage_record(record.value)
-
-    def _apply_usage_record(self, value: bytes):
-        try:
-            used, unix_ms = decode_usage(value)
-        except DecodeError as error:
-            log_event("quota_usage_ignored", level="warning", detail=str(error))
-            return
-        age_s = time.time() - unix_ms / 1000
-        log_event("quota_usage_read", used=used, age_s=round(age_s, 3))
-        self.fire(usage_recorded(used, age_s), "*")
-
-    def _apply_server_record(self, record: log_format.KeyedRecord):
-        if record.value is None:
-            self.fire(server_unregistered(ServerId(record.key), record.position), "*")
-            return
-        try:
-            entry = decode_server(record.key, record.value)
-        except DecodeError as error:
-            self._log_ignored(record, str(error))
-            return
-        self.fire(server_registered(entry, record.position), "*")
-
-    def _log_ignored(self, record: log_format.KeyedRecord, detail: str):
-        """Log a malformed record once, although each listing returns it again."""
-        if self._ignored.get(record.key) == record.position:
-            return
-        if len(self._ignored) >= MAX_IGNORED_KEYS:
-            self._ignored.clear()
-        self._ignored[record.key] = record.position
-        log_event(
-            "server_entry_ignored",
-            level="warning",
-            server=record.key,
-            position=record.position,
-            detail=detail,
-        )
+            event = decode_usage_record(record.value, time.time())
+            if event is not None:
+                self.fire(event, "*")
 
     def _fire_outputs(self, outputs: list[Output]):
         for output in outputs:
--- /dev/null
+++ b/chervilgw/platform/topic_records.py
@@ -0,0 +1,80 @@
+"""Decoding of the records of followed topics into the events that they cause."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from circuits import Event
+
+from chervilgw.core.deployment import ServerId
+from chervilgw.core.ids import LogPosition
+from chervilgw.forward.events import (
+    server_registered,
+    server_unregistered,
+    usage_recorded,
+)
+from chervilgw.platform.errors import DecodeError
+from chervilgw.platform.log_format import KeyedRecord
+from chervilgw.platform.servers import decode_server
+from chervilgw.platform.usage import decode_usage
+from chervilgw.telemetry import log_event
+
+# Malformed entries whose versions are remembered, so that each is logged once.
+MAX_IGNORED_KEYS = 1_000
+
+
+@dataclass(slots=True)
+class ServerRecords:
+    """Decoder of the list of servers; see :func:`make_server_records`."""
+
+    _ignored: dict[str, LogPosition] = field(default_factory=dict)
+
+    def decode(self, record: KeyedRecord) -> Event | None:
+        """Return the event that a record causes, or None for a malformed one."""
+        if record.value is None:
+            return server_unregistered(ServerId(record.key), record.position)
+        try:
+            entry = decode_server(record.key, record.value)
+        except DecodeError as error:
+            self._log_ignored(record, str(error))
+            return None
+        return server_registered(entry, record.position)
+
+    def _log_ignored(self, record: KeyedRecord, detail: str) -> None:
+        """Log a malformed record once, although each listing returns it again."""
+        if self._ignored.get(record.key) == record.position:
+            return
+        if len(self._ignored) >= MAX_IGNORED_KEYS:
+            self._ignored.clear()
+        self._ignored[record.key] = record.position
+        log_event(
+            "server_entry_ignored",
+            level="warning",
+            server=record.key,
+            position=record.position,
+            detail=detail,
+        )
+
+
+def make_server_records() -> ServerRecords:
+    """Return the decoder of a process that has read no record."""
+    return ServerRecords()
+
+
+def decode_usage_record(value: bytes, now_unix_s: float) -> Event | None:
+    """Return the event that a record of used quotas causes, None if it is malformed.
+
+    Parameters
+    ----------
+    value : bytes
+    now_unix_s : float
+        Wall-clock time, from which the age of the record follows.
+    """
+    try:
+        used, unix_ms = decode_usage(value)
+    except DecodeError as error:
+        log_event("quota_usage_ignored", level="warning", detail=str(error))
+        return None
+    age_s = now_unix_s - unix_ms / 1000
+    log_event("quota_usage_read", used=used, age_s=round(age_s, 3))
+    return usage_recorded(used, age_s)
