Keep servers whose registration the restored store lacks

Cause: a listing after a restore leaves out servers that registered after the copy, and their removal counted as final until they wrote an entry again. Evidence: test_server_that_the_copy_lacks_keeps_its_work_until_it_writes_again failed before with "assert [] == ['s1']". Change: a restore counts as the end of an outage, after which a missing server is kept for as long as registrations take to come back.

--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -78,6 +78,10 @@
     def _on_store_recovered(self):
         self.fleet.directory.on_store_recovered(time.monotonic())
 
+    @handler("store_restored", channel="*")
+    def _on_store_restored(self):
+        self.fleet.directory.on_store_restored(time.monotonic())
+
     def on_signals(
         self, server: ServerId, started_ms: int, signals: ServerSignals, now_s: float
     ):
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -85,6 +85,13 @@
             self._store_lost = False
             self._store_recovered_s = now_s
 
+    def on_store_restored(self, now_s: float) -> None:
+        """Record that the store came back from a copy.
+
+        Registrations that the copy lacks are written again, as after an outage.
+        """
+        self._store_recovered_s = now_s
+
     def on_entry(
         self, entry: RegisteredServer, position: LogPosition, now_s: float
     ) -> bool:
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -103,6 +103,16 @@
     assert usable(directory, at_s) == ["s1"]
 
 
+def test_server_that_the_copy_lacks_keeps_its_work_until_it_writes_again():
+    """Guards against a live server that is lost with its registration."""
+    directory = make_server_directory()
+    directory.on_entry(server(), 1, 0.0)
+    directory.on_store_restored(10.0)
+    directory.on_listing([], 2**36, 10.0)
+    assert usable(directory, 10.0 + REREGISTRATION_TIMEOUT_S / 2) == ["s1"]
+    assert usable(directory, 10.0 + REREGISTRATION_TIMEOUT_S) == []
+
+
 def test_one_delayed_write_of_a_former_incarnation_changes_nothing():
     directory = make_server_directory()
     directory.on_entry(server(started_ms=2), 1, 0.0)
