Let a server that an outage took stay gone in the next outage

Requests went to a dead server while the store was away. Evidence: test_server_that_did_not_return_after_an_outage_is_not_back_in_the_next_one failed before with "assert ['s1'] == []". Change: an outage that begins after the time to return has passed ends that time for good.

--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -72,7 +72,7 @@
 
     @handler("store_lost", channel="*")
     def _on_store_lost(self):
-        self.fleet.directory.on_store_lost()
+        self.fleet.directory.on_store_lost(time.monotonic())
 
     @handler("store_recovered", channel="*")
     def _on_store_recovered(self):
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -73,8 +73,14 @@
         """Use the services of a configuration; entries of others name no server."""
         self._services = frozenset(services)
 
-    def on_store_lost(self) -> None:
-        """Record that the store does not answer."""
+    def on_store_lost(self, now_s: float) -> None:
+        """Record that the store does not answer.
+
+        Servers that did not return after an earlier outage are gone for good.
+        """
+        if not self._is_recovering(now_s):
+            for record in self._records.values():
+                record.missing_after_outage = False
         self._store_lost = True
 
     def on_store_recovered(self, now_s: float) -> None:
@@ -334,10 +340,7 @@
             return not self._is_replaced(record)
         if not record.missing_after_outage:
             return False
-        return (
-            self._store_lost
-            or now_s < self._store_recovered_s + REREGISTRATION_TIMEOUT_S
-        )
+        return self._is_recovering(now_s)
 
     def _is_named(self, record: _ServerRecord) -> bool:
         return self._services is None or record.entry.service in self._services
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -131,6 +131,21 @@
     assert usable(directory, 10.0 + REREGISTRATION_TIMEOUT_S) == []
 
 
+def test_server_that_did_not_return_after_an_outage_is_not_back_in_the_next_one():
+    """Guards against requests for a dead server whenever the store is lost again."""
+    directory = make_server_directory()
+    directory.on_entry(server(), 1, 0.0)
+    directory.on_store_lost(1.0)
+    directory.on_store_recovered(5.0)
+    directory.on_removed("s1", 2, 5.0)
+    gone_s = 5.0 + REREGISTRATION_TIMEOUT_S
+    assert usable(directory, gone_s) == []
+    directory.on_store_lost(gone_s + 1.0)
+    assert usable(directory, gone_s + 1.0) == []
+    directory.on_store_recovered(gone_s + 2.0)
+    assert usable(directory, gone_s + 2.0) == []
+
+
 def test_one_delayed_write_of_a_former_incarnation_changes_nothing():
     directory = make_server_directory()
     directory.on_entry(server(started_ms=2), 1, 0.0)
@@ -186,7 +201,7 @@
     """Guards against a fleet without servers right after an outage of the store."""
     directory = make_server_directory()
     directory.on_entry(server(), 1, 0.0)
-    directory.on_store_lost()
+    directory.on_store_lost(5.0)
     directory.on_store_recovered(10.0)
     directory.on_removed("s1", 2, 10.1)
     assert usable(directory, 10.0 + REREGISTRATION_TIMEOUT_S - 0.1) == ["s1"]
@@ -260,7 +275,7 @@
 
     @rule()
     def store_goes_and_returns(self):
-        self.directory.on_store_lost()
+        self.directory.on_store_lost(self.now_s)
         self.now_s += 1.0
         self.directory.on_store_recovered(self.now_s)
 
