Keep a server that gave way at its address off after a restore

Requests went to a dead server whose address its successor has. Cause: the entry of the copy has a position of the new era, above the first one of the successor, and counted as written after it. Only servers that were removed or disowned were doubted, not those that had given way while they were still listed. Evidence: test_server_that_gave_way_at_its_address_gets_no_work_by_a_copied_entry failed before with "assert ['old', 'new'] == ['new']". Change: each server that is not present when the store is restored is missing until its second entry, which a live server writes a heartbeat later.

--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -101,10 +101,14 @@
         whose address another server has taken, counts again when it writes its entry
         once more.
         """
-        for record in self._records.values():
-            is_missing = record.missing_since_s is not None
-            is_gone = is_missing and not self._is_present(record, now_s)
-            record.is_doubted = is_gone or record.is_disowned
+        records = self._records.values()
+        gone = [each for each in records if not self._is_present(each, now_s)]
+        for record in records:
+            record.is_doubted = record.is_disowned
+        for record in gone:
+            record.is_doubted = True
+            if record.missing_since_s is None:
+                record.missing_since_s = now_s
         self._store_recovered_s = now_s
 
     def on_entry(
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -146,6 +146,18 @@
     assert usable(directory, gone_s + 2.0) == []
 
 
+def test_server_that_gave_way_at_its_address_gets_no_work_by_a_copied_entry():
+    """Guards against a dead server that the copy's list names after its successor."""
+    directory = make_server_directory()
+    directory.on_entry(server("old", started_ms=1), 1, 0.0)
+    directory.on_entry(server("new", started_ms=2), 2, 0.0)
+    directory.on_store_restored(10.0)
+    copied = 2**36
+    directory.on_entry(server("old", started_ms=1), copied, 10.0)
+    directory.on_listing(["old"], copied + 1, 10.0)
+    assert usable(directory, 10.0) == ["new"]
+
+
 def test_one_delayed_write_of_a_former_incarnation_changes_nothing():
     directory = make_server_directory()
     directory.on_entry(server(started_ms=2), 1, 0.0)
