Keep a server that an outage took off after a restore

Requests went to a dead server for 2.2 s after a restore that showed no outage. Cause: a restore begins anew the time in which servers that lapsed in an outage may return, also for those whose time had ended. Evidence: test_server_that_an_outage_took_is_not_back_after_a_restore failed before with "assert ['s1'] == []". Change: a server that is gone when the store is restored does not wait for its return.

--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -106,7 +106,7 @@
         for record in records:
             record.is_doubted = record.is_disowned
         for record in gone:
-            record.is_doubted = True
+            record.is_doubted, record.missing_after_outage = True, False
             if record.missing_since_s is None:
                 record.missing_since_s = now_s
         self._store_recovered_s = now_s
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -158,6 +158,18 @@
     assert usable(directory, 10.0) == ["new"]
 
 
+def test_server_that_an_outage_took_is_not_back_after_a_restore():
+    """Guards against requests for a dead server whenever the store is restored."""
+    directory = make_server_directory()
+    directory.on_entry(server(), 1, 0.0)
+    directory.on_store_lost(1.0)
+    directory.on_store_recovered(5.0)
+    directory.on_removed("s1", 2, 5.0)
+    restored_s = 5.0 + REREGISTRATION_TIMEOUT_S
+    directory.on_store_restored(restored_s)
+    assert usable(directory, restored_s) == []
+
+
 def test_one_delayed_write_of_a_former_incarnation_changes_nothing():
     directory = make_server_directory()
     directory.on_entry(server(started_ms=2), 1, 0.0)
