Take no evidence against a start from before a restore

A start that had ended could replace the one that runs. Cause: two entries of an earlier start that are 4 s apart refute the later one. The second may be an old entry which the copy holds at a position of the new era. Evidence: test_entry_of_a_former_incarnation_in_the_copy_is_no_evidence failed before with "assert 1 == 2" for the start that is believed. Change: a restore discards the first of the two entries.

--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -104,7 +104,7 @@
         records = self._records.values()
         gone = [each for each in records if not self._is_present(each, now_s)]
         for record in records:
-            record.is_doubted = record.is_disowned
+            record.is_doubted, record.contradicted = record.is_disowned, None
         for record in gone:
             record.is_doubted, record.missing_after_outage = True, False
             if record.missing_since_s is None:
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -170,6 +170,17 @@
     assert usable(directory, restored_s) == []
 
 
+def test_entry_of_a_former_incarnation_in_the_copy_is_no_evidence():
+    """Guards against an ended start that a delayed write and a copied entry revive."""
+    directory = make_server_directory()
+    directory.on_entry(server(started_ms=2), 1, 0.0)
+    directory.on_entry(server(started_ms=1), 2, 1.0)
+    restored_s = 1.0 + CONTRADICTION_TIMEOUT_S
+    directory.on_store_restored(restored_s)
+    directory.on_entry(server(started_ms=1), 2**36, restored_s)
+    assert directory.find("s1").started_ms == 2
+
+
 def test_one_delayed_write_of_a_former_incarnation_changes_nothing():
     directory = make_server_directory()
     directory.on_entry(server(started_ms=2), 1, 0.0)
