Report a server's end only when its successor is first seen

Runs that were given up at a live server could be blamed for a crash of it. Cause: each entry of a later start at a server's address showed that the server had ended, also a known one. The listing after a restore gives the entries of the copy positions above all former ones, so that a server which had written since counted as ended. Evidence: test_entry_of_a_known_start_shows_no_end_of_another_server failed before with "assert [('s1', 1)] == []". Change: an entry of a start that is known shows no end.

--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -168,8 +168,12 @@
     ) -> list[tuple[ServerId, int]]:
         """Return the incarnations that have ended without notice, as an entry shows.
 
-        A later start under the same id, or at the same address, shows that.
+        A later start under the same id, or at the same address, shows that when it is
+        first seen.
         """
+        known = self._records.get(entry.server)
+        if known is not None and known.entry.started_ms == entry.started_ms:
+            return []
         same_place = {entry.server, *self._by_address.get(entry.address, ())}
         records = [
             self._records[server] for server in same_place if server in self._records
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -225,6 +225,16 @@
     assert directory.ended_by(server("s2", started_ms=5), 4) == []
 
 
+def test_entry_of_a_known_start_shows_no_end_of_another_server():
+    """Guards against blame for a live server whose neighbour the copy lists first."""
+    directory = make_server_directory()
+    directory.on_entry(server("s1", started_ms=1), 1, 0.0)
+    directory.on_entry(server("odd", started_ms=9), 2, 0.0)
+    directory.on_entry(server("s1", started_ms=1), 3, 1.2)
+    directory.on_store_restored(2.0)
+    assert directory.ended_by(server("odd", started_ms=9), 2**36) == []
+
+
 def test_removed_server_gets_no_work_at_once():
     directory = make_server_directory()
     directory.on_entry(server(), 1, 0.0)
