Learn no cold time from a gone server that the copy lists

A server that was gone counted as cold, and its record was kept for good. Cause: an entry of the copy that the directory doubted was still applied to the cold times. The later removal of the entry is no news to the directory, which passed none on. Evidence: test_gone_server_that_the_copy_lists_does_not_count_as_cold failed before with "assert 1 == 0" for the number of cold servers. Change: only entries of listed servers are applied.

--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -36,7 +36,9 @@
         now_s = time.monotonic()
         ended = directory.ended_by(entry, position)
         changed = directory.on_entry(entry, position, now_s)
-        if directory.find(entry.server).started_ms == entry.started_ms:
+        # The directory may doubt an entry of a server that was gone.
+        is_listed = directory.is_listed(entry.server)
+        if is_listed and directory.find(entry.server).started_ms == entry.started_ms:
             self.on_cold_listed(entry, position)
         for server, started_ms in ended:
             self.on_server_ended(server, started_ms, now_s)
