Retain evacuations that the restored store lacks

Requests reached servers of an evacuated zone (rule EVAC). Cause: the first listing after a restore replaces the set of evacuated zones, and it lacks those that were acknowledged after the copy. A peer's set does the same at an entry that has not seen the restore itself. Evidence: test_evacuation_that_the_copy_lacks_stays_in_force and test_evacuation_stays_in_force_for_an_entry_that_has_not_seen_the_restore failed before: the first request went to 10.0.0.1:80 in the zone, not to 10.0.0.2:80. Change: with the first position of a later era all zones are retained for 10 s, or until a record or a listing of that era states the zone. The set takes the time as an argument, and the test of its end (test_zone_takes_requests_if_its_evacuation_is_not_written_again) guards the change; it passed before, as nothing was retained.

--- a/chervilgw/core/ids.py
+++ b/chervilgw/core/ids.py
@@ -22,12 +22,28 @@
 RequestTrait = NewType("RequestTrait", str)
 Offset = NewType("Offset", int)
 # Position of a record in the platform's log, comparable also after the store came back
-# from a copy and assigned offsets again.
+# from a copy and assigned offsets again. The bits above the offset rise with each copy.
 LogPosition = NewType("LogPosition", int)
 ShareUnits = NewType("ShareUnits", int)
 
 NO_OFFSET = Offset(-1)
 NO_POSITION = LogPosition(-1)
+# Positions and fencing tokens stay below 2**53, so that JSON parsers that read numbers
+# as floats keep all their digits.
+OFFSET_BITS = 36
+
+
+def is_restored_between(former: LogPosition, later: LogPosition) -> bool:
+    """Return whether the log came back from a copy between two positions.
+
+    Examples
+    --------
+    >>> is_restored_between(LogPosition(7), LogPosition(2**OFFSET_BITS + 3))
+    True
+    >>> is_restored_between(LogPosition(3), LogPosition(7))
+    False
+    """
+    return former >> OFFSET_BITS < later >> OFFSET_BITS
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/chervilgw/forward/evacuation_tracker.py
+++ b/chervilgw/forward/evacuation_tracker.py
@@ -24,14 +24,16 @@
     @handler("zone_record_read", channel="*")
     def _on_zone_record(self, zone: ZoneId, is_evacuated: bool, position: LogPosition):
         evacuations = self.fleet.directory.evacuations
-        changes = evacuations.on_record(zone, is_evacuated, position)
+        now_s = time.monotonic()
+        changes = evacuations.on_record(zone, is_evacuated, position, now_s)
         self._apply_changes(changes, "store", LogPosition(position + 1))
 
     @handler("evacuations_listed", channel="*")
     def _on_evacuations_listed(
         self, positions: dict[ZoneId, LogPosition], end: LogPosition
     ):
-        changes = self.fleet.directory.evacuations.on_set(positions, end)
+        now_s = time.monotonic()
+        changes = self.fleet.directory.evacuations.on_set(positions, end, now_s)
         self._apply_changes(changes, "store", end)
 
     @handler("entry_reported")
@@ -43,9 +45,16 @@
             ZoneId(zone): LogPosition(position)
             for zone, position in report.evacuated.positions.items()
         }
-        changes = self.fleet.directory.evacuations.on_set(positions, end)
+        now_s = time.monotonic()
+        changes = self.fleet.directory.evacuations.on_set(positions, end, now_s)
         self._apply_changes(changes, str(report.sender.vm), end)
 
+    @handler("clock_tick", channel="*")
+    def _on_evacuations_tick(self, now_s, paused):
+        evacuations = self.fleet.directory.evacuations
+        changes = evacuations.expire(now_s)
+        self._apply_changes(changes, "restore", evacuations.end)
+
     def _apply_changes(
         self, changes: tuple[EvacuationChange, ...], source: str, end: LogPosition
     ):
--- a/chervilgw/forward/tests/test_store_restored.py
+++ b/chervilgw/forward/tests/test_store_restored.py
@@ -4,9 +4,11 @@
 from dataclasses import replace
 
 from chervilgw.core.deployment import RegisteredServer, ServerState
+from chervilgw.core.forward_messages import EvacuatedZones
 from chervilgw.forward import events
+from chervilgw.runtime.events import clock_tick
 
-from .test_evacuation import DEPLOYMENT, SERVICES, Entry
+from .test_evacuation import DEPLOYMENT, FAR, NEAR, SERVICES, Entry
 
 COPIED = 2**36
 
@@ -27,3 +29,38 @@
     warm_up = entry.gateway.fleet.warm_up
     warm_up.changes(time.monotonic())
     assert warm_up.count_cold() == 0
+
+
+def test_evacuation_that_the_copy_lacks_stays_in_force():
+    """Guards against requests to a zone until its evacuation is written again."""
+    entry = Entry("desk")
+    entry.evacuate("a", 5)
+    entry.fire(events.store_restored(), "*")
+    entry.fire(events.evacuations_listed({}, COPIED + 3), "*")
+    entry.request("/p/1")
+    entry.evacuate("a", COPIED + 3)
+    entry.request("/p/2")
+    entry.evacuate("a", COPIED + 4, is_evacuated=False)
+    entry.request("/p/3")
+    assert entry.called() == [FAR, FAR, NEAR]
+
+
+def test_evacuation_stays_in_force_for_an_entry_that_has_not_seen_the_restore():
+    """Guards against a peer's set of the new era, which the copy made smaller."""
+    entry = Entry("desk")
+    entry.evacuate("a", 5)
+    entry.report(EvacuatedZones({}, COPIED + 3))
+    entry.request("/p/1")
+    assert entry.called() == [FAR]
+
+
+def test_zone_takes_requests_if_its_evacuation_is_not_written_again(monkeypatch):
+    """Guards against a zone that stays out of use for good."""
+    entry = Entry("desk")
+    entry.evacuate("a", 5)
+    entry.fire(events.evacuations_listed({}, COPIED + 3), "*")
+    late_s = time.monotonic() + 3600.0
+    monkeypatch.setattr(time, "monotonic", lambda: late_s)
+    entry.fire(clock_tick(late_s, 0.0), "*")
+    entry.request("/p/1")
+    assert entry.called() == [NEAR]
--- a/chervilgw/membership/evacuations.py
+++ b/chervilgw/membership/evacuations.py
@@ -2,7 +2,8 @@
 
 A set is known from the operators' log, read in the order of positions, or from another
 entry. The end position of the part of the log that it reflects is its version: of two
-sets the one with the higher version is in force.
+sets the one with the higher version is in force. After the store came back from a copy,
+the log may lack evacuations that are in force; they are retained for a while.
 """
 
 from __future__ import annotations
@@ -11,7 +12,11 @@
 from dataclasses import dataclass, field
 
 from chervilgw.core.forward_messages import EvacuatedZones
-from chervilgw.core.ids import LogPosition, ZoneId
+from chervilgw.core.ids import LogPosition, ZoneId, is_restored_between
+
+# The operators write again what a copy of the store lacks; the platform states no time
+# for it. A zone that is out of use for too long costs capacity only.
+REWRITE_TIMEOUT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,21 +29,31 @@
 
 @dataclass(slots=True)
 class Evacuations:
-    """Evacuated zones known to one process; see :func:`make_evacuations`."""
+    """Evacuated zones known to one process; see :func:`make_evacuations`.
+
+    ``_retained`` holds the zones whose evacuation the log has not stated since it came
+    back from a copy, and until when they count as evacuated.
+    """
 
     _positions: dict[ZoneId, LogPosition] = field(default_factory=dict)
     _end: LogPosition = LogPosition(0)
+    _retained: dict[ZoneId, float] = field(default_factory=dict)
+
+    @property
+    def end(self) -> LogPosition:
+        """Return the end of the part of the log that the set reflects."""
+        return self._end
 
     def __contains__(self, zone: ZoneId) -> bool:
         """Return whether the servers of a zone get no requests."""
-        return zone in self._positions
+        return zone in self._positions or zone in self._retained
 
     def __len__(self) -> int:
         """Return the number of evacuated zones."""
-        return len(self._positions)
+        return len(self._zones())
 
     def on_record(
-        self, zone: ZoneId, is_evacuated: bool, position: LogPosition
+        self, zone: ZoneId, is_evacuated: bool, position: LogPosition, now_s: float
     ) -> tuple[EvacuationChange, ...]:
         """Apply the next record of the log that concerns a zone.
 
@@ -49,28 +64,29 @@
             False if the record revokes the evacuation.
         position : LogPosition
             Position of the record. A record that the set reflects already is ignored.
+        now_s : float
+            Monotonic time.
 
         Returns
         -------
         tuple of EvacuationChange
         """
-        if position < self._end:
-            return ()
-        self._end = LogPosition(position + 1)
-        # A listing may hold records that were appended while it was read.
-        if position <= self._positions.get(zone, -1):
-            return ()
-        was_evacuated = zone in self._positions
-        if is_evacuated:
-            self._positions[zone] = position
-        else:
-            self._positions.pop(zone, None)
-        if was_evacuated == is_evacuated:
-            return ()
-        return (EvacuationChange(zone, is_evacuated),)
+        former = self._zones()
+        if not is_restored_between(position, self._end):
+            self._retain(position, now_s)
+            self._retained.pop(zone, None)
+        if position >= self._end:
+            self._end = LogPosition(position + 1)
+            # A listing may hold records that were appended while it was read.
+            if position > self._positions.get(zone, -1):
+                if is_evacuated:
+                    self._positions[zone] = position
+                else:
+                    self._positions.pop(zone, None)
+        return self._changes_since(former)
 
     def on_set(
-        self, positions: Mapping[ZoneId, LogPosition], end: LogPosition
+        self, positions: Mapping[ZoneId, LogPosition], end: LogPosition, now_s: float
     ) -> tuple[EvacuationChange, ...]:
         """Apply a complete set, from a listing of the log or from another entry.
 
@@ -81,6 +97,8 @@
         end : LogPosition
             End of the part of the log that the set reflects. A set that reflects no
             more than the present one is ignored.
+        now_s : float
+            Monotonic time.
 
         Returns
         -------
@@ -88,15 +106,39 @@
         """
         if end <= self._end:
             return ()
-        former, self._end = self._positions, end
-        self._positions = {zone: at for zone, at in former.items() if at >= end}
+        former = self._zones()
+        self._retain(end, now_s)
+        self._end = end
+        self._positions = {
+            zone: at for zone, at in self._positions.items() if at >= end
+        }
         for zone, at in positions.items():
             self._positions[zone] = max(at, self._positions.get(zone, at))
-        added = sorted(self._positions.keys() - former.keys())
-        removed = sorted(former.keys() - self._positions.keys())
+            self._retained.pop(zone, None)
+        return self._changes_since(former)
+
+    def expire(self, now_s: float) -> tuple[EvacuationChange, ...]:
+        """Revoke evacuations that were not written again after a restore."""
+        expired = [zone for zone, until_s in self._retained.items() if now_s >= until_s]
+        for zone in expired:
+            del self._retained[zone]
+        return tuple(EvacuationChange(zone, False) for zone in sorted(expired))
+
+    def _retain(self, position: LogPosition, now_s: float) -> None:
+        """Retain all zones for a while if the log was restored before a position."""
+        if is_restored_between(self._end, position):
+            until_s = now_s + REWRITE_TIMEOUT_S
+            self._retained = dict.fromkeys(self._zones(), until_s)
+            self._positions = {}
+
+    def _zones(self) -> set[ZoneId]:
+        return self._positions.keys() | self._retained.keys()
+
+    def _changes_since(self, former: set[ZoneId]) -> tuple[EvacuationChange, ...]:
+        zones = self._zones()
         return (
-            *(EvacuationChange(zone, True) for zone in added),
-            *(EvacuationChange(zone, False) for zone in removed),
+            *(EvacuationChange(zone, True) for zone in sorted(zones - former)),
+            *(EvacuationChange(zone, False) for zone in sorted(former - zones)),
         )
 
     def report(self) -> EvacuatedZones | None:
@@ -112,15 +154,15 @@
     Examples
     --------
     >>> evacuations = make_evacuations()
-    >>> evacuations.on_record(ZoneId("a"), True, LogPosition(3))
+    >>> evacuations.on_record(ZoneId("a"), True, LogPosition(3), 0.0)
     (EvacuationChange(zone='a', is_evacuated=True),)
     >>> ZoneId("a") in evacuations
     True
-    >>> evacuations.on_set({}, LogPosition(3))
+    >>> evacuations.on_set({}, LogPosition(3), 0.0)
     ()
-    >>> evacuations.on_set({}, LogPosition(4))
+    >>> evacuations.on_set({}, LogPosition(4), 0.0)
     ()
-    >>> evacuations.on_set({}, LogPosition(5))
+    >>> evacuations.on_set({}, LogPosition(5), 0.0)
     (EvacuationChange(zone='a', is_evacuated=False),)
     """
     return Evacuations()
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -354,9 +354,9 @@
     directory.on_entry(
         replace(server("s2", address="10.0.0.2:80"), zone=ZoneId("b")), 2, 0.0
     )
-    directory.evacuations.on_record(ZoneId("a"), True, 7)
+    directory.evacuations.on_record(ZoneId("a"), True, 7, 0.0)
     assert usable(directory) == ["s2"]
     assert not directory.is_usable("s1", 0.0)
     assert [each.server for each in directory.present(0.0)] == ["s1", "s2"]
-    directory.evacuations.on_record(ZoneId("a"), False, 8)
+    directory.evacuations.on_record(ZoneId("a"), False, 8, 0.0)
     assert usable(directory) == ["s1", "s2"]
--- a/chervilgw/membership/tests/test_evacuations.py
+++ b/chervilgw/membership/tests/test_evacuations.py
@@ -46,14 +46,14 @@
     @rule(reader=READERS)
     def list_all(self, reader):
         end = self.positions[reader] = len(self.log)
-        changes = self.readers[reader].on_set(self.expected(end), end)
+        changes = self.readers[reader].on_set(self.expected(end), end, 0.0)
         self.apply(reader, changes)
 
     @rule(reader=READERS)
     def read_next(self, reader):
         at = self.positions[reader]
         if at is not None and at < len(self.log):
-            changes = self.readers[reader].on_record(*self.log[at], at)
+            changes = self.readers[reader].on_record(*self.log[at], at, 0.0)
             self.apply(reader, changes)
             self.positions[reader] = at + 1
 
@@ -67,7 +67,7 @@
     def receive_report(self, reader, data):
         if self.reports:
             report = data.draw(st.sampled_from(self.reports))
-            changes = self.readers[reader].on_set(report.positions, report.end)
+            changes = self.readers[reader].on_set(report.positions, report.end, 0.0)
             self.apply(reader, changes)
 
     @invariant()
@@ -89,16 +89,16 @@
     """Guards against an older record that revokes what the listing showed already."""
     evacuations = make_evacuations()
     # The log ended at 4 when the listing began; records 4 and 5 came meanwhile.
-    evacuations.on_set({"a": 5}, 4)
-    assert evacuations.on_record("a", False, 4) == ()
-    assert evacuations.on_record("a", True, 5) == ()
-    assert evacuations.on_set({}, 5) == ()
-    assert evacuations.on_record("a", False, 6) == (EvacuationChange("a", False),)
+    evacuations.on_set({"a": 5}, 4, 0.0)
+    assert evacuations.on_record("a", False, 4, 0.0) == ()
+    assert evacuations.on_record("a", True, 5, 0.0) == ()
+    assert evacuations.on_set({}, 5, 0.0) == ()
+    assert evacuations.on_record("a", False, 6, 0.0) == (EvacuationChange("a", False),)
 
 
 def test_record_that_another_entry_had_read_before_changes_nothing():
     """Guards against an entry that falls behind what it knew from a peer."""
     evacuations = make_evacuations()
-    evacuations.on_set({}, 9)
-    assert evacuations.on_record("a", True, 6) == ()
+    evacuations.on_set({}, 9, 0.0)
+    assert evacuations.on_record("a", True, 6, 0.0) == ()
     assert evacuations.report().end == 9
--- a/chervilgw/platform/store_era.py
+++ b/chervilgw/platform/store_era.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import NewType
 
-from chervilgw.core.ids import LogPosition, Offset
+from chervilgw.core.ids import OFFSET_BITS, LogPosition, Offset
 from chervilgw.platform.errors import DecodeError
 from chervilgw.runtime.events import Headers
 
@@ -20,10 +20,7 @@
 _ERA_HEADER = "store-era"
 # An era that no number of restores reaches is not believed.
 MAX_ERA = 2**16
-# Positions and fencing tokens stay below 2**53, so that JSON parsers that read numbers
-# as floats keep all their digits.
-_OFFSET_BITS = 36
-MAX_OFFSET = 2**_OFFSET_BITS - 1
+MAX_OFFSET = 2**OFFSET_BITS - 1
 _DIGITS = re.compile(r"[0-9]{1,10}")
 
 
@@ -111,4 +108,4 @@
     """
     if offset > MAX_OFFSET:
         raise DecodeError(f"offset {offset} is out of range")
-    return LogPosition(((era or 0) << _OFFSET_BITS) + offset)
+    return LogPosition(((era or 0) << OFFSET_BITS) + offset)
