Tell entries that start after a restore which zones are retained

Requests reached servers of an evacuated zone from an entry that started between the restore and the operators' repeated write (rule EVAC). Cause: it knows only the copy, and its set reflects as much of the log as those of its peers, so that it ignored theirs. Evidence: test_entry_that_starts_after_the_restore_learns_of_an_evacuation_from_a_peer failed before: the request went to 10.0.0.1:80 in the zone, not to 10.0.0.2:80. Change: reports hold the retained zones with the time that is left. An entry takes each over once in an era, and not if the log has stated the zone since; else entries would prolong the time for each other (test_revoked_zone_is_not_evacuated_again_by_a_peer_that_retains_it, which guards the change and passed before).

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -24,10 +24,13 @@
 
     ``positions`` maps a zone to the position in the operators' log of the record that
     evacuated it. ``end`` is the end of the part of the log that the set reflects.
+    ``retained`` maps a zone that was evacuated before the log came back from a copy,
+    and that the log has not stated since, to the seconds for which it still counts.
     """
 
     positions: dict[str, int]
     end: int
+    retained: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/entry_reporter.py
+++ b/chervilgw/forward/entry_reporter.py
@@ -114,7 +114,7 @@
             self._deployment is not None and self._drain_policy.accepts_all(now_s),
             self.fleet.directory.leaving(now_s),
             draining=self._drain_policy.is_draining,
-            evacuated=self.fleet.directory.evacuations.report(),
+            evacuated=self.fleet.directory.evacuations.report(now_s),
             unwritten_tokens=unwritten_tokens,
             held_tokens=held_tokens,
             granted_ever=self._quota.granted_ever(),
--- a/chervilgw/forward/evacuation_tracker.py
+++ b/chervilgw/forward/evacuation_tracker.py
@@ -46,7 +46,13 @@
             for zone, position in report.evacuated.positions.items()
         }
         now_s = time.monotonic()
-        changes = self.fleet.directory.evacuations.on_set(positions, end, now_s)
+        retained = {
+            ZoneId(zone): remaining_s
+            for zone, remaining_s in report.evacuated.retained.items()
+        }
+        evacuations = self.fleet.directory.evacuations
+        changes = evacuations.on_set(positions, end, now_s)
+        changes += evacuations.on_retained(retained, end, now_s)
         self._apply_changes(changes, str(report.sender.vm), end)
 
     @handler("clock_tick", channel="*")
--- a/chervilgw/forward/tests/test_store_restored.py
+++ b/chervilgw/forward/tests/test_store_restored.py
@@ -64,3 +64,33 @@
     entry.fire(clock_tick(late_s, 0.0), "*")
     entry.request("/p/1")
     assert entry.called() == [NEAR]
+
+
+def last_set(entry):
+    entry.gateway._report(time.monotonic())
+    entry.fire(events.store_recovered(), "*")
+    return entry.sent("entry_report_due")[-1][0].evacuated
+
+
+def test_entry_that_starts_after_the_restore_learns_of_an_evacuation_from_a_peer():
+    """Guards against requests to the zone from an entry that knows only the copy."""
+    peer, entry = Entry("desk"), Entry("desk")
+    peer.evacuate("a", 5)
+    for each in (peer, entry):
+        each.fire(events.evacuations_listed({}, COPIED + 3), "*")
+    entry.report(last_set(peer))
+    entry.request("/p/1")
+    assert entry.called() == [FAR]
+
+
+def test_revoked_zone_is_not_evacuated_again_by_a_peer_that_retains_it():
+    """Guards against entries that evacuate a zone for each other without end."""
+    peer, entry = Entry("desk"), Entry("desk")
+    peer.evacuate("a", 5)
+    peer.fire(events.evacuations_listed({}, COPIED + 3), "*")
+    entry.fire(events.evacuations_listed({}, COPIED + 3), "*")
+    entry.evacuate("a", COPIED + 3)
+    entry.evacuate("a", COPIED + 4, is_evacuated=False)
+    entry.report(last_set(peer))
+    entry.request("/p/1")
+    assert entry.called() == [NEAR]
--- a/chervilgw/membership/evacuations.py
+++ b/chervilgw/membership/evacuations.py
@@ -32,12 +32,14 @@
     """Evacuated zones known to one process; see :func:`make_evacuations`.
 
     ``_retained`` holds the zones whose evacuation the log has not stated since it came
-    back from a copy, and until when they count as evacuated.
+    back from a copy, and until when they count as evacuated. ``_settled`` holds those
+    that the log has stated since, or whose time has ended.
     """
 
     _positions: dict[ZoneId, LogPosition] = field(default_factory=dict)
     _end: LogPosition = LogPosition(0)
     _retained: dict[ZoneId, float] = field(default_factory=dict)
+    _settled: set[ZoneId] = field(default_factory=set)
 
     @property
     def end(self) -> LogPosition:
@@ -74,7 +76,7 @@
         former = self._zones()
         if not is_restored_between(position, self._end):
             self._retain(position, now_s)
-            self._retained.pop(zone, None)
+            self._settle(zone)
         if position >= self._end:
             self._end = LogPosition(position + 1)
             # A listing may hold records that were appended while it was read.
@@ -114,14 +116,42 @@
         }
         for zone, at in positions.items():
             self._positions[zone] = max(at, self._positions.get(zone, at))
-            self._retained.pop(zone, None)
+            self._settle(zone)
+        return self._changes_since(former)
+
+    def on_retained(
+        self, remaining_s: Mapping[ZoneId, float], end: LogPosition, now_s: float
+    ) -> tuple[EvacuationChange, ...]:
+        """Apply the zones that another entry retains.
+
+        Each is taken over once, so that entries do not prolong its time for each other.
+
+        Parameters
+        ----------
+        remaining_s : mapping of ZoneId to float
+            For how long each zone still counts as evacuated.
+        end : LogPosition
+            End of the set that came with them. They concern only the era that it is of.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        tuple of EvacuationChange
+        """
+        if is_restored_between(end, self._end):
+            return ()
+        former = self._zones()
+        for zone, seconds in remaining_s.items():
+            if zone not in former and zone not in self._settled and seconds > 0:
+                self._retained[zone] = now_s + min(seconds, REWRITE_TIMEOUT_S)
         return self._changes_since(former)
 
     def expire(self, now_s: float) -> tuple[EvacuationChange, ...]:
         """Revoke evacuations that were not written again after a restore."""
         expired = [zone for zone, until_s in self._retained.items() if now_s >= until_s]
         for zone in expired:
-            del self._retained[zone]
+            self._settle(zone)
         return tuple(EvacuationChange(zone, False) for zone in sorted(expired))
 
     def _retain(self, position: LogPosition, now_s: float) -> None:
@@ -129,7 +159,11 @@
         if is_restored_between(self._end, position):
             until_s = now_s + REWRITE_TIMEOUT_S
             self._retained = dict.fromkeys(self._zones(), until_s)
-            self._positions = {}
+            self._positions, self._settled = {}, set()
+
+    def _settle(self, zone: ZoneId) -> None:
+        self._retained.pop(zone, None)
+        self._settled.add(zone)
 
     def _zones(self) -> set[ZoneId]:
         return self._positions.keys() | self._retained.keys()
@@ -141,11 +175,16 @@
             *(EvacuationChange(zone, False) for zone in sorted(former - zones)),
         )
 
-    def report(self) -> EvacuatedZones | None:
+    def report(self, now_s: float) -> EvacuatedZones | None:
         """Return the set for the other entries, or None before one is known."""
         if not self._end:
             return None
-        return EvacuatedZones(dict(self._positions), self._end)
+        retained = {
+            zone: until_s - now_s
+            for zone, until_s in self._retained.items()
+            if until_s > now_s
+        }
+        return EvacuatedZones(dict(self._positions), self._end, retained)
 
 
 def make_evacuations() -> Evacuations:
--- a/chervilgw/membership/tests/test_evacuations.py
+++ b/chervilgw/membership/tests/test_evacuations.py
@@ -59,7 +59,7 @@
 
     @rule(reader=READERS)
     def send_report(self, reader):
-        report = self.readers[reader].report()
+        report = self.readers[reader].report(0.0)
         if report is not None:
             self.reports.append(report)
 
@@ -73,7 +73,7 @@
     @invariant()
     def sets_equal_the_log(self):
         for index, reader in enumerate(self.readers):
-            report, known = reader.report(), self.known[index]
+            report, known = reader.report(0.0), self.known[index]
             zones, end = (report.positions, report.end) if report else ({}, 0)
             assert end >= self.ends[index]
             self.ends[index] = end
@@ -101,4 +101,4 @@
     evacuations = make_evacuations()
     evacuations.on_set({}, 9, 0.0)
     assert evacuations.on_record("a", True, 6, 0.0) == ()
-    assert evacuations.report().end == 9
+    assert evacuations.report(0.0).end == 9
