--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -101,10 +101,14 @@
         whose address another server has taken, counts again when it writes its entry
         once more.
         """
-        for record in self._records.values():
-            is_missing = record.missing_since_s is not None
-            is_gone = is_missing and not self._is_present(record, now_s)
-            record.is_doubted = is_gone or record.is_disowned
+        records = self._records.values()
+        gone = [each for each in records if not self._is_present(each, now_s)]
+        for record in records:
+            record.is_doubted, record.contradicted = record.is_disowned, None
+        for record in gone:
+            record.is_doubted, record.missing_after_outage = True, False
+            if record.missing_since_s is None:
+                record.missing_since_s = now_s
         self._store_recovered_s = now_s
 
     def on_entry(
@@ -164,8 +168,12 @@
     ) -> list[tuple[ServerId, int]]:
         """Return the incarnations that have ended without notice, as an entry shows.
 
-        A later start under the same id, or at the same address, shows that.
+        A later start under the same id, or at the same address, shows that when it is
+        first seen.
         """
+        known = self._records.get(entry.server)
+        if known is not None and known.entry.started_ms == entry.started_ms:
+            return []
         same_place = {entry.server, *self._by_address.get(entry.address, ())}
         records = [
             self._records[server] for server in same_place if server in self._records
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -146,6 +146,41 @@
     assert usable(directory, gone_s + 2.0) == []
 
 
+def test_server_that_gave_way_at_its_address_gets_no_work_by_a_copied_entry():
+    """Guards against a dead server that the copy's list names after its successor."""
+    directory = make_server_directory()
+    directory.on_entry(server("old", started_ms=1), 1, 0.0)
+    directory.on_entry(server("new", started_ms=2), 2, 0.0)
+    directory.on_store_restored(10.0)
+    copied = 2**36
+    directory.on_entry(server("old", started_ms=1), copied, 10.0)
+    directory.on_listing(["old"], copied + 1, 10.0)
+    assert usable(directory, 10.0) == ["new"]
+
+
+def test_server_that_an_outage_took_is_not_back_after_a_restore():
+    """Guards against requests for a dead server whenever the store is restored."""
+    directory = make_server_directory()
+    directory.on_entry(server(), 1, 0.0)
+    directory.on_store_lost(1.0)
+    directory.on_store_recovered(5.0)
+    directory.on_removed("s1", 2, 5.0)
+    restored_s = 5.0 + REREGISTRATION_TIMEOUT_S
+    directory.on_store_restored(restored_s)
+    assert usable(directory, restored_s) == []
+
+
+def test_entry_of_a_former_incarnation_in_the_copy_is_no_evidence():
+    """Guards against an ended start that a delayed write and a copied entry revive."""
+    directory = make_server_directory()
+    directory.on_entry(server(started_ms=2), 1, 0.0)
+    directory.on_entry(server(started_ms=1), 2, 1.0)
+    restored_s = 1.0 + CONTRADICTION_TIMEOUT_S
+    directory.on_store_restored(restored_s)
+    directory.on_entry(server(started_ms=1), 2**36, restored_s)
+    assert directory.find("s1").started_ms == 2
+
+
 def test_one_delayed_write_of_a_former_incarnation_changes_nothing():
     directory = make_server_directory()
     directory.on_entry(server(started_ms=2), 1, 0.0)
@@ -190,6 +225,16 @@
     assert directory.ended_by(server("s2", started_ms=5), 4) == []
 
 
+def test_entry_of_a_known_start_shows_no_end_of_another_server():
+    """Guards against blame for a live server whose neighbour the copy lists first."""
+    directory = make_server_directory()
+    directory.on_entry(server("s1", started_ms=1), 1, 0.0)
+    directory.on_entry(server("odd", started_ms=9), 2, 0.0)
+    directory.on_entry(server("s1", started_ms=1), 3, 1.2)
+    directory.on_store_restored(2.0)
+    assert directory.ended_by(server("odd", started_ms=9), 2**36) == []
+
+
 def test_removed_server_gets_no_work_at_once():
     directory = make_server_directory()
     directory.on_entry(server(), 1, 0.0)
@@ -309,9 +354,9 @@
     directory.on_entry(
         replace(server("s2", address="10.0.0.2:80"), zone=ZoneId("b")), 2, 0.0
     )
-    directory.evacuations.on_record(ZoneId("a"), True, 7)
+    directory.evacuations.on_record(ZoneId("a"), True, 7, 0.0)
     assert usable(directory) == ["s2"]
     assert not directory.is_usable("s1", 0.0)
     assert [each.server for each in directory.present(0.0)] == ["s1", "s2"]
-    directory.evacuations.on_record(ZoneId("a"), False, 8)
+    directory.evacuations.on_record(ZoneId("a"), False, 8, 0.0)
     assert usable(directory) == ["s1", "s2"]
