--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -63,6 +63,8 @@
     body: bytes = b""
     sealed: bool = False
     connected: bool = True
+    key: str = "key-a"
+    path: str = ""
 
 
 @dataclass(slots=True)
@@ -141,8 +143,10 @@
         clients: dict[int, httpx.Client] = {}
         while time.monotonic() < until_s:
             number = rng.randrange(len(self.entries))
-            client = clients.setdefault(number, httpx.Client(timeout=20.0))
-            sent = self._ask(number, rng.choice(list(Kind)), client)
+            client = clients.get(number)
+            if client is None:
+                client = clients[number] = httpx.Client(timeout=20.0)
+            sent = self._ask(number, *self._pick(rng), client=client)
             self.sent.append(sent)
             if sent.status is None:
                 clients.pop(number).close()
@@ -150,35 +154,54 @@
         for client in clients.values():
             client.close()
 
-    def _ask(self, number: int, kind: Kind, client=httpx) -> Sent:
-        attempt = os.urandom(8).hex()
+    def _pick(self, rng: random.Random) -> tuple[Kind, str, str]:
+        """Return the kind, the key and the path of a caller's next request."""
+        kind = rng.choice(list(Kind))
+        return kind, "key-a", kind.value
+
+    def _ask(self, number: int, kind: Kind, key="key-a", path="", client=httpx) -> Sent:
+        attempt, path = os.urandom(8).hex(), path or kind.value
         headers = {
             "Host": "desk.example",
             "X-Attempt-Id": attempt,
-            "X-Credential": "key-a",
+            "X-Credential": key,
             "X-Deadline-Ms": "8000",
         } | (MODEL if kind is Kind.DRAFT else {})
         method = "GET" if kind is Kind.LOOKUP else "POST"
-        url = self.entries[number].url + kind.value + "1"
+        url = self.entries[number].url + path + "1"
         began_s = time.monotonic()
         try:
             answer = client.request(method, url, headers=headers)
         except httpx.HTTPError as error:
-            connected = not isinstance(error, httpx.ConnectError)
-            now_s = time.monotonic()
             return Sent(
-                attempt, kind, number, began_s, now_s, None, connected=connected
+                attempt,
+                kind,
+                number,
+                began_s,
+                time.monotonic(),
+                None,
+                connected=not isinstance(error, httpx.ConnectError),
+                key=key,
+                path=path,
             )
-        sealed = "X-Server-Seal" in answer.headers
-        now_s, status = time.monotonic(), answer.status_code
         return Sent(
-            attempt, kind, number, began_s, now_s, status, answer.content, sealed
+            attempt,
+            kind,
+            number,
+            began_s,
+            time.monotonic(),
+            answer.status_code,
+            answer.content,
+            "X-Server-Seal" in answer.headers,
+            key=key,
+            path=path,
         )
 
     # Faults.
 
-    def _disturb(self, rng: random.Random, until_s: float) -> None:
-        faults: list[Callable[[random.Random], None]] = [
+    def _faults(self, now_s: float) -> list[Callable[[random.Random], None]]:
+        """Return the faults that a series chooses from."""
+        return [
             self._terminate,
             self._kill,
             self._pause,
@@ -186,8 +209,10 @@
             self._store_outage,
             self._configure,
         ]
-        while time.monotonic() < until_s:
-            rng.choice(faults)(rng)
+
+    def _disturb(self, rng: random.Random, until_s: float) -> None:
+        while (now_s := time.monotonic()) < until_s:
+            rng.choice(self._faults(now_s))(rng)
             time.sleep(rng.uniform(0.0, 1.0))
 
     def _terminate(self, rng: random.Random) -> None:
@@ -303,7 +328,7 @@
     return sent.began_s < stop[1] and stop[0] < sent.ended_s
 
 
-def play(seed: int, seconds: float = SECONDS) -> list[str]:
+def play(seed: int, seconds: float = SECONDS, make_soak=Soak) -> list[str]:
     """Play one seed and return what broke a promise.
 
     Parameters
@@ -312,9 +337,11 @@
         Decides the requests and the faults.
     seconds : float
         How long callers and faults go on.
+    make_soak : callable
+        Returns the soak for a random generator, a fleet and ``seconds``.
     """
     with DeployedFleet() as fleet:
-        soak = Soak(random.Random(seed), fleet, seconds)
+        soak = make_soak(random.Random(seed), fleet, seconds)
         soak.set_up()
         try:
             soak.run()
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -118,6 +118,7 @@
     topics: dict[str, list[tuple[str, bytes]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    lock: threading.RLock = field(default_factory=threading.RLock)
 
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a record as an operator or a backend server does."""
@@ -125,17 +126,20 @@
 
     def put_bytes(self, topic: str, key: str, value: bytes) -> None:
         """Append a record with a value that need not be JSON."""
-        self.topics[topic].append((key, value))
+        with self.lock:
+            self.topics[topic].append((key, value))
 
-    def take_copy(self) -> dict[str, int]:
-        """Return the end of each topic, for :meth:`restore`."""
-        return {topic: len(records) for topic, records in self.topics.items()}
+    def take_copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return the records of each topic, for :meth:`restore`."""
+        with self.lock:
+            return {topic: list(records) for topic, records in self.topics.items()}
 
-    def restore(self, copy: dict[str, int]) -> None:
+    def restore(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
         """Break off all connections and go back to a copy, in a new era."""
-        for topic, records in list(self.topics.items()):
-            self.topics[topic] = records[: copy.get(topic, 0)]
-        self.era += 1
+        with self.lock:
+            for topic in list(self.topics):
+                self.topics[topic] = list(copy.get(topic, ()))
+            self.era += 1
         self.break_connections()
 
     def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
@@ -145,29 +149,34 @@
             return
         parts = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        records = self.topics[query["topic"]]
         if parts.path == "/log-append":
             self._append(handler, query["topic"], body)
         elif parts.path == "/log-newest":
-            self._newest(handler, records)
+            self._newest(handler, query["topic"])
         else:
             self._read(handler, query)
 
-    def _reply(self, handler: _Handler, status: int, body: bytes):
-        handler.reply(status, body, {"Store-Era": str(self.era)})
+    def _reply(
+        self, handler: _Handler, status: int, body: bytes, era: int | None = None
+    ):
+        stated = self.era if era is None else era
+        handler.reply(status, body, {"Store-Era": str(stated)})
 
     def _append(self, handler: _Handler, topic: str, body: bytes):
         content = body[4:]
-        offset = len(self.topics[topic])
-        if topic.startswith("keyed."):
-            end = 1 + content[0]
-            self.topics[topic].append((content[1:end].decode(), content[end:]))
-        else:
-            self.topics[topic].append(("", content))
+        with self.lock:
+            era, offset = self.era, len(self.topics[topic])
+            if topic.startswith("keyed."):
+                end = 1 + content[0]
+                self.topics[topic].append((content[1:end].decode(), content[end:]))
+            else:
+                self.topics[topic].append(("", content))
         answer = {"offset": offset, "end": offset + 1}
-        self._reply(handler, 200, json.dumps(answer).encode())
+        self._reply(handler, 200, json.dumps(answer).encode(), era)
 
-    def _newest(self, handler: _Handler, records: list):
+    def _newest(self, handler: _Handler, topic: str):
+        with self.lock:
+            era, records = self.era, list(self.topics[topic])
         newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
@@ -175,13 +184,14 @@
             if value
         ]
         answer = {"items": items, "truncated": False, "end": len(records)}
-        self._reply(handler, 200, json.dumps(answer).encode())
+        self._reply(handler, 200, json.dumps(answer).encode(), era)
 
     def _read(self, handler: _Handler, query: dict[str, str]):
-        start, era = int(query["from"]), self.era
-        records = self.topics[query["topic"]]
+        with self.lock:
+            era, records = self.era, self.topics[query["topic"]]
+        start = int(query["from"])
         if start > len(records):
-            self._reply(handler, 410, json.dumps({"first": 0}).encode())
+            self._reply(handler, 410, json.dumps({"first": 0}).encode(), era)
             return
         until_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         while len(records) <= start and time.monotonic() < until_s and not self.down:
@@ -189,11 +199,12 @@
         if self.era != era:
             handler.drop()
             return
+        records = list(records)
         body = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
-        self._reply(handler, 200, body)
+        self._reply(handler, 200, body, era)
 
 
 class OnResume(Enum):
@@ -259,6 +270,12 @@
         self.born = next(_BORN)
         self.hold.set()
 
+    def start_again(self) -> None:
+        """Listen at another port, as a new incarnation under the same id."""
+        self.born, self.signals = next(_BORN), {}
+        self.orders.clear()
+        self.start()
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return what the server says of itself in the platform's list."""
         return {
@@ -326,6 +343,7 @@
             handler.reply(421 if wrong else 503, b"", refusal)
             return
         run = {"method": method, "path": path, "headers": headers, "body": body}
+        run |= {"at_s": time.monotonic(), "born": self.born, "leaving": False}
         self.runs.append(run)
         is_kept, handler.answered = getattr(handler, "answered", False), True
         if is_kept and self.stale_answer:
@@ -343,6 +361,7 @@
         if not self.sealed:
             seal = {}
         seal |= self.signals
+        run["leaving"] = "Server-Leaving" in self.signals
         if self.status_line:
             self._answer_oddly(handler, seal)
         elif self.endless:
