Pause before a call that was answered in an earlier era of the store

What callers saw: nothing; found by asking what else a restore can break. A store that states an earlier era for a while, as where a process reaches two of its replicas, was called without a pause, and calls are limited and charged. Cause: a call whose answer states an earlier era was repeated at once. Evidence: test_store_that_states_an_earlier_era_is_not_called_without_a_pause failed before with 30 calls of one entry in 1.1 s, and takes over 2 s now. Change: such a call is repeated after the delay of a failed one. The store does not count as lost by it.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -137,7 +137,7 @@
     def _on_call_done(self, done):
         now_s = time.monotonic()
         if self._observe_era(done, now_s) is EraStep.OUTDATED:
-            self._repeat(done.call, now_s)
+            self._schedule_retry(done.call, now_s)
             return
         if done.status >= 500 or done.status == 429:
             self._handle_failure(done.call, f"status {done.status}", now_s)
@@ -171,19 +171,19 @@
             self._send_due_calls(now_s)
         return step
 
-    def _repeat(self, call: str, now_s: float):
-        """Repeat a call whose answer refers to an earlier era of the store."""
-        for pending in (*self._followers, *self._writes):
-            if pending.call == call:
-                pending.call, pending.due_s = None, now_s
-        self._send_due_calls(now_s)
-
     @handler("call_failed")
     def _on_call_failed(self, failed):
         self._handle_failure(failed.call, failed.detail, time.monotonic())
 
     def _handle_failure(self, call: str, detail: str, now_s: float):
         self.fire(store_call_counted("failed"), "metrics")
+        self._schedule_retry(call, now_s)
+        if not self._is_store_lost:
+            self._is_store_lost = True
+            log_event("store_lost", level="warning", detail=detail)
+            self.fire(store_lost(), "*")
+
+    def _schedule_retry(self, call: str, now_s: float):
         for follower in self._followers:
             if follower.call == call:
                 follower.call = None
@@ -192,10 +192,6 @@
             if write.call == call:
                 write.call = None
                 write.due_s = now_s + random.uniform(0.5, 1.0) * MAX_RETRY_DELAY_S
-        if not self._is_store_lost:
-            self._is_store_lost = True
-            log_event("store_lost", level="warning", detail=detail)
-            self.fire(store_lost(), "*")
 
     def _mark_store_available(self):
         if self._is_store_lost:
--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -4,6 +4,7 @@
 
 import copy
 import re
+import time
 
 import pytest
 
@@ -139,3 +140,16 @@
     second = fleet.add_entry("127.0.0.2", SETTINGS)
     for entry in (first, second):
         wait_for(lambda entry=entry: knows_another(entry), "the entry is found")
+
+
+def test_store_that_states_an_earlier_era_is_not_called_without_a_pause(fleet):
+    """Guards against a flood of calls while answers of an earlier era keep coming."""
+    fleet.add_server()
+    fleet.store.era = 7
+    entry = fleet.add_entry(settings=SETTINGS)
+    fleet.store.era = 6
+    before, began_s = fleet.store.calls, time.monotonic()
+    wait_for(lambda: fleet.store.calls >= before + 30, "the store is called again")
+    assert time.monotonic() - began_s > 2.0
+    fleet.store.era = 7
+    write_and_wait(fleet, entry, 10)
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -109,8 +109,8 @@
 class StoreStandIn(StandIn):
     """The store: topics with one partition, records with keys.
 
-    ``down`` refuses all calls with 503. ``era`` is stated in all answers and rises when
-    the store comes back from a copy.
+    ``down`` refuses all calls with 503, ``calls`` counts them. ``era`` is stated in all
+    answers and rises when the store comes back from a copy.
     """
 
     down: bool = False
@@ -119,6 +119,7 @@
         default_factory=lambda: defaultdict(list)
     )
     lock: threading.RLock = field(default_factory=threading.RLock)
+    calls: int = 0
 
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a record as an operator or a backend server does."""
@@ -144,6 +145,7 @@
 
     def on_request(self, handler: _Handler, method: str, path: str, body: bytes):
         """Serve appends, reads and listings."""
+        self.calls += 1
         if self.down:
             self._reply(handler, 503, b"")
             return
