Let the drills lose configurations that were in force

The operator now changes the configuration several times before some restores and rarely in the calm, and copies are up to 6 s old.

--- a/fleet/soak_drills.py
+++ b/fleet/soak_drills.py
@@ -31,7 +31,7 @@
 HEARTBEAT_S = 1.2
 STEP_S = 0.1
 """Time between two copies of the store."""
-COPIES = 40
+COPIES = 60
 TOUCH_S = 3.0
 """The operators' bound on the time that a process needs after a disturbance."""
 CONFIGURATION_DEADLINE_S = 2.0
@@ -168,6 +168,13 @@
         self._restore(rng)
         self._restore(rng)
 
+    def _change_and_restore(self, rng: random.Random) -> None:
+        """Let the store lose several configurations."""
+        for _ in range(rng.randrange(2, 7)):
+            self._configure(rng)
+            time.sleep(rng.uniform(0.05, 0.3))
+        self._restore(rng)
+
     def _configure(self, rng: random.Random) -> None:
         """Add or withdraw a key and a route; none ever comes back."""
         keys_grow, paths_grow = rng.random() < 0.5, rng.random() < 0.5
@@ -205,11 +212,14 @@
 
     def _faults(self, now_s: float) -> list[Callable[[random.Random], None]]:
         if (now_s - self.began_s) % (BURST_S + CALM_S) > BURST_S:
-            return [self._configure, self._leave]
-        drills = [self._restore, self._restore_twice, self._restore]
-        drills += [self._kill_all, self._leave, self._configure]
+            return [self._configure, self._leave, self._wait, self._wait]
+        drills = [self._restore, self._restore_twice, self._change_and_restore]
+        drills += [self._kill_all, self._leave, self._change_and_restore]
         return Soak._faults(self, now_s) + drills
 
+    def _wait(self, rng: random.Random) -> None:
+        time.sleep(rng.uniform(0.5, 1.5))
+
     def _kill_all(self, rng: random.Random) -> None:
         """End all entries at once without notice."""
         for lock in self.busy:
@@ -229,7 +239,7 @@
         if not self.leaving.acquire(blocking=False):
             return
         desk, is_crash = rng.choice(self.desks), rng.random() < 0.2
-        is_announced = rng.random() < 0.7
+        is_announced = rng.random() < 0.5
         if not is_crash:
             desk.signals = rng.choice([{}, {"Server-Leaving": "1"}])
             step = ServerStep.DRAINING if is_announced else ServerStep.GONE
