Ignore used quotas that were recorded before a restore of the store

Cause: the record of the usage is a second old at most, and an entry that starts after all entries ended adds half of a limit for that second. A record from the copy is older by the age of the copy, and lacks all that was granted since. Change: the record bears the era in which it was written, and one of another era says nothing, so that the whole limit counts as used, as without a record. Records of the former version bear no era and are ignored in the first second after an upgrade.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -274,7 +274,7 @@
             decode = records.on_listed if is_listing else records.on_record
             self._fire_outputs(decode(record))
         elif record.key == log_format.USAGE_KEY and record.value is not None:
-            event = decode_usage_record(record.value, time.time())
+            event = decode_usage_record(record.value, self._eras.era, time.time())
             if event is not None:
                 self.fire(event, "*")
 
@@ -317,7 +317,7 @@
 
     @handler("usage_record_due")
     def _on_usage_record_due(self, used):
-        record = encode_usage(used, int(time.time() * 1000))
+        record = encode_usage(used, int(time.time() * 1000), self._eras.era)
         body = log_format.encode_keyed(log_format.USAGE_KEY, record)
         waiting = [write for write in self._writes if write.kind == "usage"]
         if waiting:
--- a/chervilgw/platform/topic_records.py
+++ b/chervilgw/platform/topic_records.py
@@ -16,6 +16,7 @@
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.log_format import KeyedRecord
 from chervilgw.platform.servers import decode_server
+from chervilgw.platform.store_era import StoreEra
 from chervilgw.platform.usage import decode_usage
 from chervilgw.telemetry import log_event
 
@@ -61,17 +62,21 @@
     return ServerRecords()
 
 
-def decode_usage_record(value: bytes, now_unix_s: float) -> Event | None:
-    """Return the event that a record of used quotas causes, None if it is malformed.
+def decode_usage_record(
+    value: bytes, era: StoreEra | None, now_unix_s: float
+) -> Event | None:
+    """Return the event that a record of used quotas causes, None if it is not valid.
 
     Parameters
     ----------
     value : bytes
+    era : StoreEra or None
+        Era of the store in which the record was read.
     now_unix_s : float
         Wall-clock time, from which the age of the record follows.
     """
     try:
-        used, unix_ms = decode_usage(value)
+        used, unix_ms = decode_usage(value, era)
     except DecodeError as error:
         log_event("quota_usage_ignored", level="warning", detail=str(error))
         return None
--- a/fleet/tests/test_restarted_quota.py
+++ b/fleet/tests/test_restarted_quota.py
@@ -50,3 +50,24 @@
     assert len(server.runs) == 3
     # A customer without a limit is served meanwhile.
     assert killed.send("/reserve/1").status_code == 200
+
+
+def test_grants_since_the_copy_of_the_store_count_after_a_restart_of_all(fleet):
+    """Guards against a record of the usage from before grants that the copy lacks."""
+    server = fleet.add_server(name="i-1")
+    entry = fleet.add_entry()
+    wait_for(listed(entry, server), "the server is known")
+    few = {"X-Token-Count": "1,0"}
+    assert entry.send("/reserve/1", key=SMALL, headers=few).status_code == 200
+    wait_for(lambda: recorded_tokens(fleet) == 1, "the first grant is recorded")
+    before = fleet.store.take_copy()
+    many = {"X-Token-Count": "180,0"}
+    for _ in range(3):
+        answer = entry.send("/reserve/1", key=SMALL, headers=many)
+        assert answer.status_code == 200
+    entry.program.kill()
+    fleet.store.restore(before)
+    entry.program.fields["bootstrap"] = "false"
+    entry.program.start()
+    wait_for(entry.is_ready, "the entry is ready again")
+    assert entry.send("/reserve/1", key=SMALL).status_code == 429
