--- a/fleet/tests/test_soak.py
+++ b/fleet/tests/test_soak.py
@@ -3,6 +3,8 @@
 import pytest
 
 from fleet.soak import play
+from fleet.soak_drills import SECONDS as DRILL_SECONDS
+from fleet.soak_drills import DrillSoak
 
 SECONDS = 8.0
 
@@ -15,3 +17,11 @@
     series that overlap, while callers use their connections to the end.
     """
     assert play(seed, SECONDS) == []
+
+
+def test_no_promise_is_broken_when_the_store_comes_back_from_copies():
+    """Guards against what a restore of the store undoes: configurations and leaves.
+
+    On the commit before eras were read (8c6bf7b) this seed broke CONFIG.
+    """
+    assert play(1, DRILL_SECONDS, DrillSoak) == []
