Test that an agent applies a configuration after a restore

The agents' configuration, with the sizes of models, comes by the same follower, with a longer wait.

--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -153,3 +153,25 @@
     assert time.monotonic() - began_s > 2.0
     fleet.store.era = 7
     write_and_wait(fleet, entry, 10)
+
+
+def test_agent_applies_a_configuration_after_a_restore(fleet):
+    """Guards against an agent that goes on with sizes of models that were changed."""
+    engine = fleet.add_server(ip="127.0.0.2", service="llm", models={"m1": []})
+    agent = fleet.add_agent(engine)
+    started = '"configuration_applied", "version": 3,'
+    wait_for(lambda: started in agent.log_text(), "the first version is in force")
+    before = fleet.store.take_copy()
+    for version in (10, 11, 12):
+        fleet.store.put("keyed.op", "config", configuration(version))
+    lost = '"configuration_applied", "version": 12,'
+    wait_for(lambda: lost in agent.log_text(), "version 12 is in force")
+    fleet.store.restore(before)
+    fleet.store.put("keyed.op", "config", configuration(12))
+    fleet.store.put("keyed.op", "config", configuration(20))
+    newest = '"configuration_applied", "version": 20,'
+    wait_for(
+        lambda: newest in agent.log_text(),
+        "the newest version is in force",
+        CONFIGURATION_DEADLINE_S,
+    )
