--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -4,6 +4,7 @@
 
 import copy
 import re
+import time
 
 import pytest
 
@@ -139,3 +140,38 @@
     second = fleet.add_entry("127.0.0.2", SETTINGS)
     for entry in (first, second):
         wait_for(lambda entry=entry: knows_another(entry), "the entry is found")
+
+
+def test_store_that_states_an_earlier_era_is_not_called_without_a_pause(fleet):
+    """Guards against a flood of calls while answers of an earlier era keep coming."""
+    fleet.add_server()
+    fleet.store.era = 7
+    entry = fleet.add_entry(settings=SETTINGS)
+    fleet.store.era = 6
+    before, began_s = fleet.store.calls, time.monotonic()
+    wait_for(lambda: fleet.store.calls >= before + 30, "the store is called again")
+    assert time.monotonic() - began_s > 2.0
+    fleet.store.era = 7
+    write_and_wait(fleet, entry, 10)
+
+
+def test_agent_applies_a_configuration_after_a_restore(fleet):
+    """Guards against an agent that goes on with sizes of models that were changed."""
+    engine = fleet.add_server(ip="127.0.0.2", service="llm", models={"m1": []})
+    agent = fleet.add_agent(engine)
+    started = '"configuration_applied", "version": 3,'
+    wait_for(lambda: started in agent.log_text(), "the first version is in force")
+    before = fleet.store.take_copy()
+    for version in (10, 11, 12):
+        fleet.store.put("keyed.op", "config", configuration(version))
+    lost = '"configuration_applied", "version": 12,'
+    wait_for(lambda: lost in agent.log_text(), "version 12 is in force")
+    fleet.store.restore(before)
+    fleet.store.put("keyed.op", "config", configuration(12))
+    fleet.store.put("keyed.op", "config", configuration(20))
+    newest = '"configuration_applied", "version": 20,'
+    wait_for(
+        lambda: newest in agent.log_text(),
+        "the newest version is in force",
+        CONFIGURATION_DEADLINE_S,
+    )
