--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -23,6 +23,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 WAIT_STEP_S = 0.01
+DEFAULT_VERSION = "v1"
 _BORN = itertools.count(1_700_000_000_000)
 
 
@@ -221,21 +222,24 @@
     """A backend server; it records what it runs.
 
     ``break_after`` closes the connection after that many events of a stream, 0 before
-    any answer. ``endless`` sends bodies without end. With ``sealed`` False answers do
-    not bear the server's signature. ``work_s`` is the time of a run; ``hold`` delays
-    each answer until it is set. ``refuse`` answers that nothing has run. With
-    ``framed`` False a stream has neither a length nor chunks and ends with its
-    connection. ``stale_answer`` is written before each answer on a kept connection, as
-    if it were the answer to an earlier request. ``on_resume`` says how a request that
-    resumes a stream is answered. ``signals`` are headers that all answers bear.
+    any answer; ``break_runs`` limits this to that many further runs. ``endless`` sends
+    bodies without end. With ``sealed`` False answers do not bear the server's
+    signature. ``work_s`` is the time of a run; ``hold`` delays each answer until it is
+    set, or each stream after ``hold_after`` events. ``refuse`` answers that nothing has
+    run. With ``framed`` False a stream has neither a length nor chunks and ends with
+    its connection. ``stale_answer`` is written before each answer on a kept connection,
+    as if it were the answer to an earlier request. ``on_resume`` says how a request
+    that resumes a stream is answered. ``signals`` are headers that all answers bear.
     ``zone`` is the availability zone that the server registers with. ``status_line``
-    takes the place of the first line of each answer to a request.
+    takes the place of the first line of each answer to a request. ``version`` is the
+    version of its software; each event states it unless it is the default.
     """
 
     name: str = "i-1"
     service: str = "desk"
     models: dict[str, list[str]] = field(default_factory=dict)
     break_after: int | None = None
+    break_runs: int | None = None
     endless: bool = False
     sealed: bool = True
     refuse: bool = False
@@ -249,11 +253,13 @@
     deadly_part: str = ""
     on_crash: Callable[[ServerStandIn], None] | None = None
     hold: threading.Event = field(default_factory=threading.Event)
+    hold_after: int = 0
     runs: list[dict[str, Any]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     refused_s: list[float] = field(default_factory=list)
     zone: str = "a"
     status_line: bytes = b""
+    version: str = DEFAULT_VERSION
 
     def __post_init__(self) -> None:
         self.born = next(_BORN)
@@ -265,7 +271,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": state,
             "cold_left_ms": 0,
@@ -332,8 +338,9 @@
             handler.wfile.write(self.stale_answer)
             handler.wfile.flush()
         threading.Event().wait(self.work_s)
-        self.hold.wait(30)
-        if self.break_after == 0:
+        if not self.hold_after:
+            self.hold.wait(30)
+        if self.break_after == 0 and self._breaks():
             handler.drop()
             return
         seal = {
@@ -396,18 +403,41 @@
             self._chunk(handler, b"id: %d\ndata: to" % first)
             first = self.events + 1
         for number in range(first, self.events + 1):
-            if self.break_after is not None and number > self.break_after:
+            if self.hold_after and number > self.hold_after:
+                self.hold.wait(30)
+            is_late = self.break_after is not None and number > self.break_after
+            if is_late and self._breaks():
                 self._chunk(handler, b"id: %d\ndata: cu" % number)
                 handler.wfile.flush()
                 handler.drop()
                 return
-            self._chunk(handler, b"id: %d\ndata: token\n\n" % number)
+            self._chunk(handler, b"id: %d\ndata: %b\n\n" % (number, self._token()))
             threading.Event().wait(self.event_pause_s)
         if self.framed:
             handler.wfile.write(b"0\r\n\r\n")
         else:
             handler.drop()
 
+    def _token(self) -> bytes:
+        """Return the data of an event."""
+        if self.version == DEFAULT_VERSION:
+            return b"token"
+        return b"token " + self.version.encode()
+
+    def _breaks(self) -> bool:
+        """Return whether a run that may break off does so."""
+        if self.break_runs is None:
+            return True
+        self.break_runs -= 1
+        return self.break_runs >= 0
+
+    def restart(self, version: str) -> None:
+        """Start again under the same id with another version of the software."""
+        self.stop()
+        self.port = int(self.address.rpartition(":")[2])
+        self.version, self.born, self.orders = version, next(_BORN), []
+        self.start()
+
     def _crash(self, handler: _Handler):
         handler.wfile.flush()
         handler.drop()
