--- a/chervilgw/codec/frames.py
+++ b/chervilgw/codec/frames.py
@@ -62,6 +62,8 @@
     messages.StreamEnded: 34,
     messages.EngineRestarted: 35,
     messages.GrantMemory: 36,
+    messages.StreamOriginQuery: 37,
+    messages.StreamOrigin: 38,
 }
 
 _LENGTH = struct.Struct(">I")
--- a/chervilgw/codec/openai_answers.py
+++ b/chervilgw/codec/openai_answers.py
@@ -55,6 +55,8 @@
     RefusalReason.SUSPECT_BUSY: (503, _SERVER),
     RefusalReason.LOG_UNAVAILABLE: (503, _SERVER),
     RefusalReason.DEAD_ORIGIN: (503, _SERVER),
+    RefusalReason.STREAM_VERSION_UNKNOWN: (503, _SERVER),
+    RefusalReason.STREAM_VERSION_GONE: (503, _SERVER),
 }
 
 
--- a/chervilgw/core/deployment.py
+++ b/chervilgw/core/deployment.py
@@ -11,7 +11,13 @@
 from enum import Enum
 from typing import NewType
 
-from chervilgw.core.ids import CustomerId, ModelName, ServiceName, ZoneId
+from chervilgw.core.ids import (
+    CustomerId,
+    ModelName,
+    ServiceName,
+    SoftwareVersion,
+    ZoneId,
+)
 
 RouteName = NewType("RouteName", str)
 ServerId = NewType("ServerId", str)
@@ -171,6 +177,8 @@
     ``adapters`` maps a loaded model to its loaded adapters. ``started_ms`` identifies
     the incarnation of the server; ``orders`` counts the orders that it accepted.
     ``cold_s`` is how much longer the server is cold, None if that is not stated.
+    ``software_version`` is that of the server's program: a stream may go on only at the
+    version that began it.
     """
 
     server: ServerId
@@ -184,6 +192,7 @@
     orders: int = 0
     remaining_s: float | None = None
     cold_s: float | None = None
+    software_version: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +203,9 @@
     ``adapter`` are None for a plain service. ``prompt_parts`` lists the parts of the
     prompt in order with their tokens. ``max_wait_s`` is how long the caller will wait.
     ``output_tokens`` is the most that the answer may have, ``hinted_output_tokens`` the
-    caller's estimate.
+    caller's estimate. A request that takes a stream up has the id of the last event
+    that the caller holds in ``last_event``, and in ``begun_by`` the attempt that
+    brought its first event, empty if the caller does not name it.
     """
 
     method: str
@@ -212,6 +223,7 @@
     prompt_parts: tuple[tuple[PromptPartId, int], ...]
     last_event: str | None
     hinted_output_tokens: int | None = None
+    begun_by: AttemptId = AttemptId("")
 
     @property
     def shared_parts(self) -> tuple[PromptPartId, ...]:
--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -136,7 +136,7 @@
     ``cold_s`` is how much longer the server is cold as far as the entry knows from
     other sources than the agent, None if it does not know. ``cold_start_s`` and
     ``cold_per_s`` are those of the server's service, for an agent that has not read the
-    configuration.
+    configuration. ``software_version`` is that of the registered server.
     """
 
     sender: Incarnation
@@ -146,6 +146,7 @@
     cold_s: float | None = None
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,11 +254,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnReleased:
-    """The engine has read the prompt (``was_read``), or the request was withdrawn."""
+    """The engine has read the prompt (``was_read``), or the request was withdrawn.
+
+    ``begun_by`` is the caller's attempt if the engine has begun its stream.
+    """
 
     turn: RequestId
     server: str
     was_read: bool = False
+    begun_by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -284,6 +289,28 @@
     unload: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOriginQuery:
+    """Ask an entry or agent which software version began a stream.
+
+    ``attempt`` is the caller's attempt that brought its first event, ``address`` where
+    the answer is sent. Who does not know the version does not answer.
+    """
+
+    service: str
+    attempt: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The software version that began a stream."""
+
+    service: str
+    attempt: str
+    version: str
+
+
 @dataclass(frozen=True, slots=True)
 class CrashBlame:
     """One crash of a server at which a trait was present.
--- a/chervilgw/core/ids.py
+++ b/chervilgw/core/ids.py
@@ -20,6 +20,7 @@
 CrashId = NewType("CrashId", str)
 Digest = NewType("Digest", str)
 RequestTrait = NewType("RequestTrait", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 Offset = NewType("Offset", int)
 # Position of a record in the platform's log, comparable also after the store came back
 # from a copy and assigned offsets again.
--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -19,6 +19,8 @@
     ModelLoadRequest,
     ReportSubscription,
     StreamEnded,
+    StreamOrigin,
+    StreamOriginQuery,
     SuspicionReport,
     TurnGranted,
     TurnRefused,
@@ -390,5 +392,7 @@
     | TurnRefused
     | TurnReleased
     | StreamEnded
+    | StreamOrigin
+    | StreamOriginQuery
     | ModelLoadRequest
 )
--- a/chervilgw/core/states.py
+++ b/chervilgw/core/states.py
@@ -83,5 +83,7 @@
     BACKEND_LOST = "backend_lost"
     BACKEND_ERROR = "backend_error"
     DEAD_ORIGIN = "dead_origin"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     CONFLICT = "conflict"
     CANCELLED = "cancelled"
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -69,6 +69,25 @@
     """Fencing token for the orders of this process: integer."""
 
 
+class stream_origin_requested(Event):  # noqa: N801
+    """Ask which software version began a stream: service, attempt."""
+
+
+class stream_origin_reported(Event):  # noqa: N801
+    """Another process knows the version that began a stream.
+
+    Service, attempt, software version.
+    """
+
+
+class software_versions_due(Event):  # noqa: N801
+    """Record the software versions that lately served: versions by service."""
+
+
+class software_versions_recorded(Event):  # noqa: N801
+    """A process recorded the software versions that lately served, by service."""
+
+
 class agent_send(Event):  # noqa: N801
     """Send a message to the agent of an engine: server id, message."""
 
--- a/chervilgw/platform/requests.py
+++ b/chervilgw/platform/requests.py
@@ -32,6 +32,7 @@
 _PROMPT_PREFIX_HEADER = "x-prompt-prefix"
 _LENGTH_HINT_HEADER = "x-length-hint"
 _LAST_EVENT_HEADER = "last-event-id"
+_BEGUN_BY_HEADER = "resumes"
 _SEAL_HEADER = "x-server-seal"
 _NOT_RUN_HEADER = "x-not-executed"
 _LEAVING_HEADER = "server-leaving"
@@ -131,6 +132,7 @@
         prompt_parts=_decode_prompt_parts(headers.get(_PROMPT_PREFIX_HEADER)),
         last_event=headers.get(_LAST_EVENT_HEADER),
         hinted_output_tokens=_decode_hint(headers.get(_LENGTH_HINT_HEADER)),
+        begun_by=AttemptId(headers.get(_BEGUN_BY_HEADER, "")),
     )
 
 
--- a/chervilgw/platform/servers.py
+++ b/chervilgw/platform/servers.py
@@ -9,7 +9,7 @@
 from pydantic import Field
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServerState
-from chervilgw.core.ids import ModelName, ServiceName, ZoneId
+from chervilgw.core.ids import ModelName, ServiceName, SoftwareVersion, ZoneId
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.records import (
     MAX_ITEMS,
@@ -51,6 +51,8 @@
     sequence: Count
     time_left_ms: TimeMs | None = None
     cold_left_ms: TimeMs | None = None
+    # Version of the server's software.
+    version: Annotated[str, Field(max_length=MAX_NAME_LENGTH)] | None = None
 
 
 def decode_server(key: str, value: bytes) -> RegisteredServer:
@@ -84,6 +86,7 @@
         orders=entry.sequence,
         remaining_s=to_seconds(entry.time_left_ms),
         cold_s=to_seconds(entry.cold_left_ms),
+        software_version=SoftwareVersion(entry.version or ""),
     )
 
 
