Tell agents which streams their engines began, and at which version

Cause: only the entry that relays a stream knows which server began it. Change: subscriptions state the version of the registered server, and a release that names the caller's attempt follows once the first event has arrived in whole. An incomplete event does not count, as the caller gets nothing of it. A handler behind the one that splits the answer sends it, so that a stream of one event is known as well. Nothing uses the claims yet.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -256,7 +256,8 @@
 class TurnReleased:
     """The engine has read the prompt (``was_read``), or the request was withdrawn.
 
-    ``begun_by`` is the caller's attempt if the engine has begun its stream.
+    ``begun_by`` is the caller's attempt if the engine has begun its stream; such a
+    message follows the release once the first event has arrived in whole.
     """
 
     turn: RequestId
--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -195,7 +195,8 @@
                 server.server,
                 server.started_ms,
                 server.cold_s,
-                *self._cold_rates.get(server.service, ()),
+                *self._cold_rates.get(server.service, (0.0, 0.0)),
+                server.software_version,
             )
             self._send(subscription, [self._agent_address(server)])
 
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -31,6 +31,8 @@
     def __init__(self, incarnation: Incarnation, channel):
         super().__init__(incarnation, channel)
         self._by_turn: dict[RequestId, Exchange] = {}
+        # Turns whose prompt was read, while the first event of a new stream is awaited.
+        self._awaiting_event: dict[RequestId, Exchange] = {}
         self._turn_numbers = count(1)
 
     def request_turn(
@@ -119,14 +121,48 @@
             exchange.unread_tokens = 0
         self._by_turn.pop(exchange.turn, None)
         self._release_turn(exchange.turn, exchange.server, was_read)
+        if was_read and _begins_stream(exchange):
+            self._awaiting_event[exchange.turn] = exchange
         exchange.turn = None
 
+    # The answer's bytes are split into events by a handler of the default priority.
+    @handler("call_data", priority=-1)
+    def _on_answers_split(self, parts):
+        for exchange in list(self._awaiting_event.values()):
+            self._report_begun(exchange)
+
+    def _report_begun(self, exchange: Exchange):
+        """Inform the engine's agent that the engine began the caller's stream.
+
+        Only a whole event counts, as callers get nothing of an incomplete one.
+        """
+        turn = exchange.stream_turn
+        if turn not in self._awaiting_event:
+            return
+        if exchange.cutter is None or not exchange.cutter.events:
+            return
+        del self._awaiting_event[turn]
+        if self._is_same_start(exchange):
+            attempt = exchange.admitted.opaque.attempt
+            released = TurnReleased(turn, exchange.server, True, attempt)
+            self.fire(agent_send(exchange.server, released), "gossip")
+
+    def _is_same_start(self, exchange: Exchange) -> bool:
+        """Return whether the server that got the request is still the registered one.
+
+        Else either start may have answered, and their versions may differ.
+        """
+        server = self.fleet.directory.find(exchange.server)
+        return server is None or server.started_ms == exchange.server_started_ms
+
     def report_stream_end(self, exchange: Exchange, is_done: bool = False):
         """Inform the engine's agent that the request runs no longer at the engine.
 
         ``is_done`` says that the engine ended the answer.
         """
         whole = is_done and exchange.is_whole_stream
+        self._report_begun(exchange)
+        self._awaiting_event.pop(exchange.stream_turn, None)
         ended = exchange.end_stream()
         if ended is not None:
             turn, output_tokens, took_s = ended
@@ -135,3 +171,10 @@
 
     def _release_turn(self, turn: RequestId, server: ServerId, was_read: bool = False):
         self.fire(agent_send(server, TurnReleased(turn, server, was_read)), "gossip")
+
+
+def _begins_stream(exchange: Exchange) -> bool:
+    """Return whether the caller's stream begins at the current server."""
+    opaque = exchange.admitted.opaque
+    is_new = not opaque.last_event and not exchange.events_before
+    return exchange.is_stream and is_new and bool(opaque.attempt)
