Let agents remember which version of their engine began a stream

Change: the agent notes the version of the registered engine when it grants a turn, keeps it under the caller's attempt once the entry reports the first event, and answers queries whatever the state of the engine, so that the knowledge outlives the engine and the entry. The version of the moment of the grant counts, as a report may arrive after the engine was replaced. Turns without a report, attempts and their ids are bounded, as callers choose the ids. Evidence: in test_agent_origins.py the agent answered no query before. With the version of the moment of the report instead, test_late_report_counts_for_the_engine_that_got_the_request and test_agent_answers_only_what_it_knows fail.

--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -17,12 +17,13 @@
 from chervilgw.core.answers import ServerSignals
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.errors import ChervilError
-from chervilgw.core.ids import Incarnation, ModelName
+from chervilgw.core.ids import Incarnation, ModelName, ServiceName, SoftwareVersion
 from chervilgw.core.messages import (
     EngineRestarted,
     ModelLoadRequest,
     ReportSubscription,
     StreamEnded,
+    StreamOriginQuery,
     TurnReleased,
     TurnRequest,
 )
@@ -75,7 +76,7 @@
     """Agent task; see :func:`make_agent_task`."""
 
     def __init__(self, options: AgentOptions, codec: EngineCodec, channel):
-        super().__init__(channel)
+        super().__init__(channel, ServiceName(options.service))
         self._options = options
         self._codec = codec
         self._call_numbers = count(1)
@@ -123,8 +124,9 @@
             case TurnRequest():
                 self.on_turn_request(message, now_s)
             case TurnReleased():
-                self.turns.release(message.turn, now_s, message.was_read)
-                self.grant_turns(now_s)
+                self.on_turn_released(message, now_s)
+            case StreamOriginQuery():
+                self.on_origin_query(message)
             case StreamEnded():
                 self.on_stream_ended(message, now_s)
             case ModelLoadRequest() if message.server == self.server:
@@ -148,6 +150,8 @@
                 log_event("engine_known", server=subscription.server)
             self.server = ServerId(subscription.server)
             self.server_started_ms = subscription.started_ms
+            version = SoftwareVersion(subscription.software_version)
+            self.begun.on_registered(subscription.started_ms, version)
             self.cold.on_subscription(subscription, now_s)
         if is_new and self.orders.state is not None:
             self._forward_report([subscription.address], now_s)
--- a/chervilgw/forward/turn_granter.py
+++ b/chervilgw/forward/turn_granter.py
@@ -6,9 +6,16 @@
 
 from circuits import BaseComponent, Event, handler
 
-from chervilgw.core.deployment import ServerId
-from chervilgw.core.ids import ModelName, RequestId
-from chervilgw.core.messages import StreamEnded, TurnGranted, TurnRefused, TurnRequest
+from chervilgw.core.deployment import AttemptId, ServerId
+from chervilgw.core.ids import ModelName, RequestId, ServiceName
+from chervilgw.core.messages import (
+    StreamEnded,
+    StreamOriginQuery,
+    TurnGranted,
+    TurnRefused,
+    TurnReleased,
+    TurnRequest,
+)
 from chervilgw.forward.metrics_task import (
     cold_requests_counted,
     turn_counted,
@@ -16,6 +23,7 @@
 )
 from chervilgw.forward.request_log import log_turn_answered, log_turn_delayed
 from chervilgw.placement.engine_orders import make_engine_orders
+from chervilgw.routing.begun_streams import make_begun_streams
 from chervilgw.runtime.alarm import alarm_set
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.scheduling.cold_engine import make_cold_engine
@@ -28,6 +36,7 @@
 REFUSAL_DELAY_S = 0.15
 # Half a decode step of an engine: turns that are granted sooner are read no sooner.
 MIN_DELAY_S = 0.005
+NO_SERVICE = ServiceName("")
 
 
 class delay_over(Event):  # noqa: N801
@@ -44,8 +53,9 @@
     Subclasses define ``send_next_order``, which sends the next order to the engine.
     """
 
-    def __init__(self, channel):
+    def __init__(self, channel, service: ServiceName = NO_SERVICE):
         super().__init__(channel=channel)
+        self.begun = make_begun_streams(service)
         self.orders = make_engine_orders()
         self.turns = make_turn_queue()
         self.server: ServerId | None = None
@@ -171,8 +181,25 @@
     def _on_delay_over(self):
         self.grant_turns(time.monotonic())
 
+    def on_turn_released(self, released: TurnReleased, now_s: float):
+        """Record that the prompt was read or withdrawn, and grant the next turns."""
+        self.turns.release(released.turn, now_s, released.was_read)
+        if released.begun_by:
+            attempt = AttemptId(released.begun_by)
+            self.begun.on_begun(released.turn, attempt, now_s)
+        elif not released.was_read:
+            self.begun.on_ended(released.turn)
+        self.grant_turns(now_s)
+
+    def on_origin_query(self, query: StreamOriginQuery):
+        """Answer which version began a stream, whatever the engine's state."""
+        origin = self.begun.answer(query)
+        if origin is not None:
+            self.fire(datagram_send(origin, [query.address]), "datagrams")
+
     def on_stream_ended(self, ended: StreamEnded, now_s: float):
         """Record the end of a stream, and grant the turns that waited for it."""
+        self.begun.on_ended(ended.turn)
         self.turns.budget.on_ended(
             ended.turn, ended.output_tokens, ended.took_s, ended.whole
         )
@@ -213,6 +240,7 @@
         )
         self.fire(turn_counted("given", item.tokens, granted.waited_s), "metrics")
         self.cold.on_granted(item.request_id, granted.waited_s, now_s)
+        self.begun.on_granted(item.request_id)
         waited_s = self.cold.waited_s(item.request_id)
         answer = TurnGranted(item.request_id, self.server, waited_s)
         self._send_answer(granted.turn.address, answer)
--- a/chervilgw/routing/stream_origins.py
+++ b/chervilgw/routing/stream_origins.py
@@ -18,6 +18,8 @@
 RETENTION_S = 120.0
 # Bound of the remembered attempts, as callers choose their ids; the oldest yield.
 MAX_ATTEMPTS = 50_000
+# Longer ids are not remembered, so that the memory stays bounded.
+MAX_ATTEMPT_LENGTH = 200
 
 
 @dataclass(slots=True)
@@ -46,7 +48,7 @@
         Of two claims that differ neither is believed: the attempt's id may be used
         twice, or an engine may have begun what it never delivered.
         """
-        if not attempt:
+        if not 0 < len(attempt) <= MAX_ATTEMPT_LENGTH:
             return
         key = (service, attempt)
         known = self._origins.pop(key, None)
