Ask agents and other entries which version began a stream

Change: on a request of the gateway, the gossip task asks the agents of the service's engines, also of those that left within the time in which callers take streams up, and a bounded number of other entries, which rotate with each repeat. Queries of other entries go to the gateway, which owns the memory, and its answers back to them. Ids that no process remembers are asked for nowhere, as callers choose their length.

--- a/chervilgw/forward/gossip.py
+++ b/chervilgw/forward/gossip.py
@@ -12,8 +12,8 @@
 
 from circuits import BaseComponent, handler
 
-from chervilgw.core.deployment import RegisteredServer, ServerId
-from chervilgw.core.ids import Incarnation, ServiceName, ZoneId
+from chervilgw.core.deployment import AttemptId, RegisteredServer, ServerId
+from chervilgw.core.ids import Incarnation, ServiceName, SoftwareVersion, ZoneId
 from chervilgw.core.messages import (
     DemandReport,
     EngineReport,
@@ -22,6 +22,8 @@
     EntryReportBatch,
     GrantMemory,
     ReportSubscription,
+    StreamOrigin,
+    StreamOriginQuery,
     SuspicionReport,
     TurnGranted,
     TurnRefused,
@@ -34,10 +36,14 @@
     entry_reported,
     grants_remembered,
     server_list_outdated,
+    stream_origin_queried,
+    stream_origin_reported,
     suspicion_reported,
     turn_answered,
 )
+from chervilgw.membership.recent_agents import make_recent_agents
 from chervilgw.membership.relays import PEER_SILENCE_TIMEOUT_S, make_relay_table
+from chervilgw.routing.stream_origins import MAX_ATTEMPT_LENGTH, RETENTION_S
 from chervilgw.runtime.datagrams import datagram_send
 from chervilgw.telemetry import log_event
 
@@ -72,6 +78,8 @@
         self._engine_services: frozenset = frozenset()
         self._subscribed_s: dict[ServerId, float] = {}
         self._cold_rates: dict[ServiceName, tuple[float, float]] = {}
+        self._agents = make_recent_agents(RETENTION_S)
+        self._origin_queries = 0
 
     @handler("started", channel="*")
     def _on_started(self, *args):
@@ -115,6 +123,15 @@
                 self._forward_from_agent(message, sender)
             case TurnGranted() | TurnRefused():
                 self.fire(turn_answered(message), "gateway")
+            case StreamOriginQuery():
+                self.fire(stream_origin_queried(message), "gateway")
+            case StreamOrigin():
+                reported = stream_origin_reported(
+                    ServiceName(message.service),
+                    AttemptId(message.attempt),
+                    SoftwareVersion(message.version),
+                )
+                self.fire(reported, "gateway")
             case SuspicionReport():
                 self.fire(suspicion_reported(message, sender), "gateway")
 
@@ -181,6 +198,11 @@
             if server.service in self._engine_services
         }
         now_s = time.monotonic()
+        present = [
+            (server.service, self._agent_address(server))
+            for server in self._engines.values()
+        ]
+        self._agents.on_present(present, now_s)
         for name in self._subscribed_s.keys() - self._engines.keys():
             del self._subscribed_s[name]
         for name in self._relays.followed(self._engines, now_s):
@@ -200,6 +222,20 @@
             )
             self._send(subscription, [self._agent_address(server)])
 
+    @handler("stream_origin_requested")
+    def _on_stream_origin_requested(self, service: ServiceName, attempt: AttemptId):
+        """Ask the agents of the service's engines, and other entries."""
+        if not 0 < len(attempt) <= MAX_ATTEMPT_LENGTH:
+            return
+        query = StreamOriginQuery(service, attempt, self._options.address)
+        self._origin_queries += 1
+        peers = self._relays.query_targets(self._origin_queries)
+        self._send(query, [*self._agents.addresses(service), *peers])
+
+    @handler("stream_origin_answered")
+    def _on_stream_origin_answered(self, address: str, origin: StreamOrigin):
+        self._send(origin, [address])
+
     @handler("agent_send")
     def _on_agent_send(self, server: ServerId, message):
         engine = self._engines.get(server)
--- a/chervilgw/membership/relays.py
+++ b/chervilgw/membership/relays.py
@@ -35,6 +35,9 @@
 CANDIDATE_SILENCE_TIMEOUT_S = 2.5
 # Entries that are reminded of evidence at once; each of them reminds others in turn.
 REMINDED_PEERS = 2
+# Entries that are asked at once which version began a stream; in a larger fleet a
+# repeated question goes to others.
+MAX_ASKED_PEERS = 40
 # Entries that get the demand: the one that plans and the one that would take over.
 PLANNER_CANDIDATES = 2
 
@@ -115,6 +118,20 @@
         first = number % len(peers) if peers else 0
         return [*peers, *peers][first : first + REMINDED_PEERS][: len(peers)]
 
+    def query_targets(self, number: int) -> list[str]:
+        """Return which peers are asked for what any of them may know.
+
+        Parameters
+        ----------
+        number : int
+            A number that grows between calls.
+        """
+        peers = sorted(self._peers)
+        if len(peers) <= MAX_ASKED_PEERS:
+            return peers
+        first = number * MAX_ASKED_PEERS % len(peers)
+        return [*peers, *peers][first : first + MAX_ASKED_PEERS]
+
     def zone_members(self) -> list[str]:
         """Return the peers in the availability zone of this entry."""
         return [
--- a/chervilgw/membership/tests/test_relays.py
+++ b/chervilgw/membership/tests/test_relays.py
@@ -20,6 +20,7 @@
 from chervilgw.membership.relays import (
     CANDIDATE_SILENCE_TIMEOUT_S,
     DISCOVERY_INTERVAL_REPORTS,
+    MAX_ASKED_PEERS,
     MAX_MESH_ENTRIES,
     RELAY_SILENCE_TIMEOUT_S,
     make_relay_table,
@@ -296,3 +297,13 @@
 
 
 TestDisseminationMachine = DisseminationMachine.TestCase
+
+
+def test_queries_in_a_large_fleet_are_bounded_and_reach_all_entries_in_turn():
+    """Guards against take-ups that load every entry of a large fleet."""
+    table = make_relay_table("10.0.0.1:7600", ZoneId("z"), Incarnation(VmId("e"), 1))
+    peers = [f"10.0.{index}.2:7600" for index in range(100)]
+    table.on_listed(tuple(peers), 0.0)
+    asked = [table.query_targets(number) for number in range(5)]
+    assert {len(targets) for targets in asked} == {MAX_ASKED_PEERS}
+    assert set().union(*asked) == set(peers)
