--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -16,15 +16,12 @@
 from chervilgw.core.addresses import is_address
 from chervilgw.core.deployment import ServerId
 from chervilgw.forward.events import (
-    deployment_changed,
     entry_list_read,
-    evacuations_listed,
     fencing_token_assigned,
     server_list_read,
     store_lost,
     store_recovered,
     store_restored,
-    zone_record_read,
 )
 from chervilgw.forward.metrics_task import store_call_counted, store_era_observed
 from chervilgw.platform import log_format
@@ -37,10 +34,7 @@
     servers_poll_interval_s,
 )
 from chervilgw.platform.operator_records import (
-    ConfigurationRead,
     Output,
-    ZoneRecordRead,
-    ZonesListed,
     make_operator_records,
 )
 from chervilgw.platform.store_era import (
@@ -49,7 +43,11 @@
     make_era_tracker,
     to_position,
 )
-from chervilgw.platform.topic_records import decode_usage_record, make_server_records
+from chervilgw.platform.topic_records import (
+    decode_usage_record,
+    make_operator_event,
+    make_server_records,
+)
 from chervilgw.platform.usage import encode_usage
 from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.settings.vm import VmSettings
@@ -284,19 +282,7 @@
 
     def _fire_outputs(self, outputs: list[Output]):
         for output in outputs:
-            match output:
-                case ConfigurationRead(deployment, position):
-                    log_event(
-                        "configuration_applied",
-                        version=deployment.version,
-                        position=position,
-                        routes=len(deployment.routes),
-                    )
-                    self.fire(deployment_changed(deployment), "*")
-                case ZoneRecordRead(zone, is_evacuated, position):
-                    self.fire(zone_record_read(zone, is_evacuated, position), "*")
-                case ZonesListed(positions, end):
-                    self.fire(evacuations_listed(positions, end), "*")
+            self.fire(make_operator_event(output), "*")
 
     @handler("announce_entry")
     def _on_announce_entry(self, vm: str, address: str):
--- a/chervilgw/platform/topic_records.py
+++ b/chervilgw/platform/topic_records.py
@@ -9,12 +9,21 @@
 from chervilgw.core.deployment import ServerId
 from chervilgw.core.ids import LogPosition
 from chervilgw.forward.events import (
+    deployment_changed,
+    evacuations_listed,
     server_registered,
     server_unregistered,
     usage_recorded,
+    zone_record_read,
 )
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.log_format import KeyedRecord
+from chervilgw.platform.operator_records import (
+    ConfigurationRead,
+    Output,
+    ZoneRecordRead,
+    ZonesListed,
+)
 from chervilgw.platform.servers import decode_server
 from chervilgw.platform.usage import decode_usage
 from chervilgw.telemetry import log_event
@@ -61,6 +70,23 @@
     return ServerRecords()
 
 
+def make_operator_event(output: Output) -> Event:
+    """Return the event of a change by the operators."""
+    match output:
+        case ConfigurationRead(deployment, position):
+            log_event(
+                "configuration_applied",
+                version=deployment.version,
+                position=position,
+                routes=len(deployment.routes),
+            )
+            return deployment_changed(deployment)
+        case ZoneRecordRead(zone, is_evacuated, position):
+            return zone_record_read(zone, is_evacuated, position)
+        case ZonesListed(positions, end):
+            return evacuations_listed(positions, end)
+
+
 def decode_usage_record(value: bytes, now_unix_s: float) -> Event | None:
     """Return the event that a record of used quotas causes, None if it is malformed.
 
