Record the software versions that lately served in the store

Change: the store task keeps the versions under a key in the topic of the entries. It reads the record in the listing that follows the announcement of the entry, and fires it before the list of entries. Nothing is written before that listing, and what is written within the retention after it keeps the versions read: a started entry would else replace the record by what it sees itself. An append is repeated until it is acknowledged, one at a time so that an older one does not replace a newer one. After the store came back from a copy, the last versions that this process wrote are merged into the record of the copy, unless they were written longer ago than streams are taken up.

--- a/chervilgw/platform/log_format.py
+++ b/chervilgw/platform/log_format.py
@@ -26,8 +26,9 @@
 ENTRIES_TOPIC = "keyed.entries"
 FENCES_TOPIC = "fences"
 CONFIGURATION_KEY = "config"
-# Key among the addresses of entries, so that a start reads it without a further call.
+# Keys among the addresses of entries, so that a start reads them with the same call.
 USAGE_KEY = "quota-usage"
+VERSIONS_KEY = "software-versions"
 # Followed by the name of a zone, in the topic of the configuration.
 EVACUATION_PREFIX = "evacuate/"
 
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -19,6 +19,7 @@
     entry_list_read,
     fencing_token_assigned,
     server_list_read,
+    software_versions_recorded,
     store_lost,
     store_recovered,
     store_restored,
@@ -37,6 +38,7 @@
     Output,
     make_operator_records,
 )
+from chervilgw.platform.software_versions import encode_versions, make_version_record
 from chervilgw.platform.store_era import (
     EraStep,
     decode_era,
@@ -44,7 +46,7 @@
     to_position,
 )
 from chervilgw.platform.topic_records import (
-    decode_usage_record,
+    decode_shared_record,
     make_operator_event,
     make_server_records,
 )
@@ -72,6 +74,7 @@
         self._eras = make_era_tracker()
         self._writes: list[Write] = []
         self._server_records = make_server_records()
+        self._version_record = make_version_record()
         self._fencing_token_reply_to = ""
         self._announcement: bytes | None = None
         topic = log_format.CONFIGURATION_TOPIC
@@ -163,6 +166,7 @@
                 "store_restored", level="warning", era=self._eras.era, former=former
             )
             self.fire(store_restored(), "*")
+            self._version_record.on_restored(now_s)
             for follower in self._followers:
                 follower.on_restored(now_s)
             self._announce()
@@ -261,6 +265,8 @@
             addresses = tuple(filter(is_address, follower.listed_keys))
             self.fire(entry_list_read(addresses), "*")
             self._followers.remove(follower)
+            self._version_record.on_listed(time.monotonic())
+            self._write_versions()
         elif follower.topic == log_format.CONFIGURATION_TOPIC:
             ended = self._operator_records.on_listing_ended(end)
             self._fire_outputs(ended)
@@ -275,8 +281,10 @@
             is_listing = follower.step is FollowerStep.LIST
             decode = records.on_listed if is_listing else records.on_record
             self._fire_outputs(decode(record))
-        elif record.key == log_format.USAGE_KEY and record.value is not None:
-            event = decode_usage_record(record.value, time.time())
+        else:
+            event = decode_shared_record(record, time.time())
+            if isinstance(event, software_versions_recorded):
+                self._version_record.on_record(*event.args)
             if event is not None:
                 self.fire(event, "*")
 
@@ -318,6 +326,28 @@
         self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "usage"))
         self._send_due_calls(time.monotonic())
 
+    @handler("software_versions_due")
+    def _on_software_versions_due(self, versions):
+        self._version_record.on_due(versions)
+        self._write_versions()
+
+    def _write_versions(self):
+        """Append the newest versions, after an append that is in flight."""
+        now_s = time.monotonic()
+        waiting = [write for write in self._writes if write.kind == "versions"]
+        if waiting and waiting[0].call is not None:
+            return
+        versions = self._version_record.take_due(now_s)
+        if versions is None:
+            return
+        record = encode_versions(versions)
+        body = log_format.encode_keyed(log_format.VERSIONS_KEY, record)
+        if waiting:
+            waiting[0].body = body
+        else:
+            self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "versions"))
+        self._send_due_calls(now_s)
+
     @handler("fencing_token_requested")
     def _on_fencing_token_requested(self, reply_to: str, vm: str):
         self._fencing_token_reply_to = reply_to
@@ -329,6 +359,9 @@
         self._writes.remove(write)
         if write.kind == "usage":
             return
+        if write.kind == "versions":
+            self._write_versions()
+            return
         if write.kind == "entry":
             # List the entries only after the local record is appended: of two entries
             # that start together, at least the later one then sees the other.
--- a/chervilgw/platform/topic_records.py
+++ b/chervilgw/platform/topic_records.py
@@ -13,11 +13,12 @@
     evacuations_listed,
     server_registered,
     server_unregistered,
+    software_versions_recorded,
     usage_recorded,
     zone_record_read,
 )
 from chervilgw.platform.errors import DecodeError
-from chervilgw.platform.log_format import KeyedRecord
+from chervilgw.platform.log_format import USAGE_KEY, VERSIONS_KEY, KeyedRecord
 from chervilgw.platform.operator_records import (
     ConfigurationRead,
     Output,
@@ -25,6 +26,7 @@
     ZonesListed,
 )
 from chervilgw.platform.servers import decode_server
+from chervilgw.platform.software_versions import decode_versions
 from chervilgw.platform.usage import decode_usage
 from chervilgw.telemetry import log_event
 
@@ -87,15 +89,38 @@
             return evacuations_listed(positions, end)
 
 
-def decode_usage_record(value: bytes, now_unix_s: float) -> Event | None:
-    """Return the event that a record of used quotas causes, None if it is malformed.
+def decode_shared_record(record: KeyedRecord, now_unix_s: float) -> Event | None:
+    """Return the event that a record in the topic of the entries causes.
+
+    It is None for the address of an entry, and for a malformed record of another
+    writer.
 
     Parameters
     ----------
-    value : bytes
+    record : KeyedRecord
     now_unix_s : float
-        Wall-clock time, from which the age of the record follows.
+        Wall-clock time, from which the age of some records follows.
     """
+    if record.value is None:
+        return None
+    if record.key == USAGE_KEY:
+        return _decode_usage_record(record.value, now_unix_s)
+    if record.key == VERSIONS_KEY:
+        return _decode_versions_record(record.value)
+    return None
+
+
+def _decode_versions_record(value: bytes) -> Event | None:
+    try:
+        versions = decode_versions(value)
+    except DecodeError as error:
+        log_event("software_versions_ignored", level="warning", detail=str(error))
+        return None
+    log_event("software_versions_read", versions=versions)
+    return software_versions_recorded(versions)
+
+
+def _decode_usage_record(value: bytes, now_unix_s: float) -> Event | None:
     try:
         used, unix_ms = decode_usage(value)
     except DecodeError as error:
