Test odd frames of queries for the version of a stream

Cause: the tests of the frames derive round trips for all types, but no malformed frame of the new ones, and no frame of an entry of an earlier release without the new fields.

--- a/chervilgw/codec/tests/test_frames.py
+++ b/chervilgw/codec/tests/test_frames.py
@@ -106,6 +106,12 @@
     ),
     "pair of three": (frame([7, RID, 200, [["a", "b", "c"]], 1, 2]), "2 values"),
     "dict key": (frame([17, 1, ["e", 1], {b"x": 1}]), "expected str"),
+    "int for attempt": (frame([37, "llm", 5, "10.0.0.1:1"]), "expected str"),
+    "bytes for attempt": (frame([37, "llm", b"a", "10.0.0.1:1"]), "expected str"),
+    "no address": (frame([37, "llm", "a1"]), "2 of 3 fields"),
+    "no version": (frame([38, "llm", "a1"]), "2 of 3 fields"),
+    "none for version": (frame([38, "llm", "a1", None]), "expected str"),
+    "endless attempt": (frame([37, "llm", "a" * 1000, "10.0.0.1:1"]), "exceeds"),
     "trailing bytes": (struct.pack(">I", 5) + b"\x92\x0b\x07\x00\x00", "trailing"),
     "extension": (frame([11, msgpack.ExtType(5, b"x")]), "extension"),
     "invalid utf-8": (struct.pack(">I", 4) + b"\x92\x0b\xa1\xff", "malformed"),
@@ -143,6 +149,10 @@
     assert old == Heartbeat(1, 2, 3, 4, 0.5, ())
     [new] = decoder.feed(frame([6, RID, 0, 1, b"x", "added later"]))
     assert new == Chunk(REQUEST, 0, 1, b"x")
+    [released] = decoder.feed(frame([30, RID, "i-1", True]))
+    assert released == messages.TurnReleased(REQUEST, "i-1", True, begun_by="")
+    [subscription] = decoder.feed(frame([24, ["e1", 5], "e:1", "i-1", 7]))
+    assert subscription.software_version == ""
     [refused] = decoder.feed(frame([8, RID, "leaving", "not_run", "x"]))
     assert isinstance(refused, Refused) and refused.crash is None
 
