--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -16,15 +16,13 @@
 from chervilgw.core.addresses import is_address
 from chervilgw.core.deployment import ServerId
 from chervilgw.forward.events import (
-    deployment_changed,
     entry_list_read,
-    evacuations_listed,
     fencing_token_assigned,
     server_list_read,
+    software_versions_recorded,
     store_lost,
     store_recovered,
     store_restored,
-    zone_record_read,
 )
 from chervilgw.forward.metrics_task import store_call_counted, store_era_observed
 from chervilgw.platform import log_format
@@ -37,19 +35,21 @@
     servers_poll_interval_s,
 )
 from chervilgw.platform.operator_records import (
-    ConfigurationRead,
     Output,
-    ZoneRecordRead,
-    ZonesListed,
     make_operator_records,
 )
+from chervilgw.platform.software_versions import encode_versions, make_version_record
 from chervilgw.platform.store_era import (
     EraStep,
     decode_era,
     make_era_tracker,
     to_position,
 )
-from chervilgw.platform.topic_records import decode_usage_record, make_server_records
+from chervilgw.platform.topic_records import (
+    decode_shared_record,
+    make_operator_event,
+    make_server_records,
+)
 from chervilgw.platform.usage import encode_usage
 from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.settings.vm import VmSettings
@@ -74,6 +74,7 @@
         self._eras = make_era_tracker()
         self._writes: list[Write] = []
         self._server_records = make_server_records()
+        self._version_record = make_version_record()
         self._fencing_token_reply_to = ""
         self._announcement: bytes | None = None
         topic = log_format.CONFIGURATION_TOPIC
@@ -165,6 +166,7 @@
                 "store_restored", level="warning", era=self._eras.era, former=former
             )
             self.fire(store_restored(), "*")
+            self._version_record.on_restored(now_s)
             for follower in self._followers:
                 follower.on_restored(now_s)
             self._announce()
@@ -259,6 +261,8 @@
             addresses = tuple(filter(is_address, follower.listed_keys))
             self.fire(entry_list_read(addresses), "*")
             self._followers.remove(follower)
+            self._version_record.on_listed(time.monotonic())
+            self._write_versions()
         elif follower.topic == log_format.CONFIGURATION_TOPIC:
             ended = self._operator_records.on_listing_ended(end)
             self._fire_outputs(ended)
@@ -273,26 +277,16 @@
             is_listing = follower.step is FollowerStep.LIST
             decode = records.on_listed if is_listing else records.on_record
             self._fire_outputs(decode(record))
-        elif record.key == log_format.USAGE_KEY and record.value is not None:
-            event = decode_usage_record(record.value, self._eras.era, time.time())
+        else:
+            event = decode_shared_record(record, self._eras.era, time.time())
+            if isinstance(event, software_versions_recorded):
+                self._version_record.on_record(*event.args)
             if event is not None:
                 self.fire(event, "*")
 
     def _fire_outputs(self, outputs: list[Output]):
         for output in outputs:
-            match output:
-                case ConfigurationRead(deployment, position):
-                    log_event(
-                        "configuration_applied",
-                        version=deployment.version,
-                        position=position,
-                        routes=len(deployment.routes),
-                    )
-                    self.fire(deployment_changed(deployment), "*")
-                case ZoneRecordRead(zone, is_evacuated, position):
-                    self.fire(zone_record_read(zone, is_evacuated, position), "*")
-                case ZonesListed(positions, end):
-                    self.fire(evacuations_listed(positions, end), "*")
+            self.fire(make_operator_event(output), "*")
 
     @handler("announce_entry")
     def _on_announce_entry(self, vm: str, address: str):
@@ -328,6 +322,28 @@
         self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "usage"))
         self._send_due_calls(time.monotonic())
 
+    @handler("software_versions_due")
+    def _on_software_versions_due(self, versions):
+        self._version_record.on_due(versions)
+        self._write_versions()
+
+    def _write_versions(self):
+        """Append the newest versions, after an append that is in flight."""
+        now_s = time.monotonic()
+        waiting = [write for write in self._writes if write.kind == "versions"]
+        if waiting and waiting[0].call is not None:
+            return
+        versions = self._version_record.take_due(now_s)
+        if versions is None:
+            return
+        record = encode_versions(versions)
+        body = log_format.encode_keyed(log_format.VERSIONS_KEY, record)
+        if waiting:
+            waiting[0].body = body
+        else:
+            self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "versions"))
+        self._send_due_calls(now_s)
+
     @handler("fencing_token_requested")
     def _on_fencing_token_requested(self, reply_to: str, vm: str):
         self._fencing_token_reply_to = reply_to
@@ -339,6 +355,9 @@
         self._writes.remove(write)
         if write.kind == "usage":
             return
+        if write.kind == "versions":
+            self._write_versions()
+            return
         if write.kind == "entry":
             # List the entries only after the local record is appended: of two entries
             # that start together, at least the later one then sees the other.
