Keep a stream within one answer to the software version that began it

Cause: a broken stream was continued at any server that holds the model. The registered version was not read.

Change: the first bytes of a stream bind its request to the version of the server's registration at the send. Candidates, pauses and load estimates are those of servers of that version from then on; the registration is checked again when a turn is granted, and at the head and first bytes of the continuation. If a server was started anew with other software between the send and its answer, the version is uncertain and the stream breaks. Without a usable server of the version the answer ends as broken at once.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -69,6 +69,7 @@
         """Send the request to a server."""
         registered = self.fleet.directory.find(server)
         exchange.begin_attempt(server, registered.started_ms, unread_tokens)
+        exchange.binding.on_sent(registered)
         exchange.known_strikes = self.suspicions.strikes(exchange.traits)
         exchange.sent_s = now_s
         self._by_call[exchange.call] = exchange
@@ -100,9 +101,26 @@
             )
         if answer.head.from_server and not answer.not_run:
             self.fleet.board.on_answer(exchange.server, answer.status >= 500)
-        if exchange.stage is Stage.RELAYING and not exchange.head_forwarded:
+        registered = self.fleet.directory.find(exchange.server)
+        if exchange.stage is not Stage.RELAYING:
+            return
+        if not exchange.binding.admits(registered):
+            self._on_other_version(exchange, time.monotonic())
+        elif not exchange.head_forwarded:
             self._forward_head(exchange)
 
+    def _on_other_version(self, exchange: Exchange, now_s: float):
+        self.stop_attempt(exchange, now_s)
+        detail = "the server was started anew with another software version"
+        self._on_not_served(exchange, detail, now_s)
+
+    def _may_relay(self, exchange: Exchange) -> bool:
+        """Return whether the answer's server may write to the caller's stream."""
+        if exchange.stage is not Stage.RELAYING or exchange.cutter is None:
+            return True
+        registered = self.fleet.directory.find(exchange.server)
+        return exchange.binding.on_bytes(registered)
+
     def _forward_head(self, exchange: Exchange):
         answer, exchange.head_forwarded = exchange.answer, True
         start = HttpPushStart(exchange.number, answer.status, answer.headers)
@@ -116,6 +134,9 @@
             exchange = self._by_call.get(part.call)
             if exchange is None:
                 continue
+            if not self._may_relay(exchange):
+                self._on_other_version(exchange, now_s)
+                continue
             self._on_answer_bytes(exchange, now_s)
             before = exchange.unrelayed_bytes
             try:
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -96,7 +96,12 @@
         opaque, service = exchange.admitted.opaque, exchange.admitted.service
         connection_limit = _connection_limit(deployment, service, entries)
         usable = self.fleet.candidates(
-            service, opaque, exchange.tried, connection_limit, now_s
+            service,
+            opaque,
+            exchange.tried,
+            connection_limit,
+            now_s,
+            exchange.binding.version,
         )
         candidates = [
             candidate
@@ -251,13 +256,16 @@
         """
         admitted = exchange.admitted
         service, opaque = admitted.service, admitted.opaque
-        pause_s = self.fleet.shortest_back_off_s(service, opaque, exchange.tried, now_s)
+        version = exchange.binding.version
+        pause_s = self.fleet.shortest_back_off_s(
+            service, opaque, exchange.tried, now_s, version
+        )
         service_s = (opaque.prompt_tokens or 0) / DEFAULT_TOKENS_PER_S
         in_time_s = exchange.started_s + admitted.route.target_s - now_s - service_s
         if pause_s is not None and not exchange.head_forwarded and pause_s < in_time_s:
             return WaitForServer()
         back_off_s = self.fleet.shortest_back_off_s(
-            service, opaque, exchange.may_have_run, now_s
+            service, opaque, exchange.may_have_run, now_s, version
         )
         if back_off_s is None:
             return None
@@ -282,7 +290,9 @@
         spec = _model_spec(deployment, exchange)
         if spec is None or not exchange.may_retry():
             return None
-        return self.fleet.estimate_load(exchange.admitted.service, spec, now_s)
+        return self.fleet.estimate_load(
+            exchange.admitted.service, spec, now_s, exchange.binding.version
+        )
 
     def _with_load_retry_time(
         self, exchange, deployment, refusal, now_s: float
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -16,6 +16,7 @@
     max_first_token_wait_s,
 )
 from chervilgw.forward.messages import AdmittedRequest, Headers, ServerAnswer
+from chervilgw.forward.stream_binding import StreamBinding, make_stream_binding
 from chervilgw.routing.request_cost import OutputEstimate, RequestKind, StatedOutput
 
 # Servers that one request is sent to, including those that did not run it.
@@ -65,6 +66,7 @@
     ``unread_tokens`` is the part of the prompt that the server still has to read; it is
     0 from the first byte of the answer on. ``sent_s`` is when the request was sent to
     the current server, ``estimate`` its expected output if the service has engines.
+    ``binding`` holds the software version at which a stream may go on.
     """
 
     number: int
@@ -110,6 +112,7 @@
     events_before: int = 0
     tokens_per_event: int = 1
     other_tokens_per_s: float = 0.0
+    binding: StreamBinding = field(default_factory=make_stream_binding)
 
     @property
     def expected_output_tokens(self) -> int:
@@ -376,6 +379,8 @@
             return self.may_retry()
         if not self.admitted.route.resumable or self.cutter is None:
             return False
+        if self.binding.is_uncertain:
+            return False
         return self.cutter.can_resume and self.may_retry()
 
 
--- /dev/null
+++ b/chervilgw/forward/stream_binding.py
@@ -0,0 +1,66 @@
+"""Software version to which the answer of one request is bound.
+
+The texts of two versions do not fit together: a stream goes on only at servers of the
+version that began it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from chervilgw.core.deployment import RegisteredServer
+from chervilgw.core.ids import SoftwareVersion
+
+
+@dataclass(slots=True)
+class StreamBinding:
+    """Version of a stream; see :func:`make_stream_binding`.
+
+    ``version`` is None before the first server has begun the stream. ``is_uncertain``
+    means that the server which began it may run either of two versions.
+    """
+
+    version: SoftwareVersion | None = None
+    is_uncertain: bool = False
+    _sent_version: SoftwareVersion = SoftwareVersion("")
+    _is_relaying: bool = False
+
+    def on_sent(self, server: RegisteredServer) -> None:
+        """Record the registration of the server that gets the request."""
+        self._sent_version, self._is_relaying = server.software_version, False
+
+    def admits(self, server: RegisteredServer | None) -> bool:
+        """Return whether the request may be sent to a server, given its registration.
+
+        A server whose registration is not known any more was checked when it was.
+        """
+        if self.version is None or server is None:
+            return True
+        return server.software_version == self.version
+
+    def on_bytes(self, server: RegisteredServer | None) -> bool:
+        """Return whether bytes that have come from the current server may be relayed.
+
+        The first ones of a stream bind it to the version of its server.
+
+        Parameters
+        ----------
+        server : RegisteredServer or None
+            Registration of the server now, None if it is not known any more. If it
+            states another version than at the send, the server was started anew, and
+            either start may have answered.
+        """
+        if self._is_relaying:
+            return True
+        is_same = server is None or server.software_version == self._sent_version
+        if self.version is None:
+            self.version, self.is_uncertain = self._sent_version, not is_same
+            self._is_relaying = True
+        else:
+            self._is_relaying = is_same and self._sent_version == self.version
+        return self._is_relaying
+
+
+def make_stream_binding() -> StreamBinding:
+    """Return the binding of an answer that no server has begun."""
+    return StreamBinding()
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -93,13 +93,19 @@
         ruling = self.rule_on(exchange, now_s).ruling
         is_sound = exchange.on_trial or ruling is Ruling.SEND
         is_sound = is_sound and self.can_answer(exchange, now_s)
-        return is_sound and self.fleet.accepts(exchange.server, now_s)
+        return is_sound and self._accepts(exchange, now_s)
+
+    def _accepts(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether the chosen server may still get the request."""
+        server = self.fleet.directory.find(exchange.server)
+        is_accepted = self.fleet.accepts(exchange.server, now_s)
+        return is_accepted and exchange.binding.admits(server)
 
     def repeat_turn_request(self, exchange: Exchange, now_s: float):
         """Repeat the request, as a datagram may be lost, or choose another engine."""
         server = self.fleet.directory.find(exchange.server)
         is_silent = self.fleet.fresh_report(server, now_s) is None
-        if is_silent or not self.fleet.accepts(exchange.server, now_s):
+        if is_silent or not self._accepts(exchange, now_s):
             self.leave_queue(exchange, now_s)
             self.attempt(exchange, now_s)
         else:
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServerState
-from chervilgw.core.ids import LogPosition, ServiceName
+from chervilgw.core.ids import LogPosition, ServiceName, SoftwareVersion
 from chervilgw.membership.evacuations import Evacuations, make_evacuations
 
 # Registrations that lapsed during an outage of the store are back about 2 s after it
@@ -307,12 +307,22 @@
         record = self._records.get(server)
         return record is not None and record.entry.zone in self.evacuations
 
-    def usable(self, service: ServiceName, now_s: float) -> list[RegisteredServer]:
-        """Return the servers of a service that may get new requests."""
+    def usable(
+        self,
+        service: ServiceName,
+        now_s: float,
+        version: SoftwareVersion | None = None,
+    ) -> list[RegisteredServer]:
+        """Return the servers of a service that may get new requests.
+
+        With ``version`` only servers of this software version are returned.
+        """
         return [
             record.entry
             for record in self._records.values()
-            if record.entry.service == service and self._is_usable(record, now_s)
+            if record.entry.service == service
+            and version in (None, record.entry.software_version)
+            and self._is_usable(record, now_s)
         ]
 
     def find(self, server: ServerId) -> RegisteredServer | None:
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -14,7 +14,13 @@
     RegisteredServer,
     ServerId,
 )
-from chervilgw.core.ids import Digest, ModelName, ServiceName, VmId
+from chervilgw.core.ids import (
+    Digest,
+    ModelName,
+    ServiceName,
+    SoftwareVersion,
+    VmId,
+)
 from chervilgw.core.messages import EngineReport
 from chervilgw.membership.directory import ServerDirectory, make_server_directory
 from chervilgw.routing.back_off import BackOffs, make_back_offs
@@ -148,6 +154,7 @@
         excluded: Container[ServerId],
         local_limit: int,
         now_s: float,
+        version: SoftwareVersion | None = None,
     ) -> list[Candidate]:
         """Return the servers that a request may be sent to.
 
@@ -163,10 +170,12 @@
             Maximum number of requests of this entry at one server.
         now_s : float
             Monotonic time.
+        version : SoftwareVersion or None
+            Version that began the stream which the request goes on with, if any.
         """
         servers = [
             server
-            for server in self.directory.usable(service, now_s)
+            for server in self.directory.usable(service, now_s, version)
             if server.server not in excluded
             and not self.board.is_ejected(server.server, now_s)
             and not self._back_off_s(server, now_s)
@@ -201,6 +210,7 @@
         request: OpaqueRequest,
         excluded: Container[ServerId],
         now_s: float,
+        version: SoftwareVersion | None = None,
     ) -> float | None:
         """Return when the first server that asked for a pause may get the request.
 
@@ -209,7 +219,7 @@
         return min(
             (
                 back_off_s
-                for server in self.directory.usable(service, now_s)
+                for server in self.directory.usable(service, now_s, version)
                 if server.server not in excluded
                 and (back_off_s := self._back_off_s(server, now_s)) > 0
                 and self._holds_model(server, request, now_s)
@@ -267,7 +277,11 @@
             self._prefixes.on_dispatch(VmId(server), prefix_digests(request), now_s)
 
     def estimate_load(
-        self, service: ServiceName, spec: ModelSpec, now_s: float
+        self,
+        service: ServiceName,
+        spec: ModelSpec,
+        now_s: float,
+        version: SoftwareVersion | None = None,
     ) -> LoadEstimate:
         """Estimate when an engine will have loaded a model that none holds.
 
@@ -278,9 +292,11 @@
             The model.
         now_s : float
             Monotonic time.
+        version : SoftwareVersion or None
+            Version of the engines that are of use, None for all.
         """
         shortest_s, is_loading = spec.load_s + PLANNING_DELAY_S, False
-        for server in self.directory.usable(service, now_s):
+        for server in self.directory.usable(service, now_s, version):
             report = self.fresh_report(server, now_s)
             if report is None:
                 continue
