Continue a stream that a caller takes up at the version that began it

Cause: a request that takes a stream up was sent to any server that holds the model, and the attempt that it names was not read.

Change: an entry remembers the version of each stream that it relayed, by the attempt that brought its first event. A sole version that lately served decides after 0.1 s without an answer, and not while the store is lost: the list of servers lags, and a version that has just come into service may be unknown here. What stays unknown or disputed, or has no server of its version in service, is refused at once as not run; a time to retry is named only where another try may succeed. The entry answers others' queries from what it relayed itself. forward/resumptions.py decides without a socket, forward/origin_tracker.py holds, logs (stream_resumed, stream_not_resumed) and counts (chervilgw_resumptions). Periodic reports move to entry_reporter.py.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -153,6 +153,7 @@
             ):
                 data = self._on_long_body(exchange, now_s)
             if data:
+                self.record_origin(exchange, now_s)
                 output = HttpPart(exchange.number, data)
                 forwarded[exchange.server_channel].append(output)
         for server_channel, outputs in forwarded.items():
--- a/chervilgw/forward/entry_reporter.py
+++ b/chervilgw/forward/entry_reporter.py
@@ -30,6 +30,15 @@
 # rest covers the lag of reports between entries and what killed entries had granted,
 # which was 15% of a limit after all entries were killed at once.
 GRANTED_TOLERANCE_FRACTION = 0.25
+# In ticks of 0.1 s. Between reports an entry does not see the load and the quota that
+# its peers have used.
+REPORT_INTERVAL_TICKS = 2
+# Demand is an average over seconds; a request for a model that no engine holds is
+# reported at the next tick.
+DEMAND_REPORT_INTERVAL_TICKS = 10
+# A longer interval would leave more of a limit unknown after a restart of all entries;
+# each record is one call of the store, by one entry.
+USAGE_RECORD_INTERVAL_TICKS = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +70,8 @@
         self._quota = make_window_quota(bounds.quota_window_s, tolerance, started_s)
         self._report_numbers = count(1)
         self._demand = make_demand_rates()
+        # Report the demand at the next tick, as a request needs a model.
+        self.is_demand_urgent = False
         self._drain_policy = make_drain_policy(bounds.grace_s)
 
     @handler("usage_recorded", channel="*")
@@ -101,6 +112,16 @@
         if not self._quota.is_informed(now_s):
             self._report(now_s)
 
+    def report_due(self, ticks: int, now_s: float):
+        """Send and record what is due at a tick."""
+        if ticks % REPORT_INTERVAL_TICKS == 0:
+            self._report(now_s)
+        if ticks % DEMAND_REPORT_INTERVAL_TICKS == 0 or self.is_demand_urgent:
+            self.is_demand_urgent = False
+            self._report_demand(now_s)
+        if ticks % USAGE_RECORD_INTERVAL_TICKS == 0:
+            self._record_usage(now_s)
+
     def _report(self, now_s: float):
         running, unread_tokens = self.fleet.board.report()
         unwritten_tokens, held_tokens = self.fleet.work.report()
--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -80,6 +80,14 @@
     """
 
 
+class stream_origin_queried(Event):  # noqa: N801
+    """Another entry asks which version began a stream: ``StreamOriginQuery``."""
+
+
+class stream_origin_answered(Event):  # noqa: N801
+    """Answer another entry's query: address, ``StreamOrigin``."""
+
+
 class software_versions_due(Event):  # noqa: N801
     """Record the software versions that lately served: versions by service."""
 
--- a/chervilgw/forward/exchange.py
+++ b/chervilgw/forward/exchange.py
@@ -32,6 +32,7 @@
 class Stage(Enum):
     """Progress of an exchange."""
 
+    WAITING_FOR_ORIGIN = "waiting_for_origin"
     WAITING_FOR_TURN = "waiting_for_turn"
     WAITING_FOR_MODEL = "waiting_for_model"
     WAITING_FOR_SERVER = "waiting_for_server"
@@ -198,6 +199,11 @@
         """Return whether the answer is relayed as it arrives."""
         return self.admitted.route.kind is RouteKind.STREAMING
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Return whether the caller holds the first events of the stream already."""
+        return self.is_stream and bool(self.admitted.opaque.last_event)
+
     @property
     def first_byte_after_s(self) -> float | None:
         """Return the time to the first byte of the answer in s, or None without one."""
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -40,9 +40,7 @@
 from chervilgw.forward.drain_policy import RETRY_AFTER_S
 from chervilgw.forward.early_requests import make_early_requests
 from chervilgw.forward.entry_reporter import EntryReporter, GatewayOptions
-from chervilgw.forward.events import (
-    entry_drained,
-)
+from chervilgw.forward.events import entry_drained
 from chervilgw.forward.exchange import Exchange, Stage, make_exchange
 from chervilgw.forward.filters import (
     authenticate,
@@ -71,19 +69,16 @@
 )
 from chervilgw.telemetry import log_event
 
-# In ticks of 0.1 s. Between reports an entry does not see the load and the quota that
-# its peers have used.
-REPORT_INTERVAL_TICKS = 2
-# Demand is an average over seconds; a request for a model that no engine holds is
-# reported at the next tick.
-DEMAND_REPORT_INTERVAL_TICKS = 10
+# In ticks of 0.1 s.
 CLEANUP_INTERVAL_TICKS = 10
-# A longer interval would leave more of a limit unknown after a restart of all entries;
-# each record is one call of the store, by one entry.
-USAGE_RECORD_INTERVAL_TICKS = 10
 
 _WAITING_STAGES = frozenset(
-    {Stage.WAITING_FOR_MODEL, Stage.WAITING_FOR_SERVER, Stage.WAITING_FOR_TRIAL}
+    {
+        Stage.WAITING_FOR_ORIGIN,
+        Stage.WAITING_FOR_MODEL,
+        Stage.WAITING_FOR_SERVER,
+        Stage.WAITING_FOR_TRIAL,
+    }
 )
 
 
@@ -99,7 +94,6 @@
         self._retries = make_retry_budgets(bounds)
         self._ticks = 0
         self._early = make_early_requests()
-        self._demand_report_urgent = False
 
     @handler("deployment_changed", channel="*")
     def _on_deployment(self, deployment: Deployment):
@@ -122,7 +116,7 @@
             log_event("engine_down", server=report.server, ejected_s=ejected_s)
         elif self.fleet.on_report(report, now_s):
             self.on_engine_alive(report, now_s)
-            for exchange in self._exchanges_in(Stage.WAITING_FOR_MODEL):
+            for exchange in self.exchanges_in(Stage.WAITING_FOR_MODEL):
                 # Others wait for another engine or for the next tick.
                 if exchange.admitted.opaque.model in report.adapters:
                     self.attempt(exchange, now_s)
@@ -141,7 +135,8 @@
         )
         self.on_peer_work(report, now_s)
 
-    def _exchanges_in(self, stage: Stage) -> list[Exchange]:
+    def exchanges_in(self, stage: Stage) -> list[Exchange]:
+        """Return the requests of a stage."""
         return [
             exchange for exchange in self._exchanges.values() if exchange.stage is stage
         ]
@@ -220,6 +215,8 @@
     def attempt(self, exchange: Exchange, now_s: float):
         """Choose a server, then send, hold or refuse the request."""
         self.end_trial(exchange, "not_run", now_s)
+        if not self.is_version_settled(exchange, now_s):
+            return
         verdict = self.rule_on(exchange, now_s)
         if verdict.ruling is Ruling.REFUSE:
             self.fail(exchange, refuse_blocked(exchange, verdict), now_s)
@@ -276,12 +273,12 @@
                 self.request_turn(exchange, server, unread_tokens, now_s)
             case WaitForModel():
                 exchange.stage, exchange.server = Stage.WAITING_FOR_MODEL, None
-                self._demand_report_urgent = True
+                self.is_demand_urgent = True
             case WaitForServer():
                 exchange.stage, exchange.server = Stage.WAITING_FOR_SERVER, None
             case Refuse(refusal):
                 if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
-                    self._demand_report_urgent = True
+                    self.is_demand_urgent = True
                 self.fail(exchange, refusal, now_s)
 
     def allows_retry(self, service: ServiceName, now_s: float) -> bool:
@@ -348,16 +345,7 @@
             elif exchange.stage in _WAITING_STAGES:
                 self.attempt(exchange, now_s)
         self._ticks += 1
-        if self._ticks % REPORT_INTERVAL_TICKS == 0:
-            self._report(now_s)
-        if (
-            self._ticks % DEMAND_REPORT_INTERVAL_TICKS == 0
-            or self._demand_report_urgent
-        ):
-            self._demand_report_urgent = False
-            self._report_demand(now_s)
-        if self._ticks % USAGE_RECORD_INTERVAL_TICKS == 0:
-            self._record_usage(now_s)
+        self.report_due(self._ticks, now_s)
         if self._ticks % CLEANUP_INTERVAL_TICKS == 0:
             self.remind_of_suspicions(now_s)
             blocked = len(self.suspicions.blocked(now_s))
--- a/chervilgw/forward/metrics_task.py
+++ b/chervilgw/forward/metrics_task.py
@@ -67,6 +67,10 @@
     """The store states an era: number of the era."""
 
 
+class resumption_counted(Event):  # noqa: N801
+    """A caller took a stream up: outcome."""
+
+
 class cold_servers_counted(Event):  # noqa: N801
     """Servers that are cold: number."""
 
@@ -148,6 +152,10 @@
     def _on_cold_servers(self, number):
         self._metrics.cold_servers.set(number)
 
+    @handler("resumption_counted")
+    def _on_resumption(self, outcome):
+        self._metrics.resumptions.labels(outcome).inc()
+
     @handler("cold_requests_counted")
     def _on_cold_requests(self, decision, number):
         self._metrics.cold_requests.labels(decision).inc(number)
--- a/chervilgw/forward/request_log.py
+++ b/chervilgw/forward/request_log.py
@@ -8,6 +8,7 @@
 from chervilgw.core.refusals import Refusal
 from chervilgw.crashes.stopped_runs import StoppedRun
 from chervilgw.forward.exchange import Exchange
+from chervilgw.forward.resumptions import ResumptionDecision
 from chervilgw.runtime.events import CallFailed
 from chervilgw.scheduling.fair_queue import QueuedItem
 from chervilgw.scheduling.stream_budget import DelayReason
@@ -158,6 +159,7 @@
         written_tokens=exchange.written_tokens,
         prompt_parts=list(opaque.shared_parts),
         server=exchange.server,
+        software_version=exchange.binding.version,
         outcome=outcome,
         sends=exchange.sends,
         turns=[str(turn) for turn in exchange.turns],
@@ -169,6 +171,41 @@
     )
 
 
+def log_resumed(exchange: Exchange, decision: ResumptionDecision, now_s: float) -> None:
+    """Log that a stream may go on, and how its software version is known."""
+    _log_resumption("stream_resumed", exchange, decision, now_s)
+
+
+def log_not_resumed(
+    exchange: Exchange, decision: ResumptionDecision, now_s: float
+) -> None:
+    """Log that a stream may not go on, with the reason."""
+    _log_resumption(
+        "stream_not_resumed",
+        exchange,
+        decision,
+        now_s,
+        reason=decision.reason,
+        retry_after_s=decision.retry_after_s,
+    )
+
+
+def _log_resumption(
+    event: str, exchange: Exchange, decision: ResumptionDecision, now_s: float, **fields
+) -> None:
+    opaque = exchange.admitted.opaque
+    log_event(
+        event,
+        request=opaque.attempt,
+        begun_by=opaque.begun_by,
+        service=exchange.admitted.service,
+        software_version=decision.version,
+        source=decision.source,
+        waited_s=round(now_s - exchange.started_s, 4),
+        **fields,
+    )
+
+
 def log_blame(exchange: Exchange, crash: CrashId) -> None:
     """Log that a request may have crashed its server."""
     log_event(
--- a/chervilgw/forward/stream_binding.py
+++ b/chervilgw/forward/stream_binding.py
@@ -24,6 +24,7 @@
     is_uncertain: bool = False
     _sent_version: SoftwareVersion = SoftwareVersion("")
     _is_relaying: bool = False
+    _is_recorded: bool = False
 
     def on_sent(self, server: RegisteredServer) -> None:
         """Record the registration of the server that gets the request."""
@@ -60,6 +61,12 @@
             self._is_relaying = is_same and self._sent_version == self.version
         return self._is_relaying
 
+    def take_unrecorded(self) -> bool:
+        """Return whether the version of the stream is to be recorded, which is once."""
+        is_due = not (self._is_recorded or self.is_uncertain or self.version is None)
+        self._is_recorded = self._is_recorded or is_due
+        return is_due
+
 
 def make_stream_binding() -> StreamBinding:
     """Return the binding of an answer that no server has begun."""
--- a/chervilgw/forward/suspect_tracker.py
+++ b/chervilgw/forward/suspect_tracker.py
@@ -14,10 +14,10 @@
 from chervilgw.core.messages import EngineReport, SuspicionReport
 from chervilgw.crashes.stopped_runs import make_stopped_runs
 from chervilgw.crashes.suspicion import Verdict, make_suspicion_table
-from chervilgw.forward.cost_tracker import CostTracker
 from chervilgw.forward.events import suspicion_reminder_due, suspicion_report_due
 from chervilgw.forward.exchange import Exchange
 from chervilgw.forward.metrics_task import trial_counted
+from chervilgw.forward.origin_tracker import OriginTracker
 from chervilgw.forward.request_log import (
     log_blame,
     log_evidence,
@@ -27,7 +27,7 @@
 )
 
 
-class SuspectTracker(CostTracker):
+class SuspectTracker(OriginTracker):
     """Task that owns a :class:`SuspicionTable`.
 
     Subclasses define ``on_blocked``, which stops the requests with blocked traits.
--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -107,6 +107,11 @@
             record.is_doubted = is_gone or record.is_disowned
         self._store_recovered_s = now_s
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether the store does not answer."""
+        return self._store_lost
+
     def on_entry(
         self, entry: RegisteredServer, position: LogPosition, now_s: float
     ) -> bool:
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -88,6 +88,11 @@
         if self._first_listed_s is None:
             self._first_listed_s = now_s
 
+    @property
+    def is_listed(self) -> bool:
+        """Return whether the list of servers was read."""
+        return self._first_listed_s is not None
+
     def awaits_first_reports(self, now_s: float) -> bool:
         """Return whether this entry has just started and its agents report soon."""
         since_s = self._first_listed_s
--- a/chervilgw/routing/version_history.py
+++ b/chervilgw/routing/version_history.py
@@ -50,6 +50,11 @@
             for version in versions:
                 self._see(service, version, now_s)
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the store was read, with or without a record."""
+        return self._is_complete
+
     def on_records_read(self) -> None:
         """Record that the store was read, with or without a record."""
         self._is_complete = True
--- a/chervilgw/telemetry/scrape.py
+++ b/chervilgw/telemetry/scrape.py
@@ -141,6 +141,13 @@
             ["reason"],
             registry=registry,
         )
+        self.resumptions = Counter(
+            "chervilgw_resumptions",
+            "Streams that callers took up: how their software version was known, or "
+            "why they were refused",
+            ["outcome"],
+            registry=registry,
+        )
         self.cold_servers = Gauge(
             "chervilgw_cold_servers", "Servers that are cold", registry=registry
         )
