Record in the store which software versions lately served

After a loss of all entries at once a process that starts sees only the servers that are listed then. One entry, the same as for the usage of quotas, fires software_versions_due when the versions of the last two minutes change, and again after the store came back from a copy. An entry that has not read the former record does not write, as it would drop versions from it. The history follows the directory five times a second, with the reports.

--- a/chervilgw/forward/entry_reporter.py
+++ b/chervilgw/forward/entry_reporter.py
@@ -19,6 +19,7 @@
     demand_report_due,
     entry_report_due,
     grant_memory_due,
+    software_versions_due,
     usage_record_due,
 )
 from chervilgw.placement.demand_rate import make_demand_rates
@@ -116,6 +117,7 @@
         """Send and record what is due at a tick."""
         if ticks % REPORT_INTERVAL_TICKS == 0:
             self._report(now_s)
+            self._record_versions(now_s)
         if ticks % DEMAND_REPORT_INTERVAL_TICKS == 0 or self.is_demand_urgent:
             self.is_demand_urgent = False
             self._report_demand(now_s)
@@ -167,3 +169,15 @@
         used = self._quota.used(now_s)
         if used and self._quota.is_recorder(self.incarnation.vm, now_s):
             self.fire(usage_record_due(used), "store")
+
+    def _record_versions(self, now_s: float):
+        """Record in the store which software versions lately served, if that changed.
+
+        A stream may be taken up after all entries were lost and its version has left.
+        """
+        self.resumptions.on_servers(self.fleet.directory.present(now_s), now_s)
+        if not self._quota.is_recorder(self.incarnation.vm, now_s):
+            return
+        versions = self.resumptions.take_changed_record()
+        if versions is not None:
+            self.fire(software_versions_due(versions), "store")
