--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, replace
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServerState
-from chervilgw.core.ids import LogPosition, ServiceName
+from chervilgw.core.ids import LogPosition, ServiceName, SoftwareVersion
 from chervilgw.membership.evacuations import Evacuations, make_evacuations
 
 # Registrations that lapsed during an outage of the store are back about 2 s after it
@@ -111,6 +111,11 @@
                 record.missing_since_s = now_s
         self._store_recovered_s = now_s
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether the store does not answer."""
+        return self._store_lost
+
     def on_entry(
         self, entry: RegisteredServer, position: LogPosition, now_s: float
     ) -> bool:
@@ -315,12 +320,22 @@
         record = self._records.get(server)
         return record is not None and record.entry.zone in self.evacuations
 
-    def usable(self, service: ServiceName, now_s: float) -> list[RegisteredServer]:
-        """Return the servers of a service that may get new requests."""
+    def usable(
+        self,
+        service: ServiceName,
+        now_s: float,
+        version: SoftwareVersion | None = None,
+    ) -> list[RegisteredServer]:
+        """Return the servers of a service that may get new requests.
+
+        With ``version`` only servers of this software version are returned.
+        """
         return [
             record.entry
             for record in self._records.values()
-            if record.entry.service == service and self._is_usable(record, now_s)
+            if record.entry.service == service
+            and version in (None, record.entry.software_version)
+            and self._is_usable(record, now_s)
         ]
 
     def find(self, server: ServerId) -> RegisteredServer | None:
