Name the begun attempt in a test of streams that another attempt began

A request that takes a stream up without saying which attempt began it is refused since the entry's decisions were merged, so that the test's request never reached a server. It now names an attempt whose version is known; what it asserts is unchanged.

--- a/chervilgw/forward/tests/test_begun_streams.py
+++ b/chervilgw/forward/tests/test_begun_streams.py
@@ -105,11 +105,15 @@
 
 
 @pytest.mark.parametrize(
-    "headers", [{"last-event-id": "4"}, {"x-attempt-id": ""}], ids=str
+    "headers",
+    [{"last-event-id": "4", "resumes": "a"}, {"x-attempt-id": ""}],
+    ids=str,
 )
 def test_stream_that_another_attempt_began_is_not_reported(headers):
     """Guards against claims of engines that only continue a stream."""
     entry = make_entry()
+    entry.fire(events.server_list_read(("i-1", "i-2"), 3), "*")
+    entry.fire(events.stream_origin_reported("llm", "a", ""), "gateway")
     _, call = send_stream(entry, **headers)
     receive(entry, call, b"id: 5\ndata: a\n\n", b"id: 6\ndata: a\n\n")
     break_off(entry, call)
