Delay the repetition of a call whose answer is of an earlier era

Calls of the store without end, each of which is charged, while a part of it states an earlier era. Cause: a call that was answered in an earlier era was repeated at once, with no delay. Evidence: test_answers_of_an_earlier_era_are_not_repeated_without_delay failed before with "assert ['/log-newest...ed.op&part=0'] == []" for the calls after such an answer.

--- a/chervilgw/platform/followers.py
+++ b/chervilgw/platform/followers.py
@@ -86,6 +86,10 @@
     due_s: float = 0.0
     call: str | None = None
 
+    def schedule_retry(self, now_s: float) -> None:
+        """Repeat the call after a delay."""
+        self.due_s = now_s + random.uniform(0.5, 1.0) * MAX_RETRY_DELAY_S
+
 
 def servers_poll_interval_s(drain_s: float) -> float:
     """Return how often the list of servers is read.
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from itertools import count
 
@@ -175,8 +174,8 @@
         """Repeat a call whose answer refers to an earlier era of the store."""
         for pending in (*self._followers, *self._writes):
             if pending.call == call:
-                pending.call, pending.due_s = None, now_s
-        self._send_due_calls(now_s)
+                pending.call = None
+                pending.schedule_retry(now_s)
 
     @handler("call_failed")
     def _on_call_failed(self, failed):
@@ -191,7 +190,7 @@
         for write in self._writes:
             if write.call == call:
                 write.call = None
-                write.due_s = now_s + random.uniform(0.5, 1.0) * MAX_RETRY_DELAY_S
+                write.schedule_retry(now_s)
         if not self._is_store_lost:
             self._is_store_lost = True
             log_event("store_lost", level="warning", detail=detail)
--- a/chervilgw/platform/tests/test_operator_records.py
+++ b/chervilgw/platform/tests/test_operator_records.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 
 from circuits import BaseComponent, Component, handler
 
@@ -108,3 +109,22 @@
     records.on_listed(KeyedRecord(1, "evacuate/a", b"{}"))
     records.on_listing_started()
     assert records.on_listing_ended(4) == [ZonesListed({}, 4)]
+
+
+def test_answers_of_an_earlier_era_are_not_repeated_without_delay():
+    """Guards against calls without end while parts of the store state an old era."""
+    root, recorder = Component(), Recorder()
+    recorder.register(root)
+    store = make_store_task(decode_settings(ENTRY_SETTINGS), True).register(root)
+    store._send_due_calls(0.0)
+    flush(root)
+    operators, servers = recorder.calls
+    for call, era in ((servers, "2"), (operators, "1")):
+        headers = (("Store-Era", era),)
+        answer = CallDone(call.call, 200, headers, page([], 0))
+        root.fire(call_done(answer), "store")
+        flush(root)
+    assert [spec.path for spec in recorder.calls[2:] if "keyed.op" in spec.path] == []
+    store._send_due_calls(math.inf)
+    flush(root)
+    assert "keyed.op" in "".join(spec.path for spec in recorder.calls[2:])
