--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from itertools import count
 
@@ -193,7 +192,7 @@
         for write in self._writes:
             if write.call == call:
                 write.call = None
-                write.due_s = now_s + random.uniform(0.5, 1.0) * MAX_RETRY_DELAY_S
+                write.schedule_retry(now_s)
 
     def _mark_store_available(self):
         if self._is_store_lost:
