--- a/fleet/soak.py
+++ b/fleet/soak.py
@@ -154,19 +154,27 @@
         for client in clients.values():
             client.close()
 
-    def _pick(self, rng: random.Random) -> tuple[Kind, str, str]:
-        """Return the kind, the key and the path of a caller's next request."""
+    def _pick(self, rng: random.Random) -> tuple[Kind, str, str, str]:
+        """Return the kind, key, path and model of a caller's next request."""
         kind = rng.choice(list(Kind))
-        return kind, "key-a", kind.value
-
-    def _ask(self, number: int, kind: Kind, key="key-a", path="", client=httpx) -> Sent:
+        return kind, "key-a", kind.value, "m1"
+
+    def _ask(
+        self,
+        number: int,
+        kind: Kind,
+        key: str = "key-a",
+        path: str = "",
+        model: str = "m1",
+        client=httpx,
+    ) -> Sent:
         attempt, path = os.urandom(8).hex(), path or kind.value
         headers = {
             "Host": "desk.example",
             "X-Attempt-Id": attempt,
             "X-Credential": key,
             "X-Deadline-Ms": "8000",
-        } | (MODEL if kind is Kind.DRAFT else {})
+        } | (MODEL | {"X-Model": model} if kind is Kind.DRAFT else {})
         method = "GET" if kind is Kind.LOOKUP else "POST"
         url = self.entries[number].url + path + "1"
         began_s = time.monotonic()
--- a/standins/opaque_platform.py
+++ b/standins/opaque_platform.py
@@ -328,7 +328,9 @@
             handler.reply(409, b"")
         else:
             self.orders.append(order)
-            if "adapter" in order:
+            if "adapter" in order and order["op"] == "model_unload":
+                self.models[order["model"]].remove(order["adapter"])
+            elif "adapter" in order:
                 self.models[order["model"]].append(order["adapter"])
             elif order["op"] == "model_load":
                 self.models[order["model"]] = []
