Test an entry that the store rejects while it comes back from a copy

One entry reaches the store at an address of its own, which answers 503 over the restore while the other entry is served.

--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fleet.deployed import CONFIGURATION, DeployedFleet, wait_for
+from standins.opaque_platform import StoreStandIn
 
 DRAIN_S = 2.0
 CONFIGURATION_DEADLINE_S = 2.0
@@ -175,3 +176,36 @@
         "the newest version is in force",
         CONFIGURATION_DEADLINE_S,
     )
+
+
+@pytest.fixture
+def second_address(fleet):
+    """Return a second address of the store, with faults of its own."""
+    store = StoreStandIn(topics=fleet.store.topics, lock=fleet.store.lock)
+    store.start()
+    yield store
+    store.stop()
+
+
+def test_entry_that_the_store_rejected_over_a_restore_catches_up(fleet, second_address):
+    """Guards against an entry that goes on at its offset after its peers have not."""
+    fleet.add_server()
+    near = fleet.add_entry("127.0.0.1", SETTINGS)
+    address = {"platform.address": second_address.address}
+    far = fleet.add_entry("127.0.0.2", SETTINGS | address)
+    before = fleet.store.take_copy()
+    for version in (10, 11, 12):
+        write_and_wait(fleet, near, version, ("key-a", "key-b"))
+        wait_for(lambda v=version: has_applied(far, v), "it is in force there too")
+    second_address.down = True
+    second_address.break_connections()
+    fleet.store.restore(before)
+    fleet.store.put("keyed.op", "config", configuration(12, ("key-a", "key-b")))
+    write_and_wait(fleet, near, 20)
+    assert far.send("/stock/1", "key-b").status_code == 200
+    second_address.era, second_address.down = fleet.store.era, False
+    wait_for(
+        lambda: far.send("/stock/2", "key-b").status_code == 401,
+        "the withdrawn key is refused",
+        CONFIGURATION_DEADLINE_S,
+    )
