--- a/fleet/tests/test_stream_versions.py
+++ b/fleet/tests/test_stream_versions.py
@@ -6,55 +6,40 @@
 from __future__ import annotations
 
 import os
-import signal
 from enum import Enum
 
 import pytest
 
-from fleet.deployed import DeployedFleet, wait_for
+from fleet.deployed import DeployedFleet
+from fleet.tests.stream_breaks import (
+    BEGUN,
+    GIVE_UP_S,
+    NEW,
+    OLD,
+    Break,
+    Failure,
+    Loss,
+    Place,
+    add_engines,
+    begin_streams,
+    check_goes_on,
+    check_not_joined,
+    check_refused,
+    end_servers,
+    fail_streams,
+    interrupt,
+    kill_all,
+    place_of,
+    release,
+    start_again,
+    start_agents,
+    start_entries,
+    statuses,
+    wait_known,
+    wait_logged,
+)
 from fleet.tests.stream_caller import Outcome, StreamCaller, timed
 
-OLD, NEW = "v1", "v2"
-BEGUN = 2
-"""Events that a caller holds when its stream breaks off."""
-GIVE_UP_S = 2.0
-"""Callers abandon a stream after a gap of this length."""
-CALLERS = 6
-SETTINGS = {"bounds.grace_s": "2"}
-
-
-class Failure(Enum):
-    """What a server does to the streams that it runs."""
-
-    KILLED = "killed"
-    BROKEN_OFF = "broken_off"
-    BROKEN_OFF_ONCE = "broken_off_once"
-
-
-class Break(Enum):
-    """What ends an answer before the last event of its stream."""
-
-    RESET = "reset"
-    KILLED = "killed"
-    STOPPED = "stopped"
-
-
-class Place(Enum):
-    """The entry at which a caller takes its stream up."""
-
-    SAME = "same"
-    OTHER = "other"
-    RESTARTED = "restarted"
-
-
-class Loss(Enum):
-    """How the servers of a version end."""
-
-    KILLED = "servers_killed"
-    LEFT = "servers_left"
-    UPGRADED = "servers_upgraded"
-
-
 WAYS = [
     (Break.RESET, Place.SAME),
     (Break.RESET, Place.OTHER),
@@ -84,143 +69,6 @@
         yield running
 
 
-def add_engines(fleet, versions, first=1):
-    """Start engines on VMs of their own, which hold streams after the first events."""
-    engines = []
-    for number, version in enumerate(versions, first):
-        ip, models = f"127.0.0.{number + 20}", {"m1": []}
-        options = {"service": "llm", "ip": ip, "models": models, "version": version}
-        engine = fleet.add_server(name=f"i-{number}", hold_after=BEGUN, **options)
-        engine.hold.clear()
-        engines.append(engine)
-    return engines
-
-
-def start_entries(fleet, count, engines):
-    entries = [
-        fleet.add_entry(f"127.0.0.{number + 8}", SETTINGS) for number in range(count)
-    ]
-    wait_known(entries, engines)
-    return entries
-
-
-def start_agents(fleet, engines):
-    for agent in [fleet.add_agent(engine) for engine in engines]:
-        wait_for(lambda a=agent: "fence_taken" in a.log_text(), "an agent is ready")
-
-
-def count_logged(entry, event, engine):
-    logged = f'"event": "{event}", "server": "{engine.name}"'
-    return entry.program.log_text().count(logged)
-
-
-def wait_logged(entries, event, engine, times=1):
-    for entry in entries:
-        wait_for(
-            lambda e=entry: count_logged(e, event, engine) >= times,
-            f"{event} of {engine.name}",
-        )
-
-
-def wait_known(entries, engines):
-    for engine in engines:
-        wait_logged(entries, "server_changed", engine)
-
-
-def begin_streams(entries, count=CALLERS):
-    """Return callers that hold the first events of their streams."""
-    callers = [StreamCaller(os.urandom(4).hex()) for _ in range(count)]
-    for number, caller in enumerate(callers):
-        caller.open(entries[number % len(entries)])
-        assert caller.read(BEGUN) is None, f"no stream, status {caller.status}"
-    return callers
-
-
-def release(engines):
-    """Let streams run to their end."""
-    for engine in engines:
-        engine.hold.set()
-
-
-def fail_streams(engine, failure, streams):
-    if failure is Failure.KILLED:
-        engine.stop()
-        return
-    engine.break_runs = streams if failure is Failure.BROKEN_OFF_ONCE else None
-    engine.break_after = BEGUN
-    release([engine])
-
-
-def interrupt(callers, entry, way):
-    """Break off the streams that an entry relays."""
-    if way is Break.RESET:
-        for caller in callers:
-            caller.reset()
-        return
-    number = signal.SIGKILL if way is Break.KILLED else signal.SIGTERM
-    entry.program.process.send_signal(number)
-    for caller in callers:
-        assert caller.read() is Outcome.BROKEN
-    entry.program.process.wait(20)
-
-
-def end_servers(fleet, entries, engines, loss):
-    """End servers; wait until the running entries know it if the list says so."""
-    for engine in engines:
-        if loss is Loss.UPGRADED:
-            former = max(
-                count_logged(entry, "server_changed", engine) for entry in entries
-            )
-            engine.restart(NEW)
-            fleet.register(engine)
-            wait_logged(entries, "server_changed", engine, former + 1)
-            continue
-        if loss is Loss.LEFT:
-            fleet.register(engine, "draining")
-            fleet.store.put("keyed.servers", engine.name, None)
-            wait_logged(entries, "server_removed", engine)
-        engine.stop()
-
-
-def start_again(entries):
-    for entry in entries:
-        entry.program.start()
-    for entry in entries:
-        wait_for(entry.is_ready, "the entry is ready again")
-
-
-def place_of(place, first, other):
-    """Return the entry at which streams go on that broke off at the first one."""
-    if place is Place.RESTARTED:
-        start_again([first])
-    return other if place is Place.OTHER else first
-
-
-def check_not_joined(callers):
-    """Check that no caller holds events of two versions, or skips or repeats one."""
-    joined = [caller.events for caller in callers if len(caller.versions) > 1]
-    assert joined == [], f"{len(joined)} of {len(callers)} streams are joined"
-    assert all(caller.is_in_order for caller in callers)
-
-
-def check_goes_on(callers, entry, changes=None):
-    outcomes = [caller.take_up_with_retries(entry, changes) for caller in callers]
-    check_not_joined(callers)
-    assert outcomes == [Outcome.WHOLE] * len(callers), statuses(callers)
-
-
-def check_refused(callers, entry, changes=None):
-    """Check that take-ups are refused as not run, before their callers give up."""
-    taken_up = [timed(lambda c=each: c.take_up(entry, changes)) for each in callers]
-    check_not_joined(callers)
-    assert statuses(callers) == [503] * len(callers), taken_up
-    assert max(took_s for _, took_s in taken_up) < GIVE_UP_S
-
-
-def statuses(callers):
-    return [caller.status for caller in callers]
-
-
 @pytest.mark.parametrize("failure", Failure, ids=named)
 def test_entry_resumes_no_stream_at_another_version(fleet, failure):
     """Guards against an answer that goes on at another version, or ends as if whole.
@@ -305,41 +153,79 @@
     entries = start_entries(fleet, 2, engines)
     start_agents(fleet, engines)
     callers = begin_streams(entries, 8)
-    for each in entries:
-        each.program.process.kill()
-    for caller in callers:
-        assert caller.read() is Outcome.BROKEN
+    kill_all(entries, callers)
     start_again(entries)
     release(engines)
     for number, entry in enumerate(entries):
         check_goes_on(callers[number::2], entry)
 
 
-@pytest.mark.parametrize("with_agents", [True, False], ids=["agents", "no_agents"])
+class Memory(Enum):
+    """Which processes run on, and when the older servers leave."""
+
+    AGENTS = "agents"
+    NONE = "none"
+    NONE_LEAVE_MEANWHILE = "none_leave_meanwhile"
+
+
+@pytest.mark.parametrize("memory", Memory, ids=named)
 def test_streams_of_servers_that_left_are_refused_after_all_entries_were_killed(
-    fleet, with_agents
+    fleet, memory
 ):
     """Guards against joined streams where nobody remembers that a version served."""
     older = add_engines(fleet, [OLD, OLD])
     entries = start_entries(fleet, 2, older)
-    if with_agents:
+    if memory is Memory.AGENTS:
         start_agents(fleet, older)
     callers = begin_streams(entries, 4)
     newer = add_engines(fleet, [NEW, NEW], 3)
-    if with_agents:
+    if memory is Memory.AGENTS:
         start_agents(fleet, newer)
     wait_known(entries, newer)
-    end_servers(fleet, entries, older, Loss.LEFT)
-    for each in entries:
-        each.program.process.kill()
-    for caller in callers:
-        assert caller.read() is Outcome.BROKEN
+    if memory is not Memory.NONE_LEAVE_MEANWHILE:
+        end_servers(fleet, entries, older, Loss.LEFT)
+    kill_all(entries, callers)
+    if memory is Memory.NONE_LEAVE_MEANWHILE:
+        end_servers(fleet, [], older, Loss.LEFT)
     start_again(entries)
     release(newer)
     for number, entry in enumerate(entries):
         check_refused(callers[number::2], entry)
 
 
+def test_stream_that_is_taken_up_twice_goes_on_at_its_version(fleet):
+    """Guards against forgetting the origin of a stream once it has gone on."""
+    engines = add_engines(fleet, [OLD, OLD, NEW, NEW])
+    first, other = entries = start_entries(fleet, 2, engines)
+    start_agents(fleet, engines)
+    callers = begin_streams([first])
+    interrupt(callers, first, Break.RESET)
+    for engine in engines:
+        engine.hold_after = BEGUN + 1
+    for caller in callers:
+        caller.open(other)
+        assert caller.read(BEGUN + 1) is None, statuses(callers)
+    check_not_joined(callers)
+    kill_all(entries, callers)
+    start_again(entries)
+    release(engines)
+    check_goes_on(callers, first)
+
+
+def test_stream_goes_on_at_the_version_of_its_first_event(fleet):
+    """Guards against taking a server that was only tried for the one that began."""
+    tried, *newer = engines = add_engines(fleet, [OLD, NEW, NEW])
+    tried.break_after = 0
+    [entry] = start_entries(fleet, 1, engines)
+    callers = begin_streams([entry])
+    assert tried.runs, "the older server was tried"
+    interrupt(callers, entry, Break.RESET)
+    tried.break_after = None
+    release(engines)
+    check_goes_on(callers, entry)
+    assert {version for caller in callers for version in caller.versions} == {NEW}
+
+
 UNPROVEN = {
     "no_origin": {"Resumes": None},
     "unknown_origin": {"Resumes": "0123456789abcdef"},
