Tell servers of an unnamed service from gone ones at a restore

Cause: servers whose service no configuration names are not present, and counted as gone. Evidence: test_service_named_after_a_restore_has_its_servers_at_once failed before with "assert [] == ['s1']". Change: only missing servers and those that have given way at their address are doubted.

--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -102,7 +102,8 @@
         once more.
         """
         records = self._records.values()
-        gone = [each for each in records if not self._is_present(each, now_s)]
+        # A service that no configuration names may be named by a later one.
+        gone = [each for each in records if not self._may_live(each, now_s)]
         for record in records:
             record.is_doubted, record.contradicted = record.is_disowned, None
         for record in gone:
@@ -357,8 +358,9 @@
         ]
 
     def _is_present(self, record: _ServerRecord, now_s: float) -> bool:
-        if not self._is_named(record):
-            return False
+        return self._is_named(record) and self._may_live(record, now_s)
+
+    def _may_live(self, record: _ServerRecord, now_s: float) -> bool:
         if record.missing_since_s is None:
             return not self._is_replaced(record)
         if not record.missing_after_outage:
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -170,6 +170,18 @@
     assert usable(directory, restored_s) == []
 
 
+def test_service_named_after_a_restore_has_its_servers_at_once():
+    """Guards against live servers that count as gone with their service."""
+    directory = make_server_directory()
+    directory.set_services([ServiceName("other")])
+    directory.on_entry(server(), 1, 0.0)
+    directory.on_store_restored(10.0)
+    directory.on_entry(server(), 2**36, 10.0)
+    directory.on_listing(["s1"], 2**36 + 1, 10.0)
+    directory.set_services([DRAFTING])
+    assert usable(directory, 10.0) == ["s1"]
+
+
 def test_entry_of_a_former_incarnation_in_the_copy_is_no_evidence():
     """Guards against an ended start that a delayed write and a copied entry revive."""
     directory = make_server_directory()
