Believe a later era of the store when two answers state it

After one answer with a wrong high era a process discarded all later answers as outdated and followed nothing any more, without a line, and its set of evacuated zones did the same to its peers. Change: the first answer of a later era is discarded and its call repeated at once; the era counts when a second answer states it. Outdated answers are counted.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -136,9 +136,14 @@
     @handler("call_done")
     def _on_call_done(self, done):
         now_s = time.monotonic()
-        if self._observe_era(done, now_s) is EraStep.OUTDATED:
-            self._schedule_retry(done.call, now_s)
-            return
+        match self._observe_era(done, now_s):
+            case EraStep.UNCONFIRMED:
+                self._repeat(done.call, now_s)
+                return
+            case EraStep.OUTDATED:
+                self.fire(store_call_counted("outdated"), "metrics")
+                self._schedule_retry(done.call, now_s)
+                return
         if done.status >= 500 or done.status == 429:
             self._handle_failure(done.call, f"status {done.status}", now_s)
             return
@@ -184,6 +189,13 @@
             log_event("store_lost", level="warning", detail=detail)
             self.fire(store_lost(), "*")
 
+    def _repeat(self, call: str, now_s: float):
+        """Repeat a call at once; its answer states an era that no other one states."""
+        for pending in (*self._followers, *self._writes):
+            if pending.call == call:
+                pending.call, pending.due_s = None, now_s
+        self._send_due_calls(now_s)
+
     def _schedule_retry(self, call: str, now_s: float):
         for follower in self._followers:
             if follower.call == call:
--- a/chervilgw/platform/store_era.py
+++ b/chervilgw/platform/store_era.py
@@ -28,6 +28,7 @@
     """What an answer's era says of the store."""
 
     SAME = "same"
+    UNCONFIRMED = "unconfirmed"
     RESTORED = "restored"
     OUTDATED = "outdated"
 
@@ -37,32 +38,44 @@
     """Newest era seen by one process; see :func:`make_era_tracker`."""
 
     era: StoreEra | None = None
+    _claimed: StoreEra | None = None
 
     def on_answer(self, era: StoreEra | None) -> EraStep:
         """Apply the era of an answer.
 
+        A later era is believed when two answers state it: after a single wrong one, all
+        sound answers would count as outdated.
+
         Parameters
         ----------
         era : StoreEra or None
             None if the answer states no valid era, which says nothing of the store.
+            The first era that is stated is taken as it is.
 
         Returns
         -------
         EraStep
-            ``OUTDATED`` if the store answered before it came back from its copy.
+            ``OUTDATED`` if the store answered before it came back from its copy,
+            ``UNCONFIRMED`` if the answer alone states a later era.
 
         Examples
         --------
         >>> tracker = make_era_tracker()
-        >>> [tracker.on_answer(StoreEra(era)).value for era in (1, 2, 1, 2)]
-        ['same', 'restored', 'outdated', 'same']
+        >>> [tracker.on_answer(StoreEra(era)).value for era in (1, 2, 2, 1, 2)]
+        ['same', 'unconfirmed', 'restored', 'outdated', 'same']
         """
-        if era is None or era == self.era:
+        if era is None:
+            return EraStep.SAME
+        if self.era is None or era == self.era:
+            self.era, self._claimed = era, None
             return EraStep.SAME
-        if self.era is not None and era < self.era:
+        if era < self.era:
             return EraStep.OUTDATED
-        is_first, self.era = self.era is None, era
-        return EraStep.SAME if is_first else EraStep.RESTORED
+        if era != self._claimed:
+            self._claimed = era
+            return EraStep.UNCONFIRMED
+        self.era, self._claimed = era, None
+        return EraStep.RESTORED
 
 
 def make_era_tracker() -> EraTracker:
