Do not count entries again that left before a repeated listing

After a restore an entry's part of the rate at cold servers shrank for a minute or more. Cause: entries are listed again after a restore, and the list holds those that have left. Evidence: test_peers_that_left_do_not_count_again_when_they_are_listed_again failed before with "assert 8 == 1". Change: a listing adds only addresses of which this entry has never heard.

--- a/chervilgw/membership/entry_count.py
+++ b/chervilgw/membership/entry_count.py
@@ -40,21 +40,27 @@
 
     address: str
     _peers: dict[str, _Peer] = field(default_factory=dict)
+    _gone: set[str] = field(default_factory=set)
     _is_listed: bool = False
     _running_s: float = 0.0
     _last_s: float | None = None
     _share: EntryShare | None = None
 
     def on_listed(self, addresses: tuple[str, ...], now_s: float) -> None:
-        """Record the entries on the platform's list, which may hold former ones."""
+        """Record the entries on the platform's list, which may hold former ones.
+
+        What this entry has heard of a peer itself counts more than a repeated listing.
+        """
         self._advance(now_s)
         self._is_listed = True
         for address in addresses:
-            self._add(address, False)
+            if address not in self._peers and address not in self._gone:
+                self._add(address, False)
 
     def on_report(self, address: str, is_draining: bool, now_s: float) -> None:
         """Record a report of a peer."""
         self._advance(now_s)
+        self._gone.discard(address)
         self._add(address, is_draining)
 
     def _add(self, address: str, left: bool) -> None:
@@ -82,6 +88,7 @@
         for address, silence_s in silences_s.items():
             if silence_s > (LEFT_S if self._peers[address].left else limit_s):
                 del self._peers[address]
+                self._gone.add(address)
                 self._share = None
 
     def share(self) -> EntryShare:
--- a/chervilgw/membership/tests/test_entry_count.py
+++ b/chervilgw/membership/tests/test_entry_count.py
@@ -56,6 +56,16 @@
     assert run(count, SILENT_S - 1.0, SILENT_S + 3.0, heard) == 7
 
 
+def test_peers_that_left_do_not_count_again_when_they_are_listed_again(count):
+    """Guards against a share that shrinks after a restore of the store."""
+    assert run(count, 0.0, 1.0, PEERS[1:], PEERS[1:]) == 8
+    assert run(count, 1.0, LEFT_S + 2.0) == 1
+    count.on_listed(PEERS, LEFT_S + 3.0)
+    assert count.share().entries == 1
+    count.on_report(PEERS[1], False, LEFT_S + 4.0)
+    assert count.share().entries == 2
+
+
 def test_peer_that_announced_its_stop_is_dropped_soon(count):
     """Guards against a fleet that shrinks and sends too little for a minute."""
     run(count, 0.0, 3.0, PEERS[1:], draining=PEERS[7:])
