Ignore the failure of a call that was given up at a restore

Some seconds after a restore a process took the store for lost, and servers that had been removed meanwhile counted as lapsed in an outage. Cause: calls in flight are given up at a restore, but their failures were still applied. Evidence: test_call_given_up_at_a_restore_makes_no_outage_when_it_fails failed before. Change: a failure counts only if a follower or an append waits for the call.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -183,7 +183,9 @@
 
     def _handle_failure(self, call: str, detail: str, now_s: float):
         self.fire(store_call_counted("failed"), "metrics")
-        self._schedule_retry(call, now_s)
+        if not self._schedule_retry(call, now_s):
+            # The call was given up when the store came back from a copy.
+            return
         if not self._is_store_lost:
             self._is_store_lost = True
             log_event("store_lost", level="warning", detail=detail)
@@ -196,15 +198,14 @@
                 pending.call, pending.due_s = None, now_s
         self._send_due_calls(now_s)
 
-    def _schedule_retry(self, call: str, now_s: float):
-        for follower in self._followers:
-            if follower.call == call:
-                follower.call = None
-                follower.schedule_retry(now_s)
-        for write in self._writes:
-            if write.call == call:
-                write.call = None
-                write.schedule_retry(now_s)
+    def _schedule_retry(self, call: str, now_s: float) -> bool:
+        """Repeat a call after a delay; return whether it is still needed."""
+        for pending in (*self._followers, *self._writes):
+            if pending.call == call:
+                pending.call = None
+                pending.schedule_retry(now_s)
+                return True
+        return False
 
     def _mark_store_available(self):
         if self._is_store_lost:
--- a/chervilgw/platform/tests/test_operator_records.py
+++ b/chervilgw/platform/tests/test_operator_records.py
@@ -14,7 +14,7 @@
     make_operator_records,
 )
 from chervilgw.platform.store import make_store_task
-from chervilgw.runtime.events import CallDone, call_done
+from chervilgw.runtime.events import CallDone, CallFailed, call_done, call_failed
 
 from .test_boot import ENTRY_SETTINGS
 from .test_odd_records import CONFIGURATION
@@ -31,7 +31,7 @@
     def _on_call(self, spec):
         self.calls.append(spec)
 
-    @handler("deployment_changed", "evacuations_listed", channel="*")
+    @handler("deployment_changed", "evacuations_listed", "store_lost", channel="*")
     def _on_told(self, event, *args):
         self.seen.append((event.name, *args))
 
@@ -128,3 +128,28 @@
     store._send_due_calls(math.inf)
     flush(root)
     assert "keyed.op" in "".join(spec.path for spec in recorder.calls[2:])
+
+
+def test_call_given_up_at_a_restore_makes_no_outage_when_it_fails():
+    """Guards against servers that were removed and count again as after an outage."""
+    root, recorder = Component(), Recorder()
+    recorder.register(root)
+    store = make_store_task(decode_settings(ENTRY_SETTINGS), True).register(root)
+    store._send_due_calls(0.0)
+    flush(root)
+    operators, servers = recorder.calls
+
+    def answer(call, era):
+        headers = (("Store-Era", era),)
+        done = CallDone(call.call, 200, headers, page([], 0))
+        root.fire(call_done(done), "store")
+        flush(root)
+
+    answer(servers, "1")
+    for _ in range(2):
+        store._send_due_calls(math.inf)
+        flush(root)
+        answer(recorder.calls[-1], "2")
+    root.fire(call_failed(CallFailed(operators.call, True, "no answer")), "store")
+    flush(root)
+    assert ("store_lost",) not in recorder.seen
