Order configurations by their versions alone

Cause: a configuration at a lower position was ignored whatever its version. Evidence: test_versions_alone_order_configurations failed before: version 7 at position 4 after version 5 at position 9 was ignored. Change: the position only tells that a record was read before.

--- a/chervilgw/platform/operator_records.py
+++ b/chervilgw/platform/operator_records.py
@@ -100,20 +100,20 @@
         """Return the configuration of a record, or None if it is not newer."""
         if record.value is None:
             return None
-        if record.position <= self._config_position:
-            if record.position < self._config_position:
-                self._log_ignored(record, "read at a lower position")
+        if record.position == self._config_position:
             return None
         try:
             deployment = decode_configuration(record.value)
         except DecodeError as error:
             log_event("configuration_malformed", level="error", detail=str(error))
             return None
-        if deployment.version <= self._version:
-            if deployment.version < self._version:
-                self._log_ignored(record, "of an older version")
+        if deployment.version < self._version:
+            self._log_ignored(record, "of an older version")
             return None
+        is_newer = deployment.version > self._version
         self._version, self._config_position = deployment.version, record.position
+        if not is_newer:
+            return None
         return ConfigurationRead(deployment, record.position)
 
     def _log_ignored(self, record: log_format.KeyedRecord, detail: str) -> None:
--- a/chervilgw/platform/tests/test_operator_records.py
+++ b/chervilgw/platform/tests/test_operator_records.py
@@ -93,6 +93,19 @@
     assert records.on_listing_ended(5) == [ZonesListed({}, 5)]
 
 
+def test_versions_alone_order_configurations():
+    """Guards against a newer configuration that is ignored for its position.
+
+    A store that states no era may have come back from a copy, too.
+    """
+    records = make_operator_records()
+    records.on_listing_ended(0)
+    for position, version, is_applied in ((9, 5, True), (4, 7, True), (6, 6, False)):
+        value = json.dumps(CONFIGURATION | {"version": version}).encode()
+        read = records.on_record(KeyedRecord(position, "config", value))
+        assert [each.deployment.version for each in read] == [version] * is_applied
+
+
 def test_any_value_evacuates_and_none_revokes():
     records = make_operator_records()
     for value, is_evacuated in ((b"{}", True), (b"\xff", True), (None, False)):
