Report draining servers to entries that start after a restore

An entry that starts between a restore and the servers' next writes sent requests to a server whose drain had been acknowledged (rule DRAIN). Cause: it knows only the copy, and its peers reported only notices of servers, and these for ten seconds. Evidence: test_entry_started_before_the_rewrite_sends_nothing_to_a_drained_server failed before: 9 of 10 requests went there. Change: at a restore each entry reports all drains that it knows for ten seconds anew.

--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -101,6 +101,9 @@
         whose address another server has taken, counts again when it writes its entry
         once more.
         """
+        for draining in self._draining.values():
+            # Peers that start now read of none of them, so that they are told again.
+            draining.gave_notice, draining.since_s = True, now_s
         records = self._records.values()
         # A service that no configuration names may be named by a later one.
         gone = [each for each in records if not self._may_live(each, now_s)]
--- a/chervilgw/membership/tests/test_directory.py
+++ b/chervilgw/membership/tests/test_directory.py
@@ -182,6 +182,15 @@
     assert usable(directory, 10.0) == ["s1"]
 
 
+def test_draining_servers_are_reported_after_a_restore():
+    """Guards against peers that start after a restore and know only the copy."""
+    directory = make_server_directory()
+    directory.on_entry(server(state=ServerState.DRAINING), 1, 0.0)
+    assert directory.leaving(20.0) == {}
+    directory.on_store_restored(20.0)
+    assert directory.leaving(21.0) == {"s1": 1}
+
+
 def test_entry_of_a_former_incarnation_in_the_copy_is_no_evidence():
     """Guards against an ended start that a delayed write and a copied entry revive."""
     directory = make_server_directory()
--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -209,3 +209,19 @@
         "the withdrawn key is refused",
         CONFIGURATION_DEADLINE_S,
     )
+
+
+def test_entry_started_before_the_rewrite_sends_nothing_to_a_drained_server(fleet):
+    """Guards against a server whose drain is on no list and known to the peers."""
+    leaving, _ = fleet.add_server(name="i-1"), fleet.add_server(name="i-2")
+    first = fleet.add_entry("127.0.0.1", SETTINGS)
+    before = fleet.store.take_copy()
+    fleet.register(leaving, "draining")
+    text = first.program.log_text
+    wait_for(lambda: '"state": "draining"' in text(), "the server drains")
+    fleet.store.restore(before)
+    second = fleet.add_entry("127.0.0.2", SETTINGS)
+    wait_for(lambda: knows_another(second), "the entries know each other")
+    for number in range(10):
+        assert second.send(f"/stock/{number}").status_code == 200
+    assert leaving.runs == []
