Hold requests of a started entry whose peers know a newer configuration

An entry that starts between a restore and the operators' next write ran requests with a key that had been withdrawn (rule CONFIG). Cause: it takes the configuration of the copy for the newest one. Evidence: test_entry_started_before_the_rewrite_does_not_undo_a_withdrawal: a request with the withdrawn key was answered 200. Change: entries report the version in force.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -49,6 +49,7 @@
     expected to write, ``held_tokens`` to the memory that they will occupy.
     ``granted_ever`` maps a customer to the tokens granted since the sender started,
     less what was cancelled. ``sequence`` numbers the reports of a process from 1.
+    ``configuration_version`` is the version in force, -1 before the first one.
     """
 
     sender: Incarnation
@@ -66,6 +67,7 @@
     held_tokens: dict[str, int] = field(default_factory=dict)
     granted_ever: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
+    configuration_version: int = -1
 
     @property
     def may_plan(self) -> bool:
--- a/chervilgw/forward/entry_reporter.py
+++ b/chervilgw/forward/entry_reporter.py
@@ -22,6 +22,7 @@
     software_versions_due,
     usage_record_due,
 )
+from chervilgw.membership.configuration_lag import make_configuration_lag
 from chervilgw.placement.demand_rate import make_demand_rates
 from chervilgw.quota.window import QuotaTolerance, make_window_quota
 from chervilgw.settings.vm import Bounds
@@ -74,14 +75,19 @@
         # Report the demand at the next tick, as a request needs a model.
         self.is_demand_urgent = False
         self._drain_policy = make_drain_policy(bounds.grace_s)
+        self._lag = make_configuration_lag(time.monotonic())
 
     @handler("usage_recorded", channel="*")
     def _on_usage_recorded(self, used, age_s):
         self._quota.on_recorded(used, age_s)
 
     def on_grants(self, report: EntryReport, now_s: float):
-        """Record a peer's grants; tell one that has started of those before it."""
+        """Record a peer's grants and its configuration.
+
+        A peer that has started is told of the grants before it.
+        """
         sender, informed = report.sender, report.grants_complete
+        self._lag.on_peer(report.configuration_version)
         self._quota.on_report(
             sender,
             report.granted,
@@ -142,6 +148,7 @@
             held_tokens=held_tokens,
             granted_ever=self._quota.granted_ever(),
             sequence=next(self._report_numbers),
+            configuration_version=self._deployment.version if self._deployment else -1,
         )
         self.fire(entry_report_due(report), "gossip")
         self.publish_servers(now_s)
--- a/fleet/tests/test_store_restore.py
+++ b/fleet/tests/test_store_restore.py
@@ -225,3 +225,23 @@
     for number in range(10):
         assert second.send(f"/stock/{number}").status_code == 200
     assert leaving.runs == []
+
+
+def test_entry_started_before_the_rewrite_does_not_undo_a_withdrawal(fleet):
+    """Guards against a withdrawn key that a started entry reads from the copy."""
+    fleet.add_server()
+    first = fleet.add_entry("127.0.0.1", SETTINGS)
+    write_and_wait(fleet, first, 10, ("key-a", "key-b"))
+    before = fleet.store.take_copy()
+    write_and_wait(fleet, first, 11)
+    fleet.store.restore(before)
+    second = fleet.add_entry("127.0.0.2", SETTINGS)
+    wait_for(lambda: knows_another(first), "the entry is found")
+    assert first.send("/stock/1", "key-b").status_code == 401
+    assert second.send("/stock/1", "key-b").status_code == 503
+    fleet.store.put("keyed.op", "config", configuration(11))
+    wait_for(
+        lambda: second.send("/stock/2", "key-b").status_code == 401,
+        "the withdrawn key is refused",
+        CONFIGURATION_DEADLINE_S,
+    )
