Hold no stream for a copy of its model that is not planned

A stream that may go on only at one software version waited up to a second for a load of its model at an engine of that version, also while another version held the model: the planner counts copies over all versions and plans none, so that the caller was refused late. It waits now only for a load that is under way at its version, as other requests do when a copy exists.

Evidence: the case "absent" of the new test failed before (WaitForModel in place of a refusal). A second test guards that take-ups of a known version spread over both servers of it, as new streams do; it passed before.

--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -130,7 +130,8 @@
                 for candidate in usable
                 if candidate.server.server in exchange.busy_at
             ]
-            if self._is_loaded_in_time(exchange, deployment, bool(busy), now_s):
+            is_held = bool(busy) or self._is_held_by_another_version(exchange, now_s)
+            if self._is_loaded_in_time(exchange, deployment, is_held, now_s):
                 return WaitForModel()
             if busy:
                 refusal = refuse_without_turn(request, busy)
@@ -273,6 +274,13 @@
         refusal = make_refusal(RefusalReason.QUEUE_FULL, text, back_off_s)
         return self._refuse(exchange, refusal, entries, now_s)
 
+    def _is_held_by_another_version(self, exchange, now_s: float) -> bool:
+        """Return whether the model is held only where the stream may not go on."""
+        if exchange.binding.version is None:
+            return False
+        admitted = exchange.admitted
+        return self.fleet.is_held(admitted.service, admitted.opaque, now_s)
+
     def _is_loaded_in_time(
         self, exchange, deployment, is_loaded: bool, now_s: float
     ) -> bool:
--- a/chervilgw/forward/tests/test_dispatcher.py
+++ b/chervilgw/forward/tests/test_dispatcher.py
@@ -208,3 +208,28 @@
     dispatcher.fleet.on_listed(0.4)
     exchange.started_s = 0.9
     assert dispatcher.decide(exchange, DEPLOYMENT, 1, 1.0) == SendNow("i-1", 1_400)
+
+
+@pytest.mark.parametrize(
+    ("loading", "expected"), [("m", "wait"), ("", "refuse")], ids=["loading", "absent"]
+)
+def test_stream_waits_only_for_a_load_at_its_software_version(
+    dispatcher, exchange, loading, expected
+):
+    """Guards against a wait for a copy that is not planned, as another version has one.
+
+    i-1 of v1 holds the model, i-2 of v2 may load it from local weights.
+    """
+    for name, version in (("i-1", "v1"), ("i-2", "v2")):
+        versioned = replace(engine(name), software_version=version)
+        dispatcher.fleet.directory.on_entry(versioned, 3, 0.0)
+    local = replace(report("i-2", [], loading), local_models=("m",))
+    dispatcher.fleet.on_report(local, 0.1)
+    exchange.binding.version = "v2"
+    decision = dispatcher.decide(exchange, DEPLOYMENT, 1, 0.2)
+    if expected == "wait":
+        assert decision == WaitForModel()
+    else:
+        assert decision.refusal.reason is RefusalReason.MODEL_NOT_LOADED
+    exchange.binding.version = "v1"
+    assert dispatcher.decide(exchange, DEPLOYMENT, 1, 0.2).server == "i-1"
--- a/chervilgw/forward/tests/test_taken_up_streams.py
+++ b/chervilgw/forward/tests/test_taken_up_streams.py
@@ -100,3 +100,15 @@
     entry = StreamEntry(TWO, reads_record=False)
     entry.request("a")
     assert (len(entry.called()), entry.sent("stream_origin_requested")) == (1, [])
+
+
+def test_take_up_goes_to_the_free_one_of_two_servers_of_its_version():
+    """Guards against take-ups that begin less often than new streams."""
+    entry = StreamEntry({"i-1": "v1", "i-2": "v1", "i-3": "v2"})
+    entry.fire(events.stream_origin_reported("llm", "a", "v1"))
+    for number in range(4):
+        entry.request(f"b{number}", "2", "a")
+    assert (sorted(entry.called()), entry.refusals()) == (
+        ["i-1", "i-1", "i-2", "i-2"],
+        [],
+    )
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -232,6 +232,15 @@
             default=None,
         )
 
+    def is_held(
+        self, service: ServiceName, request: OpaqueRequest, now_s: float
+    ) -> bool:
+        """Return whether a server of any software version holds a request's model."""
+        return any(
+            self._holds_model(server, request, now_s)
+            for server in self.directory.usable(service, now_s)
+        )
+
     def _holds_model(self, server, request: OpaqueRequest, now_s: float) -> bool:
         return request.model is None or request.model in self.loaded_models(
             server, now_s
