--- a/chervilgw/forward/tests/test_store_restored.py
+++ b/chervilgw/forward/tests/test_store_restored.py
@@ -5,12 +5,13 @@
 
 from chervilgw.core.deployment import RegisteredServer, ServerState
 from chervilgw.core.forward_messages import EvacuatedZones
+from chervilgw.core.ids import OFFSET_BITS
 from chervilgw.forward import events
 from chervilgw.runtime.events import clock_tick
 
 from .test_evacuation import DEPLOYMENT, FAR, NEAR, SERVICES, Entry
 
-COPIED = 2**36
+COPIED = 2**OFFSET_BITS
 
 
 def test_gone_server_that_the_copy_lists_does_not_count_as_cold():
