Tell agents of streams that began without a turn

Callers saw: after a loss of all entries, take-ups refused although an agent beside the engine of the stream's version ran on. Cause: an entry that has not heard an agent yet sends without a turn, and only the release of a turn told the agent which stream began. Evidence: traced in the logs of a failed run of test_stream_that_is_taken_up_twice_goes_on_at_its_version: the stream that nobody knew had no turn. test_agent_is_told_of_a_stream_that_began_without_a_turn failed before. Change: the entry sends the agent the stream's origin in that case.

--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -23,6 +23,7 @@
     ModelLoadRequest,
     ReportSubscription,
     StreamEnded,
+    StreamOrigin,
     StreamOriginQuery,
     TurnReleased,
     TurnRequest,
@@ -127,6 +128,8 @@
                 self.on_turn_released(message, now_s)
             case StreamOriginQuery():
                 self.on_origin_query(message)
+            case StreamOrigin():
+                self.begun.on_stated(message, now_s)
             case StreamEnded():
                 self.on_stream_ended(message, now_s)
             case ModelLoadRequest() if message.server == self.server:
--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -12,7 +12,11 @@
 from chervilgw.core.refusals import make_refusal
 from chervilgw.core.states import RefusalReason
 from chervilgw.forward.cost_tracker import CostTracker
-from chervilgw.forward.events import stream_origin_answered, stream_origin_requested
+from chervilgw.forward.events import (
+    agent_send,
+    stream_origin_answered,
+    stream_origin_requested,
+)
 from chervilgw.forward.exchange import Exchange, Stage
 from chervilgw.forward.metrics_task import resumption_counted
 from chervilgw.forward.request_log import log_not_resumed, log_resumed
@@ -104,6 +108,10 @@
         attempt = opaque.begun_by if exchange.is_taken_up else opaque.attempt
         service = exchange.admitted.service
         self.resumptions.on_relayed(service, attempt, binding.version, now_s)
+        if exchange.stream_turn is None and not exchange.is_taken_up:
+            # Without a turn the agent does not know the request.
+            origin = StreamOrigin(service, attempt, binding.version)
+            self.fire(agent_send(exchange.server, origin), "gossip")
 
     @handler("stream_origin_reported")
     def _on_stream_origin(
--- a/chervilgw/forward/tests/test_begun_streams.py
+++ b/chervilgw/forward/tests/test_begun_streams.py
@@ -5,7 +5,13 @@
 import pytest
 
 from chervilgw.codec.frames import encode
-from chervilgw.core.messages import EngineReport, TurnGranted, TurnReleased, TurnRequest
+from chervilgw.core.messages import (
+    EngineReport,
+    StreamOrigin,
+    TurnGranted,
+    TurnReleased,
+    TurnRequest,
+)
 from chervilgw.forward import events
 from chervilgw.forward.tests.test_evacuation import MODEL, Entry
 from chervilgw.runtime.events import (
@@ -79,6 +85,18 @@
     ]
 
 
+def test_agent_is_told_of_a_stream_that_began_without_a_turn():
+    """Guards against streams of the first second after a start that no agent knows."""
+    entry = Entry("llm")
+    headers = {"host": "h", "x-attempt-id": ATTEMPT} | MODEL
+    entry.fire(http_request(HttpRequest(1, "GET", "/s/1", "", headers, b"")), "gateway")
+    call = entry.sent("http_call")[-1][0].call
+    entry.fire(call_head(CallHead(call, 200, HEADERS)), "gateway")
+    receive(entry, call, b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+    [(_, origin)] = entry.sent("agent_send")
+    assert origin == StreamOrigin("llm", ATTEMPT, "")
+
+
 @pytest.mark.parametrize(
     "parts",
     [
--- a/chervilgw/routing/begun_streams.py
+++ b/chervilgw/routing/begun_streams.py
@@ -54,6 +54,15 @@
         if version:
             self._origins.on_begun(self._service, attempt, version, now_s)
 
+    def on_stated(self, origin: StreamOrigin, now_s: float) -> None:
+        """Record a stream that the engine began without a turn, as its entry states."""
+        if self._service in ("", origin.service):
+            attempt, version = (
+                AttemptId(origin.attempt),
+                SoftwareVersion(origin.version),
+            )
+            self._origins.on_begun(self._service, attempt, version, now_s)
+
     def answer(self, query: StreamOriginQuery) -> StreamOrigin | None:
         """Return the version that began a stream, or None if it is not known."""
         if self._service and query.service != self._service:
