--- a/chervilgw/membership/directory.py
+++ b/chervilgw/membership/directory.py
@@ -14,6 +14,7 @@
 
 from chervilgw.core.deployment import RegisteredServer, ServerId, ServerState
 from chervilgw.core.ids import LogPosition, ServiceName, SoftwareVersion
+from chervilgw.membership.draining import make_draining_servers
 from chervilgw.membership.evacuations import Evacuations, make_evacuations
 
 # Registrations that lapsed during an outage of the store are back about 2 s after it
@@ -25,9 +26,6 @@
 # Longer than the three heartbeat intervals of 1.2 s after which a silent server is off
 # the list. Entries of an earlier start that come for so long are no delayed writes.
 CONTRADICTION_TIMEOUT_S = 4.0
-# How long a server's notice is passed on to other entries. Within it the platform's
-# list names the server as draining.
-LEAVING_REPORT_S = 10.0
 
 
 @dataclass(slots=True)
@@ -51,12 +49,6 @@
     is_doubted: bool = False
 
 
-@dataclass(slots=True)
-class _Draining:
-    since_s: float
-    gave_notice: bool
-
-
 class ServerDirectory:
     """Registered servers; see :func:`make_server_directory`."""
 
@@ -65,7 +57,7 @@
         self._records: dict[ServerId, _ServerRecord] = {}
         self._by_address: dict[str, set[ServerId]] = defaultdict(set)
         self._services: frozenset[ServiceName] | None = None
-        self._draining: dict[tuple[ServerId, int], _Draining] = {}
+        self._draining = make_draining_servers()
         self._store_lost = False
         self._store_recovered_s = float("-inf")
 
@@ -101,9 +93,7 @@
         whose address another server has taken, counts again when it writes its entry
         once more.
         """
-        for draining in self._draining.values():
-            # Peers that start now read of none of them, so that they are told again.
-            draining.gave_notice, draining.since_s = True, now_s
+        self._draining.on_store_restored(now_s)
         records = self._records.values()
         # A service that no configuration names may be named by a later one.
         gone = [each for each in records if not self._may_live(each, now_s)]
@@ -150,7 +140,7 @@
             ):
                 return False
         if entry.state is ServerState.DRAINING:
-            self._begin_draining(entry.server, entry.started_ms, False, now_s)
+            self._draining.begin(entry.server, entry.started_ms, False, now_s)
         elif (entry.server, entry.started_ms) in self._draining:
             # A draining server never becomes ready again in the same incarnation.
             entry = replace(entry, state=ServerState.DRAINING)
@@ -208,19 +198,6 @@
         first_position, since_s = record.contradicted
         return position > first_position and now_s - since_s >= CONTRADICTION_TIMEOUT_S
 
-    def _begin_draining(
-        self, server: ServerId, started_ms: int, gave_notice: bool, now_s: float
-    ) -> bool:
-        """Record that an incarnation drains; return whether that notice is new."""
-        known = self._draining.get((server, started_ms))
-        if known is None:
-            self._draining[server, started_ms] = _Draining(now_s, gave_notice)
-            return True
-        if not gave_notice or known.gave_notice:
-            return False
-        known.gave_notice, known.since_s = True, now_s
-        return True
-
     def on_removed(self, server: ServerId, position: LogPosition, now_s: float) -> bool:
         """Apply the removal of an entry; return whether the server was registered."""
         record = self._records.get(server)
@@ -273,7 +250,7 @@
         record = self._records.get(server)
         if record is None or record.entry.started_ms != started_ms:
             return False
-        self._begin_draining(server, started_ms, False, now_s)
+        self._draining.begin(server, started_ms, False, now_s)
         if record.entry.state is ServerState.DRAINING:
             return False
         record.entry = replace(record.entry, state=ServerState.DRAINING)
@@ -285,17 +262,13 @@
         The notice may arrive before the entry of this incarnation, and binds also while
         the store does not answer.
         """
-        is_new = self._begin_draining(server, started_ms, True, now_s)
+        is_new = self._draining.begin(server, started_ms, True, now_s)
         self.on_draining_reported(server, started_ms, now_s)
         return is_new
 
     def leaving(self, now_s: float) -> dict[str, int]:
         """Return the servers that gave notice lately, and their incarnations."""
-        return {
-            server: started_ms
-            for (server, started_ms), draining in self._draining.items()
-            if draining.gave_notice and now_s - draining.since_s < LEAVING_REPORT_S
-        }
+        return self._draining.reported(now_s)
 
     def on_disowned(self, server: ServerId, started_ms: int) -> bool:
         """Record that another server answered at a server's address.
@@ -394,11 +367,11 @@
             if since_s is not None and now_s - since_s > GONE_RETENTION_S:
                 del self._records[server]
                 self._leave_address(record.entry)
-        for (server, started_ms), draining in list(self._draining.items()):
-            record = self._records.get(server)
-            is_current = record is not None and record.entry.started_ms == started_ms
-            if not is_current and now_s - draining.since_s > GONE_RETENTION_S:
-                del self._draining[server, started_ms]
+        self._draining.drop_former(self._is_current, GONE_RETENTION_S, now_s)
+
+    def _is_current(self, server: ServerId, started_ms: int) -> bool:
+        record = self._records.get(server)
+        return record is not None and record.entry.started_ms == started_ms
 
 
 def _differ(entry: RegisteredServer, former: RegisteredServer) -> bool:
