--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -149,16 +149,13 @@
             return
         self.fire(store_call_counted("answered"), "metrics")
         self._mark_store_available()
-        for write in self._writes:
-            if write.call == done.call:
+        match self._find_pending(done.call):
+            case Write() as write:
                 self._finish_write(write, done)
-                return
-        for follower in self._followers:
-            if follower.call == done.call:
+            case Follower() as follower:
                 follower.call = None
                 self._apply_answer(follower, done, now_s)
                 self._send_due_calls(now_s)
-                return
 
     def _observe_era(self, done, now_s: float) -> EraStep:
         former = self._eras.era
@@ -193,19 +190,25 @@
 
     def _repeat(self, call: str, now_s: float):
         """Repeat a call at once; its answer states an era that no other one states."""
-        for pending in (*self._followers, *self._writes):
-            if pending.call == call:
-                pending.call, pending.due_s = None, now_s
-        self._send_due_calls(now_s)
+        pending = self._find_pending(call)
+        if pending is not None:
+            pending.call, pending.due_s = None, now_s
+            self._send_due_calls(now_s)
 
     def _schedule_retry(self, call: str, now_s: float) -> bool:
         """Repeat a call after a delay; return whether it is still needed."""
+        pending = self._find_pending(call)
+        if pending is None:
+            return False
+        pending.call = None
+        pending.schedule_retry(now_s)
+        return True
+
+    def _find_pending(self, call: str) -> Follower | Write | None:
         for pending in (*self._followers, *self._writes):
             if pending.call == call:
-                pending.call = None
-                pending.schedule_retry(now_s)
-                return True
-        return False
+                return pending
+        return None
 
     def _mark_store_available(self):
         if self._is_store_lost:
