Move the appends of a process out of the store task

No behaviour changes: the tests of chervilgw/platform pass; two of them call a method that is public now.

--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -10,13 +10,12 @@
 import time
 from itertools import count
 
-from circuits import BaseComponent, handler
+from circuits import handler
 
 from chervilgw.core.addresses import is_address
 from chervilgw.core.deployment import ServerId
 from chervilgw.forward.events import (
     entry_list_read,
-    fencing_token_assigned,
     server_list_read,
     software_versions_recorded,
     store_lost,
@@ -27,7 +26,6 @@
 from chervilgw.platform import log_format
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.followers import (
-    MAX_RETRY_DELAY_S,
     Follower,
     FollowerStep,
     Write,
@@ -37,19 +35,17 @@
     Output,
     make_operator_records,
 )
-from chervilgw.platform.software_versions import encode_versions, make_version_record
 from chervilgw.platform.store_era import (
     EraStep,
     decode_era,
-    make_era_tracker,
     to_position,
 )
+from chervilgw.platform.store_writer import StoreWriter
 from chervilgw.platform.topic_records import (
     decode_shared_record,
     make_operator_event,
     make_server_records,
 )
-from chervilgw.platform.usage import encode_usage
 from chervilgw.runtime.events import HttpCall, http_call
 from chervilgw.settings.vm import VmSettings
 from chervilgw.telemetry import log_event
@@ -61,7 +57,7 @@
 MODEL_SIZES_WAIT_S = 10.0
 
 
-class StoreTask(BaseComponent):
+class StoreTask(StoreWriter):
     """Store task; see :func:`make_store_task`."""
 
     def __init__(self, settings: VmSettings, follow_servers: bool, channel):
@@ -70,22 +66,17 @@
         self._call_numbers = count(1)
         self._operator_records = make_operator_records()
         self._is_store_lost = False
-        self._eras = make_era_tracker()
-        self._writes: list[Write] = []
         self._server_records = make_server_records()
-        self._version_record = make_version_record()
-        self._fencing_token_reply_to = ""
-        self._announcement: bytes | None = None
         topic = log_format.CONFIGURATION_TOPIC
         # A silent connection delays a record by the time that a read waits.
         bounds = settings.bounds
         deadline_s = min(bounds.configuration_deadline_s, bounds.evacuation_deadline_s)
         wait_s = deadline_s if follow_servers else MODEL_SIZES_WAIT_S
-        self._followers = [Follower(topic, wait_s, 0.0)]
+        self.followers = [Follower(topic, wait_s, 0.0)]
         if follow_servers:
             topic = log_format.SERVERS_TOPIC
             poll_interval_s = servers_poll_interval_s(settings.bounds.drain_s)
-            self._followers.append(Follower(topic, 0.0, poll_interval_s))
+            self.followers.append(Follower(topic, 0.0, poll_interval_s))
 
     @handler("settings_changed", channel="*")
     def _on_settings_changed(self, settings):
@@ -93,18 +84,19 @@
 
     @handler("started", channel="*")
     def _on_started(self, *args):
-        self._send_due_calls(time.monotonic())
+        self.send_due_calls(time.monotonic())
 
     @handler("clock_tick", channel="*")
     def _on_clock_tick(self, now_s, paused):
-        self._send_due_calls(now_s)
+        self.send_due_calls(now_s)
 
-    def _send_due_calls(self, now_s: float):
-        for write in self._writes:
+    def send_due_calls(self, now_s: float):
+        """Send the appends and queries that are due."""
+        for write in self.writes:
             if write.call is None and now_s >= write.due_s:
                 path = log_format.append_path(write.topic)
                 write.call = self._send("POST", path, write.body, CALL_TIMEOUT_S)
-        for follower in self._followers:
+        for follower in self.followers:
             if follower.call is None and now_s >= follower.due_s:
                 self._send_query(follower)
 
@@ -151,27 +143,27 @@
         self._mark_store_available()
         match self._find_pending(done.call):
             case Write() as write:
-                self._finish_write(write, done)
+                self.finish_write(write, done)
             case Follower() as follower:
                 follower.call = None
                 self._apply_answer(follower, done, now_s)
-                self._send_due_calls(now_s)
+                self.send_due_calls(now_s)
 
     def _observe_era(self, done, now_s: float) -> EraStep:
-        former = self._eras.era
-        step = self._eras.on_answer(decode_era(done.headers))
-        if self._eras.era != former:
-            self.fire(store_era_observed(self._eras.era), "metrics")
+        former = self.eras.era
+        step = self.eras.on_answer(decode_era(done.headers))
+        if self.eras.era != former:
+            self.fire(store_era_observed(self.eras.era), "metrics")
         if step is EraStep.RESTORED:
             log_event(
-                "store_restored", level="warning", era=self._eras.era, former=former
+                "store_restored", level="warning", era=self.eras.era, former=former
             )
             self.fire(store_restored(), "*")
-            self._version_record.on_restored(now_s)
-            for follower in self._followers:
+            self.version_record.on_restored(now_s)
+            for follower in self.followers:
                 follower.on_restored(now_s)
-            self._announce()
-            self._send_due_calls(now_s)
+            self.announce()
+            self.send_due_calls(now_s)
         return step
 
     @handler("call_failed")
@@ -193,7 +185,7 @@
         pending = self._find_pending(call)
         if pending is not None:
             pending.call, pending.due_s = None, now_s
-            self._send_due_calls(now_s)
+            self.send_due_calls(now_s)
 
     def _schedule_retry(self, call: str, now_s: float) -> bool:
         """Repeat a call after a delay; return whether it is still needed."""
@@ -205,7 +197,7 @@
         return True
 
     def _find_pending(self, call: str) -> Follower | Write | None:
-        for pending in (*self._followers, *self._writes):
+        for pending in (*self.followers, *self.writes):
             if pending.call == call:
                 return pending
         return None
@@ -223,7 +215,7 @@
                 self._apply_listing_page(follower, done, now_s)
             elif done.status == 200:
                 page = log_format.decode_page(
-                    done.body, follower.position, self._eras.era
+                    done.body, follower.position, self.eras.era
                 )
                 follower.position = page.next_offset
                 for record in page.records:
@@ -246,7 +238,7 @@
             # A topic does not exist before its first record.
             follower.schedule_retry(now_s)
             return
-        listing = log_format.decode_listing(done.body, self._eras.era)
+        listing = log_format.decode_listing(done.body, self.eras.era)
         if listing.malformed:
             log_event(
                 "log_items_ignored",
@@ -268,15 +260,15 @@
             self._finish_listing(follower)
 
     def _finish_listing(self, follower: Follower):
-        end = to_position(self._eras.era, follower.listed_end)
+        end = to_position(self.eras.era, follower.listed_end)
         if follower.topic == log_format.SERVERS_TOPIC:
             listed = tuple(map(ServerId, follower.listed_keys))
             self.fire(server_list_read(listed, end), "*")
         elif follower.topic == log_format.ENTRIES_TOPIC:
             addresses = tuple(filter(is_address, follower.listed_keys))
             self.fire(entry_list_read(addresses), "*")
-            self._followers.remove(follower)
-            self._version_record.on_listed(time.monotonic())
+            self.followers.remove(follower)
+            self.version_record.on_listed(time.monotonic())
             self._write_versions()
         elif follower.topic == log_format.CONFIGURATION_TOPIC:
             ended = self._operator_records.on_listing_ended(end)
@@ -293,9 +285,9 @@
             decode = records.on_listed if is_listing else records.on_record
             self._fire_outputs(decode(record))
         else:
-            event = decode_shared_record(record, self._eras.era, time.time())
+            event = decode_shared_record(record, self.eras.era, time.time())
             if isinstance(event, software_versions_recorded):
-                self._version_record.on_record(*event.args)
+                self.version_record.on_record(*event.args)
             if event is not None:
                 self.fire(event, "*")
 
@@ -303,91 +295,13 @@
         for output in outputs:
             self.fire(make_operator_event(output), "*")
 
-    @handler("announce_entry")
-    def _on_announce_entry(self, vm: str, address: str):
-        self._announcement = log_format.encode_keyed(address, vm.encode())
-        self._announce()
-        self._send_due_calls(time.monotonic())
-
-    def _announce(self):
-        """Append the address of this entry, and list those of the others after it."""
-        is_pending = any(write.kind == "entry" for write in self._writes)
-        if self._announcement is not None and not is_pending:
-            write = Write(log_format.ENTRIES_TOPIC, self._announcement, "entry")
-            self._writes.append(write)
-
     @handler("server_list_outdated")
     def _on_server_list_outdated(self):
         now_s = time.monotonic()
-        for follower in self._followers:
+        for follower in self.followers:
             if follower.topic == log_format.SERVERS_TOPIC:
                 follower.hasten()
-        self._send_due_calls(now_s)
-
-    @handler("usage_record_due")
-    def _on_usage_record_due(self, used):
-        record = encode_usage(used, int(time.time() * 1000), self._eras.era)
-        body = log_format.encode_keyed(log_format.USAGE_KEY, record)
-        waiting = [write for write in self._writes if write.kind == "usage"]
-        if waiting:
-            # Only the newest amounts matter; one in flight is followed by the next.
-            if waiting[0].call is None:
-                waiting[0].body = body
-            return
-        self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "usage"))
-        self._send_due_calls(time.monotonic())
-
-    @handler("software_versions_due")
-    def _on_software_versions_due(self, versions):
-        self._version_record.on_due(versions)
-        self._write_versions()
-
-    def _write_versions(self):
-        """Append the newest versions, after an append that is in flight."""
-        now_s = time.monotonic()
-        waiting = [write for write in self._writes if write.kind == "versions"]
-        if waiting and waiting[0].call is not None:
-            return
-        versions = self._version_record.take_due(now_s)
-        if versions is None:
-            return
-        record = encode_versions(versions)
-        body = log_format.encode_keyed(log_format.VERSIONS_KEY, record)
-        if waiting:
-            waiting[0].body = body
-        else:
-            self._writes.append(Write(log_format.ENTRIES_TOPIC, body, "versions"))
-        self._send_due_calls(now_s)
-
-    @handler("fencing_token_requested")
-    def _on_fencing_token_requested(self, reply_to: str, vm: str):
-        self._fencing_token_reply_to = reply_to
-        body = log_format.encode_record(vm.encode())
-        self._writes.append(Write(log_format.FENCES_TOPIC, body, "fence"))
-        self._send_due_calls(time.monotonic())
-
-    def _finish_write(self, write: Write, done):
-        self._writes.remove(write)
-        if write.kind == "usage":
-            return
-        if write.kind == "versions":
-            self._write_versions()
-            return
-        if write.kind == "entry":
-            # List the entries only after the local record is appended: of two entries
-            # that start together, at least the later one then sees the other.
-            self._followers.append(Follower(log_format.ENTRIES_TOPIC, 0.0, 0.0))
-            return
-        try:
-            offset = log_format.decode_appended(done.body)
-            token = to_position(self._eras.era, offset) + 1
-        except DecodeError as error:
-            log_event("store_answer_malformed", level="warning", detail=str(error))
-            write.call = None
-            write.due_s = time.monotonic() + MAX_RETRY_DELAY_S
-            self._writes.append(write)
-            return
-        self.fire(fencing_token_assigned(token), self._fencing_token_reply_to)
+        self.send_due_calls(now_s)
 
 
 def make_store_task(
--- a/chervilgw/platform/tests/test_operator_records.py
+++ b/chervilgw/platform/tests/test_operator_records.py
@@ -62,7 +62,7 @@
     recorder.register(root)
     store = make_store_task(decode_settings(ENTRY_SETTINGS), True).register(root)
     flush(root)
-    store._send_due_calls(0.0)
+    store.send_due_calls(0.0)
     flush(root)
 
     def answer(body):
@@ -129,7 +129,7 @@
     root, recorder = Component(), Recorder()
     recorder.register(root)
     store = make_store_task(decode_settings(ENTRY_SETTINGS), True).register(root)
-    store._send_due_calls(0.0)
+    store.send_due_calls(0.0)
     flush(root)
     operators, servers = recorder.calls
     for call, era in ((servers, "2"), (operators, "1")):
@@ -138,7 +138,7 @@
         root.fire(call_done(answer), "store")
         flush(root)
     assert [spec.path for spec in recorder.calls[2:] if "keyed.op" in spec.path] == []
-    store._send_due_calls(math.inf)
+    store.send_due_calls(math.inf)
     flush(root)
     assert "keyed.op" in "".join(spec.path for spec in recorder.calls[2:])
 
@@ -148,7 +148,7 @@
     root, recorder = Component(), Recorder()
     recorder.register(root)
     store = make_store_task(decode_settings(ENTRY_SETTINGS), True).register(root)
-    store._send_due_calls(0.0)
+    store.send_due_calls(0.0)
     flush(root)
     operators, servers = recorder.calls
 
@@ -160,7 +160,7 @@
 
     answer(servers, "1")
     for _ in range(2):
-        store._send_due_calls(math.inf)
+        store.send_due_calls(math.inf)
         flush(root)
         answer(recorder.calls[-1], "2")
     root.fire(call_failed(CallFailed(operators.call, True, "no answer")), "store")
--- a/chervilgw/platform/tests/test_store_restore_machine.py
+++ b/chervilgw/platform/tests/test_store_restore_machine.py
@@ -97,7 +97,7 @@
         self.send_due()
 
     def send_due(self):
-        self.store._send_due_calls(math.inf)
+        self.store.send_due_calls(math.inf)
         self.flush_all()
 
     def flush_all(self):
