Believe the list of servers only as of the call that read it

What callers saw: an entry was stopped or cut off from the store for some seconds while servers of a new software version joined. Streams that began there through another entry broke and were taken up at the entry as it returned. It went on with them at a server of the old version.

Cause: if nobody answers where a stream began, a version that alone served lately decides. The list of servers which shows that it is alone had no age: it was believed while the last call of the store had succeeded, which an entry that stood still cannot tell. The wait for answers counted the time in which the process stood still.

Change: a sole version decides only if the list was read to its end by a call sent after the request arrived. Whoever began the stream had read its server from the list before. A request that waits for that read hastens it. Waits count only time in which the process ran. After a gap between reads the record of versions in the store is read again, as a version may have come and left. The decision moves from forward/ to routing/.

The log line of a resumed stream names the age of the list.

--- a/chervilgw/forward/events.py
+++ b/chervilgw/forward/events.py
@@ -53,6 +53,21 @@
     """A server has started anew, so that its new entry is on the list or soon will."""
 
 
+class server_list_wanted(Event):  # noqa: N801
+    """A request waits for the list of servers as it is from now on."""
+
+
+class server_list_confirmed(Event):  # noqa: N801
+    """The list of servers was read to its end.
+
+    When the call was sent, in s of monotonic time: the list is not older.
+    """
+
+
+class server_list_gap(Event):  # noqa: N801
+    """Servers may have come and gone since the list was read last."""
+
+
 class usage_record_due(Event):  # noqa: N801
     """Record what customers used of their quotas: dict of customer to amount."""
 
@@ -96,6 +111,10 @@
     """A process recorded the software versions that lately served, by service."""
 
 
+class software_versions_listed(Event):  # noqa: N801
+    """The software versions that lately served were read again, if any are recorded."""
+
+
 class agent_send(Event):  # noqa: N801
     """Send a message to the agent of an engine: server id, message."""
 
--- a/chervilgw/forward/fleet_tracker.py
+++ b/chervilgw/forward/fleet_tracker.py
@@ -72,6 +72,11 @@
             log_event("server_removed", server=server, position=end)
             self.fleet.warm_up.on_removed(server)
 
+    # Before the requests that wait for the list are decided on.
+    @handler("server_list_confirmed", channel="*", priority=1)
+    def _on_server_list_confirmed(self, asked_s):
+        self.fleet.on_list_confirmed(asked_s)
+
     @handler("store_lost", channel="*")
     def _on_store_lost(self):
         self.fleet.directory.on_store_lost(time.monotonic())
--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -14,19 +14,20 @@
 from chervilgw.forward.cost_tracker import CostTracker
 from chervilgw.forward.events import (
     agent_send,
+    server_list_wanted,
     stream_origin_answered,
     stream_origin_requested,
 )
 from chervilgw.forward.exchange import Exchange, Stage
 from chervilgw.forward.metrics_task import resumption_counted
 from chervilgw.forward.request_log import log_not_resumed, log_resumed
-from chervilgw.forward.resumptions import (
+from chervilgw.routing.resumptions import (
     ResumptionDecision,
+    ResumptionStep,
     ServingVersions,
     TakeUp,
     make_resumptions,
 )
-from chervilgw.routing.stream_origins import ResumptionStep
 
 _REFUSAL_TEXTS = {
     RefusalReason.STREAM_VERSION_UNKNOWN: (
@@ -57,11 +58,11 @@
         match decision.step:
             case ResumptionStep.RESUME:
                 exchange.binding.version = decision.version
-                log_resumed(exchange, decision, now_s)
+                log_resumed(exchange, decision, self.fleet.list_asked_s, now_s)
                 self.fire(resumption_counted(decision.source.value), "metrics")
                 return True
             case ResumptionStep.ASK:
-                self._ask(exchange)
+                self._ask(exchange, decision.needs_list)
             case ResumptionStep.REFUSE:
                 self._refuse_resumption(exchange, decision, now_s)
         return False
@@ -74,17 +75,23 @@
             for server in directory.usable(admitted.service, now_s)
         )
         serving = ServingVersions(
-            versions, self.fleet.is_listed, not directory.is_store_lost
+            versions,
+            self.fleet.is_listed,
+            not directory.is_store_lost,
+            self.fleet.list_asked_s,
         )
         request = TakeUp(
             admitted.service,
             admitted.opaque.begun_by,
             exchange.started_s,
+            exchange.binding.wait.advance(now_s),
             exchange.first_token_wait_s,
         )
-        return self.resumptions.decide(request, serving, now_s)
+        return self.resumptions.decide(request, serving)
 
-    def _ask(self, exchange: Exchange):
+    def _ask(self, exchange: Exchange, needs_list: bool):
+        if needs_list:
+            self.fire(server_list_wanted(), "store")
         exchange.stage, exchange.server = Stage.WAITING_FOR_ORIGIN, None
         admitted = exchange.admitted
         if admitted.opaque.begun_by:
@@ -94,7 +101,7 @@
     def _refuse_resumption(
         self, exchange: Exchange, decision: ResumptionDecision, now_s: float
     ):
-        log_not_resumed(exchange, decision, now_s)
+        log_not_resumed(exchange, decision, self.fleet.list_asked_s, now_s)
         self.fire(resumption_counted(decision.reason.value), "metrics")
         text = _REFUSAL_TEXTS[decision.reason]
         refusal = make_refusal(decision.reason, text, decision.retry_after_s)
@@ -132,12 +139,22 @@
             answer = StreamOrigin(service, attempt, version)
             self.fire(stream_origin_answered(query.address, answer), "gossip")
 
+    @handler("server_list_confirmed", channel="*")
+    def _on_list_current(self, asked_s):
+        now_s = time.monotonic()
+        for exchange in self.exchanges_in(Stage.WAITING_FOR_ORIGIN):
+            self.attempt(exchange, now_s)
+
+    @handler("server_list_gap", channel="*")
+    def _on_server_list_gap(self):
+        self.resumptions.on_list_gap()
+
     @handler("software_versions_recorded", channel="*")
     def _on_versions_recorded(self, versions):
         self.resumptions.on_record(versions, time.monotonic())
 
-    @handler("entry_list_read", channel="*")
-    def _on_records_read(self, addresses):
+    @handler("entry_list_read", "software_versions_listed", channel="*")
+    def _on_records_read(self, *args):
         self.resumptions.on_records_read()
 
     @handler("store_restored", channel="*")
--- a/chervilgw/forward/request_log.py
+++ b/chervilgw/forward/request_log.py
@@ -8,7 +8,7 @@
 from chervilgw.core.refusals import Refusal
 from chervilgw.crashes.stopped_runs import StoppedRun
 from chervilgw.forward.exchange import Exchange
-from chervilgw.forward.resumptions import ResumptionDecision
+from chervilgw.routing.resumptions import ResumptionDecision
 from chervilgw.runtime.events import CallFailed
 from chervilgw.scheduling.fair_queue import QueuedItem
 from chervilgw.scheduling.stream_budget import DelayReason
@@ -171,19 +171,22 @@
     )
 
 
-def log_resumed(exchange: Exchange, decision: ResumptionDecision, now_s: float) -> None:
+def log_resumed(
+    exchange: Exchange, decision: ResumptionDecision, list_asked_s: float, now_s: float
+) -> None:
     """Log that a stream may go on, and how its software version is known."""
-    _log_resumption("stream_resumed", exchange, decision, now_s)
+    _log_resumption("stream_resumed", exchange, decision, list_asked_s, now_s)
 
 
 def log_not_resumed(
-    exchange: Exchange, decision: ResumptionDecision, now_s: float
+    exchange: Exchange, decision: ResumptionDecision, list_asked_s: float, now_s: float
 ) -> None:
     """Log that a stream may not go on, with the reason."""
     _log_resumption(
         "stream_not_resumed",
         exchange,
         decision,
+        list_asked_s,
         now_s,
         reason=decision.reason,
         retry_after_s=decision.retry_after_s,
@@ -191,7 +194,12 @@
 
 
 def _log_resumption(
-    event: str, exchange: Exchange, decision: ResumptionDecision, now_s: float, **fields
+    event: str,
+    exchange: Exchange,
+    decision: ResumptionDecision,
+    list_asked_s: float,
+    now_s: float,
+    **fields,
 ) -> None:
     opaque = exchange.admitted.opaque
     log_event(
@@ -202,6 +210,7 @@
         software_version=decision.version,
         source=decision.source,
         waited_s=round(now_s - exchange.started_s, 4),
+        list_age_s=round(now_s - list_asked_s, 4) if list_asked_s > 0 else None,
         **fields,
     )
 
--- a/chervilgw/forward/stream_binding.py
+++ b/chervilgw/forward/stream_binding.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chervilgw.core.deployment import RegisteredServer
 from chervilgw.core.ids import SoftwareVersion
+from chervilgw.routing.running_wait import RunningWait, make_running_wait
 
 
 @dataclass(slots=True)
@@ -17,11 +18,13 @@
     """Version of a stream; see :func:`make_stream_binding`.
 
     ``version`` is None before the first server has begun the stream. ``is_uncertain``
-    means that the server which began it may run either of two versions.
+    means that the server which began it may run either of two versions. ``wait`` is
+    how long the request has waited to learn where its stream may go on.
     """
 
     version: SoftwareVersion | None = None
     is_uncertain: bool = False
+    wait: RunningWait = field(default_factory=make_running_wait)
     _sent_version: SoftwareVersion = SoftwareVersion("")
     _is_relaying: bool = False
     _is_recorded: bool = False
--- a/chervilgw/forward/tests/stream_entry.py
+++ b/chervilgw/forward/tests/stream_entry.py
@@ -38,6 +38,7 @@
     "http_push_data",
     "http_push_end",
     "agent_send",
+    "server_list_wanted",
     "stream_origin_requested",
     "stream_origin_answered",
     "software_versions_due",
@@ -114,6 +115,15 @@
     def tick(self, after_s=0.0):
         self.fire(clock_tick(time.monotonic() + after_s, False), "*")
 
+    def run_for(self, seconds):
+        """Let ticks come at their interval for a time; return at its end."""
+        for number in range(1, round(10 * seconds) + 1):
+            self.tick(0.1 * number)
+
+    def confirm_list(self, age_s=0.0):
+        """Let the list of servers have been read by a call of this age."""
+        self.fire(events.server_list_confirmed(time.monotonic() - age_s), "*")
+
     def grant(self):
         """Grant the turn that was requested last."""
         requests = [m for _, m in self.sent("agent_send") if type(m) is TurnRequest]
--- a/chervilgw/forward/tests/test_taken_up_streams.py
+++ b/chervilgw/forward/tests/test_taken_up_streams.py
@@ -4,8 +4,8 @@
 
 from chervilgw.core.messages import StreamOrigin, StreamOriginQuery
 from chervilgw.forward import events
-from chervilgw.forward.resumptions import ORIGIN_WAIT_S
 from chervilgw.forward.tests.stream_entry import StreamEntry
+from chervilgw.routing.resumptions import ORIGIN_WAIT_S, SOLE_VERSION_WAIT_S
 from chervilgw.runtime.events import http_disconnected
 
 TWO = {"i-1": "v1", "i-2": "v2"}
@@ -52,7 +52,9 @@
     """Guards against a stream joined by chance, or held to the caller's deadline."""
     entry = StreamEntry(TWO)
     entry.request("b", "2", "a")
-    entry.tick(ORIGIN_WAIT_S + 0.01)
+    entry.run_for(ORIGIN_WAIT_S - 0.1)
+    assert (entry.called(), entry.refusals()) == ([], [])
+    entry.run_for(ORIGIN_WAIT_S + 0.1)
     assert (entry.called(), entry.refusals()) == ([], [503])
     assert entry.sent("resumption_counted") == [("stream_version_unknown",)]
 
@@ -89,12 +91,47 @@
     assert (entry.called(), entry.refusals()) == ([], [])
     entry.fire(events.software_versions_recorded({"llm": versions}), "*")
     entry.fire(events.entry_list_read(()), "*")
-    entry.tick()
+    entry.confirm_list()
     is_sole = len(versions) == 1
     assert entry.called() == (["i-1"] if is_sole else [])
     assert entry.refusals() == ([] if is_sole else [503])
 
 
+@pytest.mark.parametrize("begun_by", ["a", None])
+def test_take_up_waits_for_the_list_of_servers_as_it_is_now(begun_by):
+    """Guards against a sole version that is not the sole one any more."""
+    entry = StreamEntry({"i-1": "v1"})
+    entry.confirm_list(age_s=0.01)
+    entry.request("b", "2", begun_by)
+    entry.run_for(ORIGIN_WAIT_S - 0.1)
+    assert entry.sent("server_list_wanted")
+    assert (entry.called(), entry.refusals()) == ([], [])
+    entry.register("i-2", "v2")
+    entry.confirm_list()
+    entry.run_for(ORIGIN_WAIT_S + 0.1)
+    assert (entry.called(), entry.refusals()) == ([], [503])
+
+
+def test_take_up_goes_on_as_soon_as_the_list_confirms_the_sole_version():
+    """Guards against a refusal, or a wait until the next regular read."""
+    entry = StreamEntry({"i-1": "v1"})
+    entry.request("b", "2", "a")
+    entry.run_for(SOLE_VERSION_WAIT_S)
+    assert entry.called() == []
+    entry.confirm_list()
+    assert (entry.called(), entry.refusals()) == (["i-1"], [])
+
+
+def test_time_in_which_the_entry_stood_still_is_no_wait_for_answers():
+    """Guards against silence that is believed though no answer could be read."""
+    entry = StreamEntry({"i-1": "v1"})
+    entry.request("b", "2", "a")
+    entry.tick(1.0)
+    assert (entry.called(), entry.refusals()) == ([], [])
+    entry.fire(events.stream_origin_reported("llm", "a", "v1"))
+    assert entry.called() == ["i-1"]
+
+
 def test_new_stream_is_not_asked_for():
     """Guards against a delay of streams that no caller takes up."""
     entry = StreamEntry(TWO, reads_record=False)
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -82,12 +82,17 @@
         self._prefixes = make_prefix_index()
         self._loading_since: dict[tuple[ServerId, ModelName], float] = {}
         self._first_listed_s: float | None = None
+        self.list_asked_s = float("-inf")
 
     def on_listed(self, now_s: float) -> None:
         """Record that the list of servers was read."""
         if self._first_listed_s is None:
             self._first_listed_s = now_s
 
+    def on_list_confirmed(self, asked_s: float) -> None:
+        """Record that the list was read to its end by a call sent at this time."""
+        self.list_asked_s = max(self.list_asked_s, asked_s)
+
     @property
     def is_listed(self) -> bool:
         """Return whether the list of servers was read."""
--- a/chervilgw/platform/followers.py
+++ b/chervilgw/platform/followers.py
@@ -20,6 +20,13 @@
 # Each call is charged, but a new server is not used before it is read.
 MIN_SERVERS_POLL_INTERVAL_S = 0.4
 MAX_SERVERS_POLL_INTERVAL_S = 1.6
+# A request that waits for the list needs it within some tenths of a second; requests
+# that come together share the call.
+WANTED_POLL_INTERVAL_S = 0.1
+# Longer than the reads of a running process are apart, also if one call is lost. In a
+# longer time a server may register, serve and leave, and its records be deleted.
+MAX_READ_GAP_S = 2.5
+NEVER_S = float("-inf")
 
 
 class FollowerStep(Enum):
@@ -31,7 +38,11 @@
 
 @dataclass(slots=True)
 class Follower:
-    """State of following one keyed topic."""
+    """State of following one keyed topic.
+
+    ``is_recheck`` is of a single listing that reads the record of software versions
+    again, and nothing else of the topic.
+    """
 
     topic: str
     wait_s: float
@@ -45,18 +56,40 @@
     answered_s: float = 0.0
     retry_delay_s: float = FIRST_RETRY_DELAY_S
     call: str | None = None
+    is_recheck: bool = False
+    # When the call in progress was sent, or the first one of a listing.
+    asked_s: float = NEVER_S
+    # When the call was sent whose answer reached the end of the topic.
+    current_s: float = NEVER_S
+    has_gap: bool = False
+
+    def on_asked(self, now_s: float) -> None:
+        """Record that a call is sent."""
+        if self.step is FollowerStep.READ or self.page_after is None:
+            self.asked_s = now_s
+
+    def on_current(self) -> None:
+        """Record that an answer has reached the end of the topic."""
+        gap_s = self.asked_s - self.current_s
+        self.has_gap = self.has_gap or MAX_READ_GAP_S < gap_s < float("inf")
+        self.current_s = self.asked_s
+
+    def take_gap(self) -> bool:
+        """Return whether records may have come and gone unread; they are told once."""
+        has_gap, self.has_gap = self.has_gap, False
+        return has_gap
 
     def on_answered(self, now_s: float) -> None:
         """Schedule the next call after an answer."""
         self.retry_delay_s = FIRST_RETRY_DELAY_S
         self.answered_s, self.due_s = now_s, now_s + self.poll_interval_s
 
-    def hasten(self) -> None:
-        """Make the next call soon, as the topic has news."""
+    def hasten(self, interval_s: float = MIN_SERVERS_POLL_INTERVAL_S) -> None:
+        """Make the next call this long after the last answer, or sooner."""
         if self.retry_delay_s > FIRST_RETRY_DELAY_S:
             # The store does not answer; retries of many entries must stay apart.
             return
-        soon_s = self.answered_s + MIN_SERVERS_POLL_INTERVAL_S
+        soon_s = self.answered_s + interval_s
         self.due_s = min(self.due_s, soon_s)
 
     def schedule_retry(self, now_s: float) -> None:
@@ -67,6 +100,7 @@
 
     def restart_listing(self, now_s: float) -> None:
         """List all keys of the topic again."""
+        self.has_gap = self.has_gap or self.current_s > NEVER_S
         self.step, self.page_after = FollowerStep.LIST, None
         self.due_s = now_s
 
--- a/chervilgw/platform/log_format.py
+++ b/chervilgw/platform/log_format.py
@@ -50,10 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Answer to a read: records in order, and the offset of the next read."""
+    """Answer to a read: records in order, and the offset of the next read.
+
+    ``is_last`` means that the log ended there when it was read.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: Offset
+    is_last: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +132,7 @@
     """
     if len(body) < _READ_HEADER.size:
         raise DecodeError("log read: truncated header")
+    end, _ = _READ_HEADER.unpack_from(body)
     records = []
     position, offset = _READ_HEADER.size, start
     while position < len(body):
@@ -143,7 +148,7 @@
         if record is not None:
             records.append(record)
         offset = Offset(offset + 1)
-    return Page(tuple(records), offset)
+    return Page(tuple(records), offset, offset >= end)
 
 
 def _decode_keyed(content: bytes, position: LogPosition) -> KeyedRecord | None:
--- a/chervilgw/platform/store.py
+++ b/chervilgw/platform/store.py
@@ -16,7 +16,10 @@
 from chervilgw.core.deployment import ServerId
 from chervilgw.forward.events import (
     entry_list_read,
+    server_list_confirmed,
+    server_list_gap,
     server_list_read,
+    software_versions_listed,
     software_versions_recorded,
     store_lost,
     store_recovered,
@@ -26,6 +29,8 @@
 from chervilgw.platform import log_format
 from chervilgw.platform.errors import DecodeError
 from chervilgw.platform.followers import (
+    MIN_SERVERS_POLL_INTERVAL_S,
+    WANTED_POLL_INTERVAL_S,
     Follower,
     FollowerStep,
     Write,
@@ -98,9 +103,10 @@
                 write.call = self._send("POST", path, write.body, CALL_TIMEOUT_S)
         for follower in self.followers:
             if follower.call is None and now_s >= follower.due_s:
-                self._send_query(follower)
+                self._send_query(follower, now_s)
 
-    def _send_query(self, follower: Follower):
+    def _send_query(self, follower: Follower, now_s: float):
+        follower.on_asked(now_s)
         if follower.step is FollowerStep.LIST:
             path = log_format.listing_path(follower.topic, follower.page_after)
             follower.call = self._send("GET", path, b"", CALL_TIMEOUT_S)
@@ -220,6 +226,8 @@
                 follower.position = page.next_offset
                 for record in page.records:
                     self._apply_record(follower, record)
+                if page.is_last:
+                    self._confirm(follower)
             else:
                 log_event(
                     "log_position_lost",
@@ -264,6 +272,10 @@
         if follower.topic == log_format.SERVERS_TOPIC:
             listed = tuple(map(ServerId, follower.listed_keys))
             self.fire(server_list_read(listed, end), "*")
+            self._confirm(follower)
+        elif follower.is_recheck:
+            self.followers.remove(follower)
+            self.fire(software_versions_listed(), "*")
         elif follower.topic == log_format.ENTRIES_TOPIC:
             addresses = tuple(filter(is_address, follower.listed_keys))
             self.fire(entry_list_read(addresses), "*")
@@ -274,6 +286,18 @@
             ended = self._operator_records.on_listing_ended(end)
             self._fire_outputs(ended)
 
+    def _confirm(self, follower: Follower):
+        """Report that an answer has reached the end of the list of servers."""
+        if follower.topic != log_format.SERVERS_TOPIC:
+            return
+        follower.on_current()
+        if follower.take_gap():
+            self.fire(server_list_gap(), "*")
+            if not any(each.is_recheck for each in self.followers):
+                topic = log_format.ENTRIES_TOPIC
+                self.followers.append(Follower(topic, 0.0, 0.0, is_recheck=True))
+        self.fire(server_list_confirmed(follower.current_s), "*")
+
     def _apply_record(self, follower: Follower, record: log_format.KeyedRecord):
         if follower.topic == log_format.SERVERS_TOPIC:
             event = self._server_records.decode(record)
@@ -285,11 +309,16 @@
             decode = records.on_listed if is_listing else records.on_record
             self._fire_outputs(decode(record))
         else:
-            event = decode_shared_record(record, self.eras.era, time.time())
-            if isinstance(event, software_versions_recorded):
-                self.version_record.on_record(*event.args)
-            if event is not None:
-                self.fire(event, "*")
+            self._apply_shared_record(follower, record)
+
+    def _apply_shared_record(self, follower: Follower, record: log_format.KeyedRecord):
+        if follower.is_recheck and record.key != log_format.VERSIONS_KEY:
+            return
+        event = decode_shared_record(record, self.eras.era, time.time())
+        if isinstance(event, software_versions_recorded) and not follower.is_recheck:
+            self.version_record.on_record(*event.args)
+        if event is not None:
+            self.fire(event, "*")
 
     def _fire_outputs(self, outputs: list[Output]):
         for output in outputs:
@@ -297,11 +326,17 @@
 
     @handler("server_list_outdated")
     def _on_server_list_outdated(self):
-        now_s = time.monotonic()
+        self._hasten()
+
+    @handler("server_list_wanted")
+    def _on_server_list_wanted(self):
+        self._hasten(WANTED_POLL_INTERVAL_S)
+
+    def _hasten(self, interval_s: float = MIN_SERVERS_POLL_INTERVAL_S):
         for follower in self.followers:
             if follower.topic == log_format.SERVERS_TOPIC:
-                follower.hasten()
-        self.send_due_calls(now_s)
+                follower.hasten(interval_s)
+        self.send_due_calls(time.monotonic())
 
 
 def make_store_task(
--- a/chervilgw/forward/resumptions.py
+++ b/chervilgw/routing/resumptions.py
@@ -2,8 +2,8 @@
 
 What this entry relayed is certain. Other entries and the agents of engines are asked
 for what it did not relay. The versions that lately served decide alone only if nobody
-answers: the list of servers lags, so that a version which has just come into service
-may be known to another entry first.
+answers and the list of servers was read since the request arrived: an older list may
+lack the version that began the stream.
 """
 
 from __future__ import annotations
@@ -15,12 +15,7 @@
 from chervilgw.core.deployment import AttemptId, RegisteredServer
 from chervilgw.core.ids import ServiceName, SoftwareVersion
 from chervilgw.core.states import RefusalReason
-from chervilgw.routing.stream_origins import (
-    ResumptionStep,
-    StreamOrigins,
-    decide_resumption,
-    make_stream_origins,
-)
+from chervilgw.routing.stream_origins import StreamOrigins, make_stream_origins
 from chervilgw.routing.version_history import (
     RecordedVersions,
     VersionHistory,
@@ -28,6 +23,7 @@
 )
 
 # An answer takes a round trip of a few ms; the query is repeated at each tick of 0.1 s.
+# Only time in which the process ran counts.
 ORIGIN_WAIT_S = 0.3
 # If one version alone has served lately, a single query is enough.
 SOLE_VERSION_WAIT_S = 0.1
@@ -37,6 +33,14 @@
 RETRY_AFTER_S = 0.5
 
 
+class ResumptionStep(Enum):
+    """What to do with a request that takes a stream up."""
+
+    RESUME = "resume"
+    ASK = "ask"
+    REFUSE = "refuse"
+
+
 class OriginSource(Enum):
     """How the version that began a stream is known."""
 
@@ -51,38 +55,51 @@
     """A request that takes a stream up.
 
     ``begun_by`` is the attempt that brought its first event, empty if the caller does
-    not name it. ``since_s`` is when the request arrived, ``max_wait_s`` how long its
+    not name it. ``arrived_s`` is when the request was read, ``waited_s`` how long it
+    has waited for answers while this process ran, and ``max_wait_s`` how long its
     caller waits for an event.
     """
 
     service: ServiceName
     begun_by: AttemptId
-    since_s: float
+    arrived_s: float
+    waited_s: float
     max_wait_s: float
 
+    @property
+    def limit_s(self) -> float:
+        """Return how long the request may wait for answers."""
+        return min(ORIGIN_WAIT_S, ORIGIN_WAIT_FRACTION * self.max_wait_s)
+
 
 @dataclass(frozen=True, slots=True)
 class ServingVersions:
     """Versions of the servers in service, as this entry knows them.
 
-    ``is_listed`` means that the list of servers was read, ``is_current`` that the store
-    answers, so that the list cannot lack a version for long.
+    ``is_listed`` means that the list of servers was read, ``is_reachable`` that the
+    store answered the last call. ``asked_s`` is when the call was sent that read the
+    list last: a server that registered later may be missing.
     """
 
     versions: frozenset[SoftwareVersion]
     is_listed: bool
-    is_current: bool
+    is_reachable: bool
+    asked_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class ResumptionDecision:
-    """Where a stream may go on; ``reason`` and ``retry_after_s`` are of a refusal."""
+    """Where a stream may go on; ``reason`` and ``retry_after_s`` are of a refusal.
+
+    ``needs_list`` is of a request that waits: a newer list of servers may decide it.
+    """
 
     step: ResumptionStep
     version: SoftwareVersion | None = None
     source: OriginSource = OriginSource.NONE
     reason: RefusalReason | None = None
     retry_after_s: float | None = None
+    needs_list: bool = False
 
 
 @dataclass(slots=True)
@@ -132,6 +149,10 @@
         """Record that the store was read, with or without a record."""
         self._history.on_records_read()
 
+    def on_list_gap(self) -> None:
+        """Record that versions may have served unseen; the record names them."""
+        self._history.on_gap()
+
     def on_store_restored(self) -> None:
         """Record that the store may have lost the latest record."""
         self._recorded = None
@@ -147,58 +168,47 @@
         self._recorded = record
         return record
 
-    def decide(
-        self, request: TakeUp, serving: ServingVersions, now_s: float
-    ) -> ResumptionDecision:
-        """Decide where a stream may go on, or whether to wait for answers.
-
-        Parameters
-        ----------
-        request : TakeUp
-        serving : ServingVersions
-        now_s : float
-            Monotonic time.
-        """
+    def decide(self, request: TakeUp, serving: ServingVersions) -> ResumptionDecision:
+        """Decide where a stream may go on, or whether to wait for answers."""
         key = (request.service, request.begun_by)
         known, source = self._find(*key)
-        waited_s = now_s - request.since_s
-        limit_s = min(ORIGIN_WAIT_S, ORIGIN_WAIT_FRACTION * request.max_wait_s)
         recent = self._history.recent(request.service)
         is_started = serving.is_listed and recent is not None
-        if not serving.is_current:
-            recent = None
         is_askable = bool(request.begun_by) and not self._is_disputed(*key)
-        if is_askable and waited_s < min(limit_s, SOLE_VERSION_WAIT_S):
-            recent = None
-        may_wait = waited_s < limit_s and (is_askable or not is_started)
         if not serving.is_listed:
-            return self._wait_or_refuse(may_wait, is_transient=True)
-        if known is None and recent is not None and len(recent) == 1:
-            (known,), source = recent, OriginSource.SOLE_VERSION
-        # Without any server the request is treated as others are.
-        in_service = serving.versions or frozenset({known})
-        step = decide_resumption(known, recent, in_service, may_wait).step
-        if step is ResumptionStep.RESUME:
-            return ResumptionDecision(step, known, source)
+            return _wait_or_refuse(request, is_transient=True)
         if known is not None:
-            # A version that has just come into service may not be listed here yet.
-            is_new = source is OriginSource.REPORTED and known not in (
-                self._history.recent(request.service) or ()
-            )
-            retry_after_s = RETRY_AFTER_S if is_new else None
-            reason = RefusalReason.STREAM_VERSION_GONE
-            return ResumptionDecision(step, known, source, reason, retry_after_s)
-        is_transient = not is_started or not serving.is_current
-        return self._wait_or_refuse(may_wait, is_transient)
-
-    @staticmethod
-    def _wait_or_refuse(may_wait: bool, is_transient: bool) -> ResumptionDecision:
-        if may_wait:
-            return ResumptionDecision(ResumptionStep.ASK)
+            return self._decide_known(request, serving, known, source)
+        if serving.is_reachable and recent is not None and len(recent) == 1:
+            return _decide_sole(request, serving, *recent, is_askable)
+        is_transient = not is_started or not serving.is_reachable
+        if not (is_askable or not is_started):
+            return _refuse_unknown(is_transient)
+        return _wait_or_refuse(request, is_transient)
+
+    def _decide_known(
+        self,
+        request: TakeUp,
+        serving: ServingVersions,
+        known: SoftwareVersion,
+        source: OriginSource,
+    ) -> ResumptionDecision:
+        # Without any server the request is treated as others are.
+        if known in (serving.versions or {known}):
+            return ResumptionDecision(ResumptionStep.RESUME, known, source)
+        # A version that has just come into service may not be listed here yet.
+        is_new = source is OriginSource.REPORTED and known not in (
+            self._history.recent(request.service) or ()
+        )
+        may_be_listed = serving.is_reachable and not _is_confirmed(request, serving)
+        if is_new and may_be_listed and request.waited_s < request.limit_s:
+            return _WAIT_FOR_LIST
         return ResumptionDecision(
             ResumptionStep.REFUSE,
-            reason=RefusalReason.STREAM_VERSION_UNKNOWN,
-            retry_after_s=RETRY_AFTER_S if is_transient else None,
+            known,
+            source,
+            RefusalReason.STREAM_VERSION_GONE,
+            RETRY_AFTER_S if is_new else None,
         )
 
     def _find(
@@ -220,6 +230,52 @@
         return any(each.is_disputed(service, attempt) for each in origins)
 
 
+_WAIT_FOR_LIST = ResumptionDecision(ResumptionStep.ASK, needs_list=True)
+
+
+def _decide_sole(
+    request: TakeUp,
+    serving: ServingVersions,
+    sole: SoftwareVersion,
+    is_askable: bool,
+) -> ResumptionDecision:
+    """Decide on a stream of unknown origin where one version alone lately served."""
+    asked_long_enough_s = min(request.limit_s, SOLE_VERSION_WAIT_S)
+    is_asked = not is_askable or request.waited_s >= asked_long_enough_s
+    if _is_confirmed(request, serving) and is_asked:
+        if sole in (serving.versions or {sole}):
+            source = OriginSource.SOLE_VERSION
+            return ResumptionDecision(ResumptionStep.RESUME, sole, source)
+        reason = RefusalReason.STREAM_VERSION_GONE
+        return ResumptionDecision(ResumptionStep.REFUSE, sole, reason=reason)
+    if request.waited_s < request.limit_s:
+        return _WAIT_FOR_LIST
+    return _refuse_unknown(is_transient=True)
+
+
+def _is_confirmed(request: TakeUp, serving: ServingVersions) -> bool:
+    """Return whether the list names all servers that may have begun the stream.
+
+    Its first event came before the request, from a server that another entry had read
+    from the list.
+    """
+    return serving.asked_s >= request.arrived_s
+
+
+def _wait_or_refuse(request: TakeUp, is_transient: bool) -> ResumptionDecision:
+    if request.waited_s < request.limit_s:
+        return ResumptionDecision(ResumptionStep.ASK)
+    return _refuse_unknown(is_transient)
+
+
+def _refuse_unknown(is_transient: bool) -> ResumptionDecision:
+    return ResumptionDecision(
+        ResumptionStep.REFUSE,
+        reason=RefusalReason.STREAM_VERSION_UNKNOWN,
+        retry_after_s=RETRY_AFTER_S if is_transient else None,
+    )
+
+
 def make_resumptions() -> Resumptions:
     """Return the knowledge of an entry that has just started.
 
@@ -227,11 +283,11 @@
     --------
     >>> resumptions = make_resumptions()
     >>> resumptions.on_relayed("llm", "a1", SoftwareVersion("2"), now_s=1.0)
-    >>> serving = ServingVersions(frozenset({SoftwareVersion("2")}), True, True)
-    >>> decision = resumptions.decide(TakeUp("llm", "a1", 2.0, 2.0), serving, 2.0)
+    >>> serving = ServingVersions(frozenset({SoftwareVersion("2")}), True, True, 1.5)
+    >>> decision = resumptions.decide(TakeUp("llm", "a1", 2.0, 0.0, 2.0), serving)
     >>> decision.version, decision.source
     ('2', <OriginSource.RELAYED: 'relayed'>)
-    >>> resumptions.decide(TakeUp("llm", "a2", 2.0, 2.0), serving, 2.0).step
+    >>> resumptions.decide(TakeUp("llm", "a2", 2.0, 0.0, 2.0), serving).step
     <ResumptionStep.ASK: 'ask'>
     """
     return Resumptions()
--- a/chervilgw/routing/stream_origins.py
+++ b/chervilgw/routing/stream_origins.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 
 from chervilgw.core.deployment import AttemptId
 from chervilgw.core.ids import ServiceName, SoftwareVersion
@@ -91,63 +90,3 @@
     (None, True)
     """
     return StreamOrigins()
-
-
-class ResumptionStep(Enum):
-    """What to do with a request that takes a stream up."""
-
-    RESUME = "resume"
-    ASK = "ask"
-    REFUSE = "refuse"
-
-
-@dataclass(frozen=True, slots=True)
-class Resumption:
-    """Decision on a request that takes a stream up, and the version it may go on at."""
-
-    step: ResumptionStep
-    version: SoftwareVersion | None = None
-
-
-def decide_resumption(
-    known: SoftwareVersion | None,
-    recent: frozenset[SoftwareVersion] | None,
-    in_service: frozenset[SoftwareVersion],
-    may_ask: bool,
-) -> Resumption:
-    """Decide where a stream may go on.
-
-    Parameters
-    ----------
-    known : SoftwareVersion or None
-        Version that began the stream.
-    recent : frozenset of SoftwareVersion or None
-        Versions that may have begun a stream that is still taken up. None if this
-        process cannot tell.
-    in_service : frozenset of SoftwareVersion
-        Versions of the servers that are registered now.
-    may_ask : bool
-        Whether other processes may know the version and have time to answer.
-
-    Returns
-    -------
-    Resumption
-        With a version if the stream may go on there.
-
-    Examples
-    --------
-    >>> old, new = SoftwareVersion("1"), SoftwareVersion("2")
-    >>> decide_resumption(old, frozenset({old, new}), frozenset({new}), True).step
-    <ResumptionStep.REFUSE: 'refuse'>
-    >>> decide_resumption(None, frozenset({new}), frozenset({new}), False)
-    Resumption(step=<ResumptionStep.RESUME: 'resume'>, version='2')
-    >>> decide_resumption(None, frozenset({old, new}), frozenset({new}), True).step
-    <ResumptionStep.ASK: 'ask'>
-    """
-    if known is None and recent is not None and len(recent) == 1:
-        (known,) = recent
-    if known is not None:
-        if known in in_service:
-            return Resumption(ResumptionStep.RESUME, known)
-        return Resumption(ResumptionStep.REFUSE)
-    return Resumption(ResumptionStep.ASK if may_ask else ResumptionStep.REFUSE)
--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -1,6 +1,6 @@
 """A stream goes on only at the version that began it, whichever processes are lost."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -21,14 +21,16 @@
     make_version_record,
 )
 from chervilgw.routing.begun_streams import BegunStreams, make_begun_streams
-from chervilgw.routing.stream_origins import (
-    RETENTION_S,
+from chervilgw.routing.resumptions import (
+    ORIGIN_WAIT_S,
+    ResumptionDecision,
+    Resumptions,
     ResumptionStep,
-    StreamOrigins,
-    decide_resumption,
-    make_stream_origins,
+    ServingVersions,
+    TakeUp,
+    make_resumptions,
 )
-from chervilgw.routing.version_history import VersionHistory, make_version_history
+from chervilgw.routing.stream_origins import RETENTION_S, make_stream_origins
 
 SERVICE, MODELS = "llm", {"m": frozenset()}
 VMS, ENTRIES = range(4), range(3)
@@ -46,26 +48,35 @@
 
 @dataclass(slots=True)
 class Entry:
-    """What one entry process knows."""
+    """What one entry process knows; ``is_apart`` if it is stopped or cut off."""
 
-    relayed: StreamOrigins = field(default_factory=make_stream_origins)
-    history: VersionHistory = field(default_factory=make_version_history)
+    resumptions: Resumptions = field(default_factory=make_resumptions)
     record: VersionRecord = field(default_factory=make_version_record)
-    written: dict | None = None
+    versions: frozenset[str] = frozenset()
+    read_s: float = float("-inf")
+    is_apart: bool = False
+
+    def read_list(self, servers: list[RegisteredServer], now_s: float) -> None:
+        self.resumptions.on_servers(servers, now_s)
+        self.versions = frozenset(each.software_version for each in servers)
+        self.read_s = now_s
+
+    def read_record(self, stored: bytes | None, now_s: float) -> None:
+        if stored is not None:
+            self.resumptions.on_record(decode_versions(stored), now_s)
+        self.resumptions.on_records_read()
 
     def read_store(self, stored: bytes | None, now_s: float) -> None:
         if stored is not None:
-            self.history.on_record(decode_versions(stored), now_s)
             self.record.on_record(decode_versions(stored))
         self.record.on_listed(now_s)
-        self.history.on_records_read()
+        self.read_record(stored, now_s)
 
     def report_due(self) -> None:
         """Let the record be written if what the entry knows has changed."""
-        known = self.history.to_record()
-        if known != self.written:
-            self.written = known
-            self.record.on_due(known)
+        changed = self.resumptions.take_changed_record()
+        if changed is not None:
+            self.record.on_due(changed)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +92,10 @@
 class StreamVersionsMachine(RuleBasedStateMachine):
     """Entries, agents and engines of one service; all processes may be lost."""
 
-    @initialize(held=st.lists(versions, min_size=len(VMS), max_size=len(VMS)))
+    @initialize(
+        held=versions.map(lambda version: [version] * len(VMS))
+        | st.lists(versions, min_size=len(VMS), max_size=len(VMS))
+    )
     def start(self, held):
         self.now_s, self.number = 0.0, 0
         self.stored, self.copy = None, None
@@ -105,14 +119,23 @@
     def running(self):
         return [entry for entry in self.entries if entry is not None]
 
+    def in_touch(self):
+        return [entry for entry in self.running() if not entry.is_apart]
+
     def is_running(self):
         return bool(self.running())
 
+    def is_in_touch(self):
+        return bool(self.in_touch())
+
     def read_list(self):
-        """Let all entries read the list of servers, and the first one write."""
-        for entry in self.running():
-            entry.history.on_servers(self.registered(), self.now_s)
-        for entry in self.running()[:1]:
+        """Let all entries in touch read the list of servers, and the first one write.
+
+        Without any there is nobody who begins a stream.
+        """
+        for entry in self.in_touch():
+            entry.read_list(self.registered(), self.now_s)
+        for entry in self.in_touch()[:1]:
             entry.report_due()
             self.stored = self.written_by(entry)
 
@@ -146,7 +169,7 @@
 
     def subscribe(self, vm):
         engine, agent = self.vms[vm].engine, self.vms[vm].agent
-        if engine is not None and agent is not None and self.is_running():
+        if engine is not None and agent is not None and self.is_in_touch():
             agent.on_registered(engine.started_ms, engine.software_version)
 
     @rule(vm=vms)
@@ -173,9 +196,10 @@
     @rule(entry=entries, is_lost=st.booleans())
     def start_entry(self, entry, is_lost=False):
         self.entries[entry] = started = Entry()
-        started.history.on_servers(self.registered(), self.now_s)
+        started.read_list(self.registered(), self.now_s)
         # What is known before the record was read is due before the listing.
-        started.record.on_due(started.history.to_record())
+        known = sorted({each.software_version for each in self.registered()})
+        started.record.on_due({SERVICE: tuple(known)} if known else {})
         assert started.record.take_due(self.now_s) is None
         started.read_store(self.stored, self.now_s)
         self.stored = self.written_by(started)
@@ -185,6 +209,37 @@
             self.subscribe(vm)
         self.read_list()
 
+    @precondition(is_in_touch)
+    @rule(entry=entries)
+    def set_apart(self, entry):
+        """Stop an entry, or cut it off from the store and the other entries."""
+        in_touch = self.in_touch()
+        in_touch[entry % len(in_touch)].is_apart = True
+
+    @precondition(is_in_touch)
+    @rule(entry=entries, vm=vms, version=versions, leaves=st.booleans())
+    def serve_unseen(self, entry, vm, version, leaves):
+        """Begin streams at a server that an entry sees late, or never."""
+        self.set_apart(entry)
+        self.start_engine(vm, version)
+        if self.is_in_touch():
+            self.begin_streams(entry)
+        if leaves:
+            self.stop_engine(vm)
+
+    @rule(reads_record=st.booleans())
+    def return_entries(self, reads_record):
+        """Let the entries that are apart read the list, after a gap."""
+        for entry in self.running():
+            if not entry.is_apart:
+                continue
+            entry.is_apart = False
+            entry.resumptions.on_list_gap()
+            entry.read_list(self.registered(), self.now_s)
+            if reads_record:
+                entry.read_record(self.stored, self.now_s)
+        self.read_list()
+
     def written_by(self, entry):
         """Return the record after an entry wrote what was due, if anything was."""
         due = entry.record.take_due(self.now_s)
@@ -214,21 +269,22 @@
     def copy_store(self):
         self.copy = self.stored
 
-    @precondition(is_running)
+    @precondition(is_in_touch)
     @rule()
     def restore_store(self):
+        """Go back to the copy; entries that are apart return after the rewrite."""
         self.stored = self.copy
-        for entry in self.running():
+        for entry in self.in_touch():
             entry.record.on_restored(self.now_s)
-            entry.written = None
+            entry.resumptions.on_store_restored()
             entry.read_store(self.stored, self.now_s)
         self.read_list()
 
-    @precondition(is_running)
+    @precondition(is_in_touch)
     @rule(entry=entries)
     def begin_streams(self, entry):
-        running = self.running()
-        chosen = running[entry % len(running)]
+        in_touch = self.in_touch()
+        chosen = in_touch[entry % len(in_touch)]
         for vm in self.vms:
             if vm.engine is not None:
                 self.begin_stream(chosen, vm.engine.software_version, vm.agent)
@@ -240,51 +296,59 @@
             turn = RequestId(Incarnation(VmId("e"), 1), number)
             agent.on_granted(turn)
             agent.on_begun(turn, attempt, self.now_s)
-        entry.relayed.on_begun(SERVICE, attempt, version, self.now_s)
+        entry.resumptions.on_relayed(SERVICE, attempt, version, self.now_s)
         self.streams.append(Stream(attempt, version, self.now_s, agent))
 
-    def ask(self, attempt, heard_agents):
-        """Return what agents that are heard, and all entries, answer."""
+    def ask(self, asking, attempt, heard_agents, hears_entries):
+        """Return what agents that are heard, and entries in touch, answer."""
         query = StreamOriginQuery(SERVICE, attempt, "10.0.0.9:7600")
-        reported = make_stream_origins()
-        for vm in heard_agents:
-            agent = self.vms[vm].agent
-            origin = agent.answer(query) if agent is not None else None
-            if origin is not None:
-                reported.on_begun(SERVICE, attempt, origin.version, self.now_s)
-        for entry in self.running():
-            known = entry.relayed.find(SERVICE, attempt)
-            if known is not None:
-                reported.on_begun(SERVICE, attempt, known, self.now_s)
-        return reported.find(SERVICE, attempt)
-
-    def decide(self, entry, stream, heard_agents):
-        """Return where a stream that its caller takes up may go on."""
-        known = entry.relayed.find(SERVICE, stream.attempt)
-        if known is None:
-            known = self.ask(stream.attempt, heard_agents)
-        in_service = frozenset(each.software_version for each in self.registered())
-        recent = entry.history.recent(SERVICE)
-        return decide_resumption(known, recent, in_service, may_ask=False)
+        agents = [self.vms[vm].agent for vm in heard_agents]
+        origins = [agent.answer(query) for agent in agents if agent is not None]
+        answers = [origin.version for origin in origins if origin is not None]
+        if hears_entries and not asking.is_apart:
+            relayed = [
+                entry.resumptions.find_relayed(SERVICE, attempt)
+                for entry in self.in_touch()
+            ]
+            answers += [version for version in relayed if version is not None]
+        return answers
+
+    def decide(self, entry, stream, heard_agents, hears_entries) -> ResumptionDecision:
+        """Return where a stream that its caller takes up may go on.
+
+        The request arrives now. Entries in touch read the list once more after it.
+        """
+        asked_s = entry.read_s if entry.is_apart else self.now_s + 0.1
+        serving = ServingVersions(entry.versions, True, True, asked_s)
+        request = TakeUp(SERVICE, stream.attempt, self.now_s + 0.1, ORIGIN_WAIT_S, 10.0)
+        # Answers count for this decision only.
+        resumptions = replace(entry.resumptions, _reported=make_stream_origins())
+        answers = self.ask(entry, stream.attempt, heard_agents, hears_entries)
+        for version in answers:
+            resumptions.on_reported(SERVICE, stream.attempt, version, self.now_s)
+        return resumptions.decide(request, serving)
 
     @precondition(is_running)
-    @rule(entry=entries, heard=st.sets(vms))
-    def take_streams_up(self, entry, heard):
+    @rule(entry=entries, heard=st.sets(vms), hears_entries=st.booleans())
+    def take_streams_up(self, entry, heard, hears_entries):
         running = self.running()
         entry = running[entry % len(running)]
         for stream in self.streams:
-            version = self.decide(entry, stream, heard).version
-            if version is not None:
-                entry.relayed.on_begun(SERVICE, stream.attempt, version, self.now_s)
+            decision = self.decide(entry, stream, heard, hears_entries)
+            if decision.step is ResumptionStep.RESUME:
+                entry.resumptions.on_relayed(
+                    SERVICE, stream.attempt, decision.version, self.now_s
+                )
 
     @invariant()
     def no_stream_goes_on_at_another_version(self):
         """Guards against texts that are joined from two versions."""
         for entry in self.running():
             for stream in self.streams:
-                for heard in (VMS, ()):
-                    decision = self.decide(entry, stream, heard)
-                    assert decision.version in (None, stream.version)
+                for heard, hears_entries in ((VMS, True), ((), False)):
+                    decision = self.decide(entry, stream, heard, hears_entries)
+                    if decision.step is ResumptionStep.RESUME:
+                        assert decision.version == stream.version
 
     @invariant()
     def streams_of_living_agents_go_on(self):
@@ -294,8 +358,8 @@
         for stream in self.streams:
             is_known = any(agent is stream.agent for agent in agents)
             if is_known and serving.count(stream.version) >= 2:
-                for entry in self.running():
-                    decision = self.decide(entry, stream, VMS)
+                for entry in self.in_touch():
+                    decision = self.decide(entry, stream, VMS, hears_entries=True)
                     assert decision.step is ResumptionStep.RESUME
 
 
--- a/chervilgw/routing/version_history.py
+++ b/chervilgw/routing/version_history.py
@@ -43,12 +43,14 @@
     def on_record(self, recorded: RecordedVersions, now_s: float) -> None:
         """Apply what former processes recorded.
 
-        The record states no times, as clocks may be set: its versions count as if they
-        had served until now.
+        The record states no times, as clocks may be set: versions that this process
+        does not know count as if they had served until now. The time of known ones
+        stays, as a record that is read again and again would keep them forever.
         """
         for service, versions in recorded.items():
             for version in versions:
-                self._see(service, version, now_s)
+                if version not in self._seen_s.get(service, ()):
+                    self._see(service, version, now_s)
 
     @property
     def is_complete(self) -> bool:
@@ -59,8 +61,12 @@
         """Record that the store was read, with or without a record."""
         self._is_complete = True
 
+    def on_gap(self) -> None:
+        """Record that servers may have come and gone unseen; the record names them."""
+        self._is_complete = False
+
     def recent(self, service: ServiceName) -> frozenset[SoftwareVersion] | None:
-        """Return the versions that lately served, None before the record was read."""
+        """Return the versions that lately served, None until the record is read."""
         if not self._is_complete:
             return None
         return frozenset(self._seen_s.get(service, ()))
