Check that a stream goes on at the start of a server that is registered

What callers saw: an entry that relayed streams was stopped for some seconds. Meanwhile their server ended, and the other server of their version started again under its id with other software. When the entry ran again, it went on with the streams at that server.

Cause: the version of a server is that of its registration, which had no age either. An agent grants a turn at its engine whatever start of it the entry means, and a turn that was granted before the stop was used after it.

Change: a stream goes on without a turn only if the list of servers was read in the last 2.5 s, which is always so while the entry runs and the store answers. Else it waits for a read for up to 0.5 s and breaks after that. A request for a turn names the engine's start if a stream is to go on, and the agent refuses it for another start. A turn that was granted more than a second ago is requested anew. Requests that begin a stream are sent as before.

--- a/chervilgw/core/forward_messages.py
+++ b/chervilgw/core/forward_messages.py
@@ -211,7 +211,8 @@
     ``deadline_remaining_s`` how long until the stream has to end, and ``max_pause_s``
     the longest pause between its events; 0 means unknown. ``other_tokens_per_s`` is the
     prefill speed of the fastest other engine that may take the request, 0 if there is
-    none.
+    none. ``started_ms`` is the start of the engine that the entry knows, in ms of the
+    Unix epoch; it is stated for a stream that goes on, 0 otherwise.
     """
 
     turn: RequestId
@@ -228,6 +229,7 @@
     deadline_remaining_s: float = 0.0
     max_pause_s: float = 0.0
     other_tokens_per_s: float = 0.0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/forward/decisions.py
+++ b/chervilgw/forward/decisions.py
@@ -39,6 +39,11 @@
     """Hold the request: a server that asked for a pause takes it in time."""
 
 
+@dataclass(frozen=True, slots=True)
+class WaitForList:
+    """Hold the request until the list of servers was read again."""
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Refuse the request."""
@@ -46,4 +51,4 @@
     refusal: Refusal
 
 
-Decision = SendNow | RequestTurn | WaitForModel | WaitForServer | Refuse
+Decision = SendNow | RequestTurn | WaitForModel | WaitForServer | WaitForList | Refuse
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -22,6 +22,7 @@
     Refuse,
     RequestTurn,
     SendNow,
+    WaitForList,
     WaitForModel,
     WaitForServer,
 )
@@ -36,6 +37,7 @@
     choose_server,
     refuse_without_turn,
 )
+from chervilgw.routing.resumptions import RETRY_AFTER_S as VERSION_RETRY_AFTER_S
 from chervilgw.routing.return_times import RetryTimes, make_retry_times
 from chervilgw.routing.service_times import PlainServer
 from chervilgw.runtime.events import HttpCall
@@ -60,6 +62,9 @@
 # Engines that may refuse a turn because another engine may serve the request sooner.
 # Each costs a round trip.
 MAX_REFUSED_FOR_OTHERS = 2
+# How long a stream that goes on waits for the list of servers while the process runs:
+# a call of the store and its repeat.
+MAX_LIST_WAIT_S = 0.5
 # The gateway ends an attempt at its deadline; the HTTP client's timeout is a backstop.
 HTTP_TIMEOUT_MARGIN_S = 1.0
 
@@ -202,8 +207,21 @@
             return RequestTurn(choice.server, choice.unread_tokens, choice.cost_s)
         if self._awaits_agent(exchange, now_s):
             return WaitForServer()
+        # Without an agent only the list says whether the server was started anew.
+        if exchange.binding.version is not None and not self.fleet.is_list_recent(
+            now_s
+        ):
+            return self._wait_for_list(exchange, now_s)
         return SendNow(choice.server, choice.unread_tokens, choice.cost_s)
 
+    def _wait_for_list(self, exchange, now_s: float) -> Decision:
+        """Decide on a stream that goes on while the list of servers is out of date."""
+        if exchange.binding.list_wait.advance(now_s) < MAX_LIST_WAIT_S:
+            return WaitForList()
+        text = "the list of servers is out of date and cannot be read"
+        reason = RefusalReason.STREAM_VERSION_UNKNOWN
+        return Refuse(Refusal(reason, exchange.run_state, text, VERSION_RETRY_AFTER_S))
+
     def _awaits_agent(self, exchange, now_s: float) -> bool:
         """Return whether the agents' first reports decide on this request.
 
@@ -359,8 +377,15 @@
             exchange.stream_remaining_s(now_s),
             float(exchange.max_pause_s),
             float(exchange.other_tokens_per_s),
+            self._start_of_stream_server(exchange),
         )
 
+    def _start_of_stream_server(self, exchange: Exchange) -> int:
+        """Return the start of the engine at which a stream is to go on, else 0."""
+        if exchange.binding.version is None:
+            return 0
+        return self.fleet.directory.find(exchange.server).started_ms
+
     def call(self, exchange: Exchange, reply_to: str, now_s: float) -> HttpCall:
         """Return the HTTP call to the chosen server."""
         admitted = exchange.admitted
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -29,6 +29,7 @@
     Refuse,
     RequestTurn,
     SendNow,
+    WaitForList,
     WaitForModel,
     WaitForServer,
 )
@@ -40,7 +41,7 @@
 from chervilgw.forward.drain_policy import RETRY_AFTER_S
 from chervilgw.forward.early_requests import make_early_requests
 from chervilgw.forward.entry_reporter import EntryReporter, GatewayOptions
-from chervilgw.forward.events import entry_drained
+from chervilgw.forward.events import entry_drained, server_list_wanted
 from chervilgw.forward.exchange import Exchange, Stage, make_exchange
 from chervilgw.forward.filters import (
     authenticate,
@@ -279,6 +280,9 @@
                 self.is_demand_urgent = True
             case WaitForServer():
                 exchange.stage, exchange.server = Stage.WAITING_FOR_SERVER, None
+            case WaitForList():
+                exchange.stage, exchange.server = Stage.WAITING_FOR_SERVER, None
+                self.fire(server_list_wanted(), "store")
             case Refuse(refusal):
                 if refusal.reason is RefusalReason.MODEL_NOT_LOADED:
                     self.is_demand_urgent = True
--- a/chervilgw/forward/stream_binding.py
+++ b/chervilgw/forward/stream_binding.py
@@ -19,12 +19,14 @@
 
     ``version`` is None before the first server has begun the stream. ``is_uncertain``
     means that the server which began it may run either of two versions. ``wait`` is
-    how long the request has waited to learn where its stream may go on.
+    how long the request has waited to learn where its stream may go on, ``list_wait``
+    how long for a list of servers that is recent enough to send it there.
     """
 
     version: SoftwareVersion | None = None
     is_uncertain: bool = False
     wait: RunningWait = field(default_factory=make_running_wait)
+    list_wait: RunningWait = field(default_factory=make_running_wait)
     _sent_version: SoftwareVersion = SoftwareVersion("")
     _is_relaying: bool = False
     _is_recorded: bool = False
--- a/chervilgw/forward/tests/stream_entry.py
+++ b/chervilgw/forward/tests/stream_entry.py
@@ -61,10 +61,13 @@
 class StreamEntry:
     """An entry with a resumable route to engines; ``versions`` maps them to versions.
 
-    An engine ``i-N`` is at 10.0.0.N and holds the model.
+    An engine ``i-N`` is at 10.0.0.N and holds the model. The list of servers was read
+    ``list_age_s`` ago.
     """
 
-    def __init__(self, versions, reads_record=True, vm="e1", has_agents=False):
+    def __init__(
+        self, versions, reads_record=True, vm="e1", has_agents=False, list_age_s=0.0
+    ):
         self.root, self.recorder = Component(), Recorder()
         self.recorder.register(self.root)
         options = GatewayOptions(Incarnation(vm, 1), "a", Bounds(), first_start=True)
@@ -81,6 +84,7 @@
             # So long ago that the first reports of agents are not waited for.
             self.gateway.fleet.on_listed(float("-inf"))
             self.fire(events.server_list_read(tuple(versions), 100), "*")
+            self.confirm_list(list_age_s)
         if reads_record:
             self.fire(events.entry_list_read(()), "*")
 
--- a/chervilgw/forward/tests/test_stream_versions.py
+++ b/chervilgw/forward/tests/test_stream_versions.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from chervilgw.core.messages import TurnRequest
+from chervilgw.forward.exchange import Stage
 from chervilgw.forward.stream_binding import make_stream_binding
 from chervilgw.forward.tests.stream_entry import StreamEntry
 
@@ -88,3 +90,54 @@
     assert binding.on_bytes(entry.gateway.fleet.directory.find("i-1"))
     assert (binding.version, binding.is_uncertain) == ("v1", False)
     assert binding.admits(None)
+
+
+def make_broken_stream(list_age_s):
+    """Return an entry whose stream broke, and the other server of the version."""
+    entry = StreamEntry({"i-1": "v1", "i-2": "v1"}, list_age_s=list_age_s)
+    entry.request()
+    [first] = entry.called()
+    entry.answer(1)
+    entry.break_off()
+    return entry, {"i-1": "i-2", "i-2": "i-1"}[first]
+
+
+@pytest.mark.parametrize(("version", "is_sent"), [("v1", True), ("v2", False)])
+def test_stream_goes_on_by_a_recent_list_of_servers_only(version, is_sent):
+    """Guards against a registration of before a stop that is believed.
+
+    A server may have started again under its id with other software.
+    """
+    entry, other = make_broken_stream(list_age_s=3.0)
+    assert (len(entry.called()), entry.ends()) == (1, [])
+    assert len(entry.sent("server_list_wanted")) == 1
+    entry.register(other, version, started_ms=2)
+    entry.confirm_list()
+    entry.tick(0.1)
+    assert entry.called()[1:] == ([other] if is_sent else [])
+    assert entry.ends() == ([] if is_sent else [False])
+
+
+def test_stream_breaks_if_the_list_of_servers_stays_out_of_date():
+    """Guards against a stream that is held until its deadline."""
+    entry, _ = make_broken_stream(list_age_s=3.0)
+    entry.tick(1.0)
+    assert entry.ends() == []
+    entry.run_for(0.7)
+    assert (len(entry.called()), entry.ends()) == (1, [False])
+
+
+def test_turn_that_was_granted_long_ago_is_requested_anew():
+    """Guards against a turn of before a stop at an engine that was started anew."""
+    entry = StreamEntry({"i-1": "v1", "i-2": "v1"}, has_agents=True)
+    entry.request()
+    entry.grant()
+    entry.answer(1)
+    entry.break_off()
+    [waiting] = entry.gateway.exchanges_in(Stage.WAITING_FOR_TURN)
+    waiting.turn_requested_s -= 2.0
+    entry.grant()
+    messages = [message for _, message in entry.sent("agent_send")]
+    requests = [message for message in messages if type(message) is TurnRequest]
+    assert len(entry.called()) == 1
+    assert [each.started_ms for each in requests] == [0, 1, 1]
--- a/chervilgw/forward/tests/test_turn_granter.py
+++ b/chervilgw/forward/tests/test_turn_granter.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from circuits import BaseComponent, handler
 
 from chervilgw.core.deployment import EngineSpec
@@ -114,3 +115,14 @@
     assert (passes, answers(agent, sent)) == ([], [])
     agent.on_turn_request(turn_request(1, 1_900), 0.1)
     assert [type(answer) for answer in answers(agent, sent)] == [TurnGranted]
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "answer"), [(0, TurnGranted), (7, TurnGranted), (6, TurnRefused)]
+)
+def test_stream_gets_no_turn_at_an_engine_that_was_started_anew(started_ms, answer):
+    """Guards against an entry that has not read the engine's new registration."""
+    agent, sent = make_agent()
+    request = replace(turn_request(1, 10), started_ms=started_ms)
+    agent.on_turn_request(request, 1.0)
+    assert [type(message) for message in answers(agent, sent)] == [answer]
--- a/chervilgw/forward/turn_granter.py
+++ b/chervilgw/forward/turn_granter.py
@@ -86,6 +86,11 @@
             refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
             self._refuse(request.address, refused, request.tokens)
             return
+        if not self._is_start(request.started_ms):
+            detail = "the engine was started anew and may run another software version"
+            refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
+            self._refuse(request.address, refused, request.tokens)
+            return
         # A pass over all waiting requests for each repeat would take time that grows
         # with their square; new requests, freed turns and ticks begin one anyway.
         if self.turns.is_waiting(request.turn):
@@ -117,6 +122,10 @@
         self.grant_turns(now_s)
         self.send_next_order(now_s)
 
+    def _is_start(self, started_ms: int) -> bool:
+        """Return whether the engine still runs in the start that is stated, if any."""
+        return started_ms in (0, self.orders.state.started_ms or self.server_started_ms)
+
     def _refuses_while_cold(self, request: TurnRequest, now_s: float) -> bool:
         """Refuse a request whose turn would come too late at the cold rate."""
         if not self.cold.cold_s(now_s):
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -17,6 +17,10 @@
 from chervilgw.forward.request_log import log_turn_refused
 from chervilgw.forward.suspect_tracker import SuspectTracker
 
+# A stream does not go on with a turn that was granted longer ago: its engine may have
+# been started anew while this process stood still.
+MAX_STREAM_TURN_AGE_S = 1.0
+
 
 class TurnRequester(SuspectTracker):
     """Task that requests turns from the agents of engines.
@@ -80,10 +84,15 @@
         self.attempt(exchange, now_s)
 
     def _is_recent(self, exchange: Exchange, granted: TurnGranted, now_s) -> bool:
-        """Return whether a turn is recent enough for a server that may be cold."""
+        """Return whether a turn is recent enough to be used.
+
+        A server may be cold, or was started anew with another software version.
+        """
         server = self.fleet.directory.find(exchange.server)
         # The agent counted the wait from the arrival of the request, which was later.
         age_s = now_s - exchange.turn_requested_s - granted.waited_s
+        if exchange.binding.version is not None and age_s > MAX_STREAM_TURN_AGE_S:
+            return False
         return self.dispatcher.cold.is_turn_usable(server, age_s)
 
     def _may_send(self, exchange: Exchange, now_s: float) -> bool:
--- a/fleet/tests/test_stale_entry.py
+++ b/fleet/tests/test_stale_entry.py
@@ -177,6 +177,37 @@
     check_unjoined_or_refused(callers)
 
 
+@pytest.mark.parametrize("has_agents", [True, False], ids=["agents", "no_agents"])
+@pytest.mark.parametrize("store", Store, ids=named)
+def test_stopped_entry_resumes_no_stream_at_a_server_that_was_upgraded(
+    fleet, proxy, store, has_agents
+):
+    """Guards against a server's registration of before the stop that is believed.
+
+    The entry relays the streams itself. Their server ends while the entry is stopped,
+    and the other one of their version starts again under its id with other software.
+    """
+    [first] = add_engines(fleet, [OLD])
+    stale, other = start_entries(fleet, proxy, [first])
+    callers = begin_streams([stale], 4)
+    [second] = add_engines(fleet, [OLD], 2)
+    wait_known([stale, other], [second])
+    if has_agents:
+        start_agents(fleet, [first, second])
+    pause(stale)
+    first.stop()
+    second.restart(NEW)
+    fleet.register(second)
+    wait_logged([other], "server_changed", second, 2)
+    if store is Store.SILENT:
+        proxy.cut(*BOTH)
+    release([second])
+    resume(stale)
+    outcomes = [caller.read() for caller in callers]
+    check_not_joined(callers)
+    assert outcomes == [Outcome.BROKEN] * len(callers)
+
+
 @pytest.mark.parametrize("has_agents", [True, False], ids=["agents", "no_agents"])
 def test_streams_go_on_at_an_entry_that_was_stopped_beside_one_version(
     fleet, proxy, has_agents
