Read the list of servers after the break before a stream goes on

The bound of the change before, a list read in the last 2.5 s, is too old: an entry may stand still for a shorter time in which a server starts anew.

A stream goes on without a turn only if the list was read to its end by a call sent after its server was lost, or after the caller's take-up arrived.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -279,6 +279,7 @@
             if never_arrived or self.allows_retry(service, now_s):
                 if exchange.cutter is not None:
                     exchange.cutter.begin_continuation()
+                    exchange.binding.on_interrupted(now_s)
                 self.attempt(exchange, now_s)
                 return
         reason = RefusalReason.BACKEND_LOST
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -208,14 +208,12 @@
         if self._awaits_agent(exchange, now_s):
             return WaitForServer()
         # Without an agent only the list says whether the server was started anew.
-        if exchange.binding.version is not None and not self.fleet.is_list_recent(
-            now_s
-        ):
+        if exchange.binding.needs_list(self.fleet.list_asked_s):
             return self._wait_for_list(exchange, now_s)
         return SendNow(choice.server, choice.unread_tokens, choice.cost_s)
 
     def _wait_for_list(self, exchange, now_s: float) -> Decision:
-        """Decide on a stream that goes on while the list of servers is out of date."""
+        """Decide on a stream that may go on only by a newer list of servers."""
         if exchange.binding.list_wait.advance(now_s) < MAX_LIST_WAIT_S:
             return WaitForList()
         text = "the list of servers is out of date and cannot be read"
--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -58,6 +58,7 @@
         match decision.step:
             case ResumptionStep.RESUME:
                 exchange.binding.version = decision.version
+                exchange.binding.on_interrupted(exchange.started_s)
                 log_resumed(exchange, decision, self.fleet.list_asked_s, now_s)
                 self.fire(resumption_counted(decision.source.value), "metrics")
                 return True
@@ -142,7 +143,11 @@
     @handler("server_list_confirmed", channel="*")
     def _on_list_current(self, asked_s):
         now_s = time.monotonic()
-        for exchange in self.exchanges_in(Stage.WAITING_FOR_ORIGIN):
+        waiting = self.exchanges_in(Stage.WAITING_FOR_ORIGIN)
+        for exchange in self.exchanges_in(Stage.WAITING_FOR_SERVER):
+            if exchange.binding.version is not None:
+                waiting.append(exchange)
+        for exchange in waiting:
             self.attempt(exchange, now_s)
 
     @handler("server_list_gap", channel="*")
--- a/chervilgw/forward/stream_binding.py
+++ b/chervilgw/forward/stream_binding.py
@@ -19,13 +19,14 @@
 
     ``version`` is None before the first server has begun the stream. ``is_uncertain``
     means that the server which began it may run either of two versions. ``wait`` is
-    how long the request has waited to learn where its stream may go on, ``list_wait``
-    how long for a list of servers that is recent enough to send it there.
+    how long the request has waited to learn where its stream may go on, and
+    ``list_wait`` how long for a list of servers that was read since ``interrupted_s``.
     """
 
     version: SoftwareVersion | None = None
     is_uncertain: bool = False
     wait: RunningWait = field(default_factory=make_running_wait)
+    interrupted_s: float = float("-inf")
     list_wait: RunningWait = field(default_factory=make_running_wait)
     _sent_version: SoftwareVersion = SoftwareVersion("")
     _is_relaying: bool = False
@@ -35,6 +36,23 @@
         """Record the registration of the server that gets the request."""
         self._sent_version, self._is_relaying = server.software_version, False
 
+    def on_interrupted(self, now_s: float) -> None:
+        """Record that the stream needs another server, if it has begun."""
+        self.interrupted_s, self.list_wait = now_s, make_running_wait()
+
+    def needs_list(self, list_asked_s: float) -> bool:
+        """Return whether the list is too old to send the stream to a server by it.
+
+        A server may have started again under its id with other software, for as long
+        as this process stood still or was cut off.
+
+        Parameters
+        ----------
+        list_asked_s : float
+            When the call was sent that read the list of servers, in monotonic time.
+        """
+        return self.version is not None and list_asked_s < self.interrupted_s
+
     def admits(self, server: RegisteredServer | None) -> bool:
         """Return whether the request may be sent to a server, given its registration.
 
--- a/chervilgw/forward/tests/stream_entry.py
+++ b/chervilgw/forward/tests/stream_entry.py
@@ -61,13 +61,10 @@
 class StreamEntry:
     """An entry with a resumable route to engines; ``versions`` maps them to versions.
 
-    An engine ``i-N`` is at 10.0.0.N and holds the model. The list of servers was read
-    ``list_age_s`` ago.
+    An engine ``i-N`` is at 10.0.0.N and holds the model.
     """
 
-    def __init__(
-        self, versions, reads_record=True, vm="e1", has_agents=False, list_age_s=0.0
-    ):
+    def __init__(self, versions, reads_record=True, vm="e1", has_agents=False):
         self.root, self.recorder = Component(), Recorder()
         self.recorder.register(self.root)
         options = GatewayOptions(Incarnation(vm, 1), "a", Bounds(), first_start=True)
@@ -84,7 +81,6 @@
             # So long ago that the first reports of agents are not waited for.
             self.gateway.fleet.on_listed(float("-inf"))
             self.fire(events.server_list_read(tuple(versions), 100), "*")
-            self.confirm_list(list_age_s)
         if reads_record:
             self.fire(events.entry_list_read(()), "*")
 
@@ -149,10 +145,13 @@
         self.head()
         self.data(*numbers)
 
-    def break_off(self):
+    def break_off(self, confirms_list=True):
+        """Break the answer off; the list of servers is read at once, unless not."""
         spec = self.sent("http_call")[-1][0]
         failed = CallFailed(spec.call, True, "reset", connection_lost=True)
         self.fire(call_failed(failed))
+        if confirms_list:
+            self.confirm_list()
 
     def sent(self, name):
         return [args for seen, args in self.recorder.seen if seen == name]
--- a/chervilgw/forward/tests/test_stream_versions.py
+++ b/chervilgw/forward/tests/test_stream_versions.py
@@ -92,35 +92,35 @@
     assert binding.admits(None)
 
 
-def make_broken_stream(list_age_s):
+def make_broken_stream():
     """Return an entry whose stream broke, and the other server of the version."""
-    entry = StreamEntry({"i-1": "v1", "i-2": "v1"}, list_age_s=list_age_s)
+    entry = StreamEntry({"i-1": "v1", "i-2": "v1"})
+    entry.confirm_list()
     entry.request()
     [first] = entry.called()
     entry.answer(1)
-    entry.break_off()
+    entry.break_off(confirms_list=False)
     return entry, {"i-1": "i-2", "i-2": "i-1"}[first]
 
 
 @pytest.mark.parametrize(("version", "is_sent"), [("v1", True), ("v2", False)])
-def test_stream_goes_on_by_a_recent_list_of_servers_only(version, is_sent):
+def test_stream_goes_on_by_a_list_of_servers_read_since_its_break(version, is_sent):
     """Guards against a registration of before a stop that is believed.
 
     A server may have started again under its id with other software.
     """
-    entry, other = make_broken_stream(list_age_s=3.0)
+    entry, other = make_broken_stream()
     assert (len(entry.called()), entry.ends()) == (1, [])
     assert len(entry.sent("server_list_wanted")) == 1
     entry.register(other, version, started_ms=2)
     entry.confirm_list()
-    entry.tick(0.1)
     assert entry.called()[1:] == ([other] if is_sent else [])
     assert entry.ends() == ([] if is_sent else [False])
 
 
 def test_stream_breaks_if_the_list_of_servers_stays_out_of_date():
     """Guards against a stream that is held until its deadline."""
-    entry, _ = make_broken_stream(list_age_s=3.0)
+    entry, _ = make_broken_stream()
     entry.tick(1.0)
     assert entry.ends() == []
     entry.run_for(0.7)
--- a/chervilgw/forward/tests/test_taken_up_streams.py
+++ b/chervilgw/forward/tests/test_taken_up_streams.py
@@ -21,6 +21,7 @@
     entry.break_off()
     for attempt, event in (("b", 3), ("c", 4)):
         entry.request(attempt, str(event - 1), "a")
+        entry.confirm_list()
         entry.head(attempt)
         entry.data(event)
         entry.break_off()
@@ -38,6 +39,7 @@
     assert entry.called() == []
     entry.fire(events.stream_origin_reported("desk", "a", "v1"))
     entry.fire(events.stream_origin_reported("llm", "a", "v2"))
+    entry.confirm_list()
     assert entry.called() == ["i-2"]
     entry.head("b")
     entry.data(3)
@@ -129,6 +131,7 @@
     entry.tick(1.0)
     assert (entry.called(), entry.refusals()) == ([], [])
     entry.fire(events.stream_origin_reported("llm", "a", "v1"))
+    entry.confirm_list()
     assert entry.called() == ["i-1"]
 
 
@@ -145,6 +148,7 @@
     entry.fire(events.stream_origin_reported("llm", "a", "v1"))
     for number in range(4):
         entry.request(f"b{number}", "2", "a")
+        entry.confirm_list()
     assert (sorted(entry.called()), entry.refusals()) == (
         ["i-1", "i-1", "i-2", "i-2"],
         [],
--- a/chervilgw/membership/fleet_view.py
+++ b/chervilgw/membership/fleet_view.py
@@ -46,9 +46,6 @@
 # From the first list of servers to the first reports of their agents: a subscription
 # and its answer, and a second subscription if either is lost.
 FIRST_REPORTS_S = 1.0
-# Longer than the reads of the list of a running process are apart, also if one call is
-# lost.
-MAX_LIST_AGE_S = 2.5
 # Time from a request for a missing model to the load order: two reports, a plan and a
 # datagram.
 PLANNING_DELAY_S = 0.5
@@ -96,13 +93,6 @@
         """Record that the list was read to its end by a call sent at this time."""
         self.list_asked_s = max(self.list_asked_s, asked_s)
 
-    def is_list_recent(self, now_s: float) -> bool:
-        """Return whether the list was read so lately that its entries are believed.
-
-        A server may start again under its id with other software.
-        """
-        return now_s - self.list_asked_s <= MAX_LIST_AGE_S
-
     @property
     def is_listed(self) -> bool:
         """Return whether the list of servers was read."""
