--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -18,6 +18,7 @@
 from chervilgw.forward.exchange import Exchange, Stage
 from chervilgw.forward.metrics_task import attempt_counted
 from chervilgw.forward.request_log import log_attempt_failed, log_attempt_not_served
+from chervilgw.forward.server_messages import make_server_call
 from chervilgw.forward.turn_requester import TurnRequester
 from chervilgw.routing.stream_pace import make_stream_pace
 from chervilgw.runtime.events import (
@@ -75,7 +76,7 @@
         self._by_call[exchange.call] = exchange
         self.begin_work(exchange)
         self.fleet.on_sent(server, exchange.admitted.opaque, unread_tokens, now_s)
-        call = self.dispatcher.call(exchange, self.channel, now_s)
+        call = make_server_call(exchange, self.fleet, self.codec, self.channel, now_s)
         self.fire(http_call(call), "server-client")
 
     @handler("call_head")
--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -9,13 +9,10 @@
 from returns.pipeline import is_successful
 
 from chervilgw.core.deployment import Deployment, ModelSpec, ServerId
-from chervilgw.core.ids import CustomerId, ServiceName, ZoneId
-from chervilgw.core.messages import TurnRequest
+from chervilgw.core.ids import ServiceName, ZoneId
 from chervilgw.core.refusals import Refusal, make_refusal
 from chervilgw.core.states import RefusalReason, RunState
 from chervilgw.crashes.suspicion import Verdict
-from chervilgw.forward.caller_waits import urgency_of
-from chervilgw.forward.codec import FrontCodec
 from chervilgw.forward.cold_dispatch import ColdDispatch, make_cold_dispatch
 from chervilgw.forward.decisions import (
     Decision,
@@ -27,7 +24,6 @@
     WaitForServer,
 )
 from chervilgw.forward.exchange import Exchange
-from chervilgw.forward.messages import ServerRequest
 from chervilgw.membership.fleet_view import PLANNING_DELAY_S, FleetView, LoadEstimate
 from chervilgw.routing.completion import ExpectedWork
 from chervilgw.routing.dispatch import (
@@ -40,7 +36,6 @@
 from chervilgw.routing.resumptions import RETRY_AFTER_S as VERSION_RETRY_AFTER_S
 from chervilgw.routing.return_times import RetryTimes, make_retry_times
 from chervilgw.routing.service_times import PlainServer
-from chervilgw.runtime.events import HttpCall
 from chervilgw.scheduling.prefill_speed import DEFAULT_TOKENS_PER_S
 from chervilgw.settings.vm import Bounds
 
@@ -53,9 +48,6 @@
 TRIAL_RETRY_AFTER_S = 1.0
 # From the end of a load to its report, with a margin for callers' clocks.
 LOAD_REPORT_MARGIN_S = 0.3
-# A connection takes 1 to 6 ms. A lost packet costs a second, so that another server is
-# quicker.
-CONNECT_TIMEOUT_S = 0.4
 # Fraction of a server's connections that the entries use together; the rest covers
 # those that are still closing.
 CONNECTION_FRACTION = 0.9
@@ -65,8 +57,6 @@
 # How long a stream that goes on waits for the list of servers while the process runs:
 # a call of the store and its repeat.
 MAX_LIST_WAIT_S = 0.5
-# The gateway ends an attempt at its deadline; the HTTP client's timeout is a backstop.
-HTTP_TIMEOUT_MARGIN_S = 1.0
 
 _NO_SERVER_REASONS = (RefusalReason.NO_BACKEND_SERVER, RefusalReason.MODEL_NOT_LOADED)
 
@@ -76,7 +66,6 @@
     """Decisions of one entry; see :func:`make_dispatcher`."""
 
     fleet: FleetView
-    codec: FrontCodec
     zone: ZoneId
     retry_times: RetryTimes
     cold: ColdDispatch
@@ -354,69 +343,6 @@
         )
         return _with_retry_after(refusal, retry_after_s)
 
-    def make_turn_request(self, exchange: Exchange, now_s: float) -> TurnRequest:
-        """Return the request for a turn at the chosen engine."""
-        admitted = exchange.admitted
-        customer = admitted.customer
-        max_wait_s = exchange.started_s + exchange.first_token_wait_s - now_s
-        target_remaining_s = exchange.started_s + admitted.route.target_s - now_s
-        return TurnRequest(
-            exchange.turn,
-            "",
-            exchange.server,
-            admitted.opaque.model,
-            admitted.opaque.adapter or "",
-            customer.customer if customer else CustomerId(""),
-            exchange.unread_tokens,
-            urgency_of(admitted.rank),
-            max_wait_s,
-            target_remaining_s,
-            exchange.expected_output_tokens if exchange.is_stream else 0,
-            exchange.stream_remaining_s(now_s),
-            float(exchange.max_pause_s),
-            float(exchange.other_tokens_per_s),
-            self._start_of_stream_server(exchange),
-        )
-
-    def _start_of_stream_server(self, exchange: Exchange) -> int:
-        """Return the start of the engine at which a stream is to go on, else 0."""
-        if exchange.binding.version is None:
-            return 0
-        return self.fleet.directory.find(exchange.server).started_ms
-
-    def call(self, exchange: Exchange, reply_to: str, now_s: float) -> HttpCall:
-        """Return the HTTP call to the chosen server."""
-        admitted = exchange.admitted
-        opaque, customer = admitted.opaque, admitted.customer
-        last_event = opaque.last_event
-        if exchange.cutter is not None and exchange.cutter.last_event_id is not None:
-            last_event = exchange.cutter.last_event_id
-        remaining_s = exchange.deadline_s - now_s
-        request = ServerRequest(
-            opaque,
-            exchange.server,
-            remaining_s,
-            customer.customer if customer else None,
-            admitted.rank,
-            last_event,
-        )
-        limit_s = max(0.0, remaining_s) + HTTP_TIMEOUT_MARGIN_S
-        return HttpCall(
-            exchange.call,
-            reply_to,
-            self.fleet.directory.find(exchange.server).address,
-            opaque.method,
-            opaque.target,
-            self.codec.encode_request(request),
-            opaque.body,
-            timeout_s=limit_s,
-            idle_timeout_s=limit_s,
-            stream=True,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            forwarded=True,
-            echo_header=self.codec.echo(opaque.attempt),
-        )
-
 
 def refuse_blocked(exchange: Exchange, verdict: Verdict) -> Refusal:
     """Return the refusal of a request with a trait that crashes servers."""
@@ -500,11 +426,11 @@
 
 
 def make_dispatcher(
-    fleet: FleetView, codec: FrontCodec, zone: ZoneId, cold: ColdDispatch | None = None
+    fleet: FleetView, zone: ZoneId, cold: ColdDispatch | None = None
 ) -> Dispatcher:
     """Return the dispatcher of an entry in a zone.
 
     Without ``cold`` the entry has the default bounds and knows no other one.
     """
     cold = cold or make_cold_dispatch(fleet.warm_up, Bounds())
-    return Dispatcher(fleet, codec, zone, make_retry_times(), cold)
+    return Dispatcher(fleet, zone, make_retry_times(), cold)
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -91,7 +91,7 @@
         bounds = options.bounds
         self._pipeline = None
         cold = self.make_cold_decisions(bounds, options.address)
-        self.dispatcher = make_dispatcher(self.fleet, codec, options.zone, cold)
+        self.dispatcher = make_dispatcher(self.fleet, options.zone, cold)
         self._retries = make_retry_budgets(bounds)
         self._ticks = 0
         self._early = make_early_requests()
--- a/chervilgw/forward/tests/test_cold_dispatch.py
+++ b/chervilgw/forward/tests/test_cold_dispatch.py
@@ -53,7 +53,7 @@
         self.fleet.warm_up.set_rules(self.deployment.services)
         decisions = make_cold_dispatch(self.fleet.warm_up, Bounds(), "10.0.0.9:1")
         decisions.entries.on_listed(("10.0.0.9:1",), NOW_S)
-        self.dispatcher = make_dispatcher(self.fleet, None, "a", decisions)
+        self.dispatcher = make_dispatcher(self.fleet, "a", decisions)
         for offset, name in enumerate(("i-1", "i-2"), 1):
             cold_s = COLD_S if name in cold else 0.0
             self.register(name, offset, cold_s, bool(engine))
--- a/chervilgw/forward/tests/test_dispatcher.py
+++ b/chervilgw/forward/tests/test_dispatcher.py
@@ -57,7 +57,7 @@
 
 @pytest.fixture
 def dispatcher():
-    made = make_dispatcher(make_fleet_view(), None, "a")
+    made = make_dispatcher(make_fleet_view(), "a")
     made.fleet.directory.on_entry(engine("i-1"), 1, 0.0)
     made.fleet.directory.on_entry(engine("i-2"), 2, 0.0)
     made.fleet.on_report(report("i-1", ["m"]), 0.0)
@@ -190,7 +190,7 @@
     After a restart of all VMs 77 requests in two seconds were sent by the list alone,
     which does not name adapters, and refused with the engines' answer.
     """
-    dispatcher = make_dispatcher(make_fleet_view(), None, "a")
+    dispatcher = make_dispatcher(make_fleet_view(), "a")
     registered = replace(engine("i-1"), adapters={"m": frozenset()})
     dispatcher.fleet.directory.on_entry(registered, 1, 0.0)
     dispatcher.fleet.on_listed(0.0)
@@ -201,7 +201,7 @@
 
 def test_engine_without_an_agent_gets_requests_once_reports_are_overdue(exchange):
     """Guards against a hold that lasts as long as an agent is missing."""
-    dispatcher = make_dispatcher(make_fleet_view(), None, "a")
+    dispatcher = make_dispatcher(make_fleet_view(), "a")
     registered = replace(engine("i-1"), adapters={"m": frozenset()})
     dispatcher.fleet.directory.on_entry(registered, 1, 0.0)
     dispatcher.fleet.on_listed(0.0)
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -15,6 +15,7 @@
 from chervilgw.forward.events import agent_send
 from chervilgw.forward.exchange import Exchange, Stage
 from chervilgw.forward.request_log import log_turn_refused
+from chervilgw.forward.server_messages import make_turn_request
 from chervilgw.forward.suspect_tracker import SuspectTracker
 
 # A stream does not go on with a turn that was granted longer ago: its engine may have
@@ -52,7 +53,7 @@
         self._send_turn_request(exchange, now_s)
 
     def _send_turn_request(self, exchange: Exchange, now_s: float):
-        request = self.dispatcher.make_turn_request(exchange, now_s)
+        request = make_turn_request(exchange, self.fleet, now_s)
         self.fire(agent_send(exchange.server, request), "gossip")
 
     @handler("turn_answered")
