Inform the agent of a stream before its caller gets the first event

Change: the part of an answer with a first event waits for one round of events, and parts and ends that follow it keep behind it.

--- a/chervilgw/forward/answer_relay.py
+++ b/chervilgw/forward/answer_relay.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from http import HTTPStatus
 
-from circuits import handler
+from circuits import Event, handler
 
 from chervilgw.codec.event_stream import EventOrderError
 from chervilgw.core.answers import AnswerKind, proves_survival
@@ -48,6 +48,10 @@
 MAX_BUFFERED_BYTES = 4_194_304
 
 
+class push_due(Event):  # noqa: N801
+    """Pass on a part of an answer: event, channel of its server task."""
+
+
 class AnswerRelay(TurnRequester):
     """Task that owns the attempts at servers, from the send to the end of the answer.
 
@@ -63,6 +67,7 @@
         self._by_call: dict[str, Exchange] = {}
         self._exchanges: dict[int, Exchange] = {}
         self._buffered_bytes = 0
+        self._delayed_pushes = 0
 
     def send(
         self, exchange: Exchange, server: ServerId, unread_tokens: int, now_s: float
@@ -130,7 +135,7 @@
     @handler("call_data")
     def _on_data(self, parts):
         now_s = time.monotonic()
-        forwarded = defaultdict(list)
+        forwarded, is_agent_informed = defaultdict(list), False
         for part in parts:
             exchange = self._by_call.get(part.call)
             if exchange is None:
@@ -154,11 +159,31 @@
             ):
                 data = self._on_long_body(exchange, now_s)
             if data:
-                self.record_origin(exchange, now_s)
+                is_origin_sent = self.record_origin(exchange, now_s)
+                if self.report_begun(exchange) or is_origin_sent:
+                    is_agent_informed = True
                 output = HttpPart(exchange.number, data)
                 forwarded[exchange.server_channel].append(output)
         for server_channel, outputs in forwarded.items():
-            self.fire(http_push_data(outputs), server_channel)
+            self.push(http_push_data(outputs), server_channel, is_agent_informed)
+
+    def push(self, event: Event, server_channel: str, is_agent_informed: bool = False):
+        """Pass on a part or the end of an answer, in order.
+
+        A message to an agent of this moment has to be sent first: a stream that a
+        caller has seen begin must not be lost with this process. It takes one event
+        more to its socket.
+        """
+        if is_agent_informed or self._delayed_pushes:
+            self._delayed_pushes += 1
+            self.fire(push_due(event, server_channel))
+        else:
+            self.fire(event, server_channel)
+
+    @handler("push_due")
+    def _on_push_due(self, push, server_channel):
+        self._delayed_pushes -= 1
+        self.fire(push, server_channel)
 
     def _on_long_body(self, exchange: Exchange, now_s: float) -> bytes:
         """Relay a long answer; abort one that is being discarded, as it may not end."""
@@ -241,8 +266,8 @@
         rest = exchange.cutter.take_partial() if exchange.cutter else b""
         if rest:
             parts = [HttpPart(exchange.number, rest)]
-            self.fire(http_push_data(parts), exchange.server_channel)
-        self.fire(http_push_end(exchange.number, True), exchange.server_channel)
+            self.push(http_push_data(parts), exchange.server_channel)
+        self.push(http_push_end(exchange.number, True), exchange.server_channel)
 
     @handler("call_failed")
     def _on_failed(self, failed):
--- a/chervilgw/forward/gateway.py
+++ b/chervilgw/forward/gateway.py
@@ -297,7 +297,7 @@
         """Refuse a request, or break off its answer if that has begun."""
         if exchange.head_forwarded:
             end = http_push_end(exchange.number, False)
-            self.fire(end, exchange.server_channel)
+            self.push(end, exchange.server_channel)
         else:
             reply = self.codec.encode_refusal(refusal)
             message = HttpReply(exchange.number, *reply)
--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -108,18 +108,23 @@
         refusal = make_refusal(decision.reason, text, decision.retry_after_s)
         self.fail(exchange, refusal, now_s)
 
-    def record_origin(self, exchange: Exchange, now_s: float):
-        """Remember the version of a stream whose events are relayed."""
+    def record_origin(self, exchange: Exchange, now_s: float) -> bool:
+        """Remember the version of a stream whose events are relayed.
+
+        Return whether the agent of its server was informed.
+        """
         binding, opaque = exchange.binding, exchange.admitted.opaque
         if exchange.cutter is None or not binding.take_unrecorded():
-            return
+            return False
         attempt = opaque.begun_by if exchange.is_taken_up else opaque.attempt
         service = exchange.admitted.service
         self.resumptions.on_relayed(service, attempt, binding.version, now_s)
-        if exchange.stream_turn is None and not exchange.is_taken_up:
-            # Without a turn the agent does not know the request.
-            origin = StreamOrigin(service, attempt, binding.version)
-            self.fire(agent_send(exchange.server, origin), "gossip")
+        if exchange.stream_turn is not None or exchange.is_taken_up:
+            return False
+        # Without a turn the agent does not know the request.
+        origin = StreamOrigin(service, attempt, binding.version)
+        self.fire(agent_send(exchange.server, origin), "gossip")
+        return True
 
     @handler("stream_origin_reported")
     def _on_stream_origin(
--- a/chervilgw/forward/turn_requester.py
+++ b/chervilgw/forward/turn_requester.py
@@ -141,27 +141,24 @@
             self._awaiting_event[exchange.turn] = exchange
         exchange.turn = None
 
-    # The answer's bytes are split into events by a handler of the default priority.
-    @handler("call_data", priority=-1)
-    def _on_answers_split(self, parts):
-        for exchange in list(self._awaiting_event.values()):
-            self._report_begun(exchange)
-
-    def _report_begun(self, exchange: Exchange):
+    def report_begun(self, exchange: Exchange) -> bool:
         """Inform the engine's agent that the engine began the caller's stream.
 
-        Only a whole event counts, as callers get nothing of an incomplete one.
+        Only a whole event counts, as callers get nothing of an incomplete one. Return
+        whether a message was sent.
         """
         turn = exchange.stream_turn
         if turn not in self._awaiting_event:
-            return
+            return False
         if exchange.cutter is None or not exchange.cutter.events:
-            return
+            return False
         del self._awaiting_event[turn]
-        if self._is_same_start(exchange):
-            attempt = exchange.admitted.opaque.attempt
-            released = TurnReleased(turn, exchange.server, True, attempt)
-            self.fire(agent_send(exchange.server, released), "gossip")
+        if not self._is_same_start(exchange):
+            return False
+        attempt = exchange.admitted.opaque.attempt
+        released = TurnReleased(turn, exchange.server, True, attempt)
+        self.fire(agent_send(exchange.server, released), "gossip")
+        return True
 
     def _is_same_start(self, exchange: Exchange) -> bool:
         """Return whether the server that got the request is still the registered one.
@@ -177,7 +174,7 @@
         ``is_done`` says that the engine ended the answer.
         """
         whole = is_done and exchange.is_whole_stream
-        self._report_begun(exchange)
+        self.report_begun(exchange)
         self._awaiting_event.pop(exchange.stream_turn, None)
         ended = exchange.end_stream()
         if ended is not None:
