--- a/chervilgw/routing/resumptions.py
+++ b/chervilgw/routing/resumptions.py
@@ -172,17 +172,16 @@
         """Decide where a stream may go on, or whether to wait for answers."""
         key = (request.service, request.begun_by)
         known, source = self._find(*key)
-        recent = self._history.recent(request.service)
-        is_started = serving.is_listed and recent is not None
-        is_askable = bool(request.begun_by) and not self._is_disputed(*key)
         if not serving.is_listed:
             return _wait_or_refuse(request, is_transient=True)
         if known is not None:
             return self._decide_known(request, serving, known, source)
+        recent = self._history.recent(request.service)
+        is_askable = bool(request.begun_by) and not self._is_disputed(*key)
         if serving.is_reachable and recent is not None and len(recent) == 1:
             return _decide_sole(request, serving, *recent, is_askable)
-        is_transient = not is_started or not serving.is_reachable
-        if not (is_askable or not is_started):
+        is_transient = recent is None or not serving.is_reachable
+        if recent is not None and not is_askable:
             return _refuse_unknown(is_transient)
         return _wait_or_refuse(request, is_transient)
 
