--- a/fleet/tests/test_stale_entry.py
+++ b/fleet/tests/test_stale_entry.py
@@ -105,16 +105,6 @@
     return newer
 
 
-def begin_noted_streams(entry):
-    """Begin streams, and wait until the agents of their servers know of them.
-
-    test_stream_versions.py has the losses between a first event and its notice.
-    """
-    callers = begin_streams([entry], CALLERS)
-    threading.Event().wait(0.1)
-    return callers
-
-
 def take_up_at(stale, callers, sent):
     """Let all callers take their streams up at an entry that runs again."""
     with ThreadPoolExecutor(len(callers)) as pool:
@@ -144,7 +134,7 @@
     start_agents(fleet, older)
     pause(stale)
     newer = join_newer(fleet, other, older)
-    callers = begin_noted_streams(other)
+    callers = begin_streams([other], CALLERS)
     interrupt(callers, other, peer)
     release([*older, *newer])
     if store is Store.SILENT:
@@ -170,7 +160,7 @@
     start_agents(fleet, older)
     proxy.cut(*directions)
     newer = join_newer(fleet, other, older, has_agents=False)
-    callers = begin_noted_streams(other)
+    callers = begin_streams([other], CALLERS)
     interrupt(callers, other, Break.KILLED)
     release([*older, *newer])
     take_up_at(stale, callers, Sent.AFTER)
