Require a recent list of servers for a stream that goes on

A list read after the break may be old all the same when the stream is sent: it may have waited for a turn or a model while the process was stopped. The new unit test fails without the bound in the case of 15.0 s.

--- a/chervilgw/forward/dispatcher.py
+++ b/chervilgw/forward/dispatcher.py
@@ -197,7 +197,7 @@
         if self._awaits_agent(exchange, now_s):
             return WaitForServer()
         # Without an agent only the list says whether the server was started anew.
-        if exchange.binding.needs_list(self.fleet.list_asked_s):
+        if exchange.binding.needs_list(self.fleet.list_asked_s, now_s):
             return self._wait_for_list(exchange, now_s)
         return SendNow(choice.server, choice.unread_tokens, choice.cost_s)
 
--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -146,7 +146,7 @@
             self.fire(stream_origin_answered(query.address, answer), "gossip")
 
     @handler("server_list_confirmed", channel="*")
-    def _on_list_current(self, asked_s):
+    def _on_list_confirmed(self, asked_s):
         now_s = time.monotonic()
         waiting = self.exchanges_in(Stage.WAITING_FOR_ORIGIN)
         for exchange in self.exchanges_in(Stage.WAITING_FOR_SERVER):
--- a/chervilgw/forward/stream_binding.py
+++ b/chervilgw/forward/stream_binding.py
@@ -12,6 +12,10 @@
 from chervilgw.core.ids import SoftwareVersion
 from chervilgw.routing.running_wait import RunningWait, make_running_wait
 
+# Longer than the reads of the list of servers are apart in a running process, also if
+# one call is lost.
+MAX_LIST_AGE_S = 2.5
+
 
 @dataclass(slots=True)
 class StreamBinding:
@@ -20,7 +24,8 @@
     ``version`` is None before the first server has begun the stream. ``is_uncertain``
     means that the server which began it may run either of two versions. ``wait`` is
     how long the request has waited to learn where its stream may go on, and
-    ``list_wait`` how long for a list of servers that was read since ``interrupted_s``.
+    ``list_wait`` how long for a list of servers that was read since ``interrupted_s``,
+    when its stream broke or its caller took the stream up.
     """
 
     version: SoftwareVersion | None = None
@@ -40,7 +45,7 @@
         """Record that the stream needs another server, if it has begun."""
         self.interrupted_s, self.list_wait = now_s, make_running_wait()
 
-    def needs_list(self, list_asked_s: float) -> bool:
+    def needs_list(self, list_asked_s: float, now_s: float) -> bool:
         """Return whether the list is too old to send the stream to a server by it.
 
         A server may have started again under its id with other software, for as long
@@ -50,8 +55,11 @@
         ----------
         list_asked_s : float
             When the call was sent that read the list of servers, in monotonic time.
+        now_s : float
+            Monotonic time.
         """
-        return self.version is not None and list_asked_s < self.interrupted_s
+        oldest_s = max(self.interrupted_s, now_s - MAX_LIST_AGE_S)
+        return self.version is not None and list_asked_s < oldest_s
 
     def admits(self, server: RegisteredServer | None) -> bool:
         """Return whether the request may be sent to a server, given its registration.
--- a/chervilgw/forward/tests/test_stream_versions.py
+++ b/chervilgw/forward/tests/test_stream_versions.py
@@ -141,3 +141,16 @@
     requests = [message for message in messages if type(message) is TurnRequest]
     assert len(entry.called()) == 1
     assert [each.started_ms for each in requests] == [0, 1, 1]
+
+
+@pytest.mark.parametrize(
+    ("list_asked_s", "now_s", "needs_list"),
+    [(9.9, 10.1, True), (10.0, 10.1, False), (10.1, 12.5, False), (10.1, 15.0, True)],
+)
+def test_list_has_to_be_of_after_the_break_and_recent(list_asked_s, now_s, needs_list):
+    """Guards against a stop between the read of the list and the send."""
+    binding = make_stream_binding()
+    binding.on_interrupted(10.0)
+    assert not binding.needs_list(list_asked_s, now_s)
+    binding.version = "v1"
+    assert binding.needs_list(list_asked_s, now_s) is needs_list
--- a/chervilgw/forward/turn_granter.py
+++ b/chervilgw/forward/turn_granter.py
@@ -86,7 +86,7 @@
             refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
             self._refuse(request.address, refused, request.tokens)
             return
-        if not self._is_start(request.started_ms):
+        if not self._runs_since(request.started_ms):
             detail = "the engine was started anew and may run another software version"
             refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
             self._refuse(request.address, refused, request.tokens)
@@ -122,8 +122,8 @@
         self.grant_turns(now_s)
         self.send_next_order(now_s)
 
-    def _is_start(self, started_ms: int) -> bool:
-        """Return whether the engine still runs in the start that is stated, if any."""
+    def _runs_since(self, started_ms: int) -> bool:
+        """Return whether the engine has not been started anew, if a start is stated."""
         return started_ms in (0, self.orders.state.started_ms or self.server_started_ms)
 
     def _refuses_while_cold(self, request: TurnRequest, now_s: float) -> bool:
