Let entries that return subscribe to agents in the model of stream versions

The model began a stream at an engine of whose start no entry had told the agent. The product grants no turn there: the start that the engine states has to be the one that entries named, and the version comes with it. An entry that returns now subscribes by the list as it reads it, as the product does. The invariants are unchanged.

--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -238,6 +238,9 @@
             entry.read_list(self.registered(), self.now_s)
             if reads_record:
                 entry.read_record(self.stored, self.now_s)
+        # An agent grants no turn at a start of its engine that it was not told of.
+        for vm in VMS:
+            self.subscribe(vm)
         self.read_list()
 
     def written_by(self, entry):
