List a joined stream that the model of versions finds beside a restored store

A mend has to say which entry writes the record again after a restore, as the one that was out of step may be the one that writes.

--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -367,3 +367,13 @@
 
 
 TestStreamVersions = StreamVersionsMachine.TestCase
+
+
+def test_record_that_a_restored_store_lacks_joins_no_stream():
+    """Guards against a version that served in the gap and is not in the copy."""
+    machine = StreamVersionsMachine()
+    machine.start(["1"] * len(VMS))
+    machine.serve_unseen(entry=0, vm=0, version="2", leaves=True)
+    machine.return_entries(reads_record=False)
+    machine.restore_store()
+    machine.no_stream_goes_on_at_another_version()
