--- a/fleet/tests/test_stale_entry.py
+++ b/fleet/tests/test_stale_entry.py
@@ -14,6 +14,8 @@
 import pytest
 
 from fleet.deployed import DeployedFleet
+from fleet.process import Process, python_command
+from fleet.tests.faulting import set_faults
 from fleet.tests.stream_breaks import (
     NEW,
     OLD,
@@ -32,9 +34,8 @@
     wait_logged,
 )
 from fleet.tests.stream_caller import Outcome
-from standins.proxy import Direction, ProxyStandIn
+from standins.cut_state import Direction
 
-BOTH = (Direction.REQUESTS, Direction.ANSWERS)
 CALLERS = 12
 
 
@@ -64,17 +65,23 @@
 
 
 @pytest.fixture
-def proxy(fleet):
-    """Return the proxy between the stale entry and the store."""
-    made = ProxyStandIn(fleet.store.address)
-    made.start()
-    yield made
-    made.stop()
+def link(fleet):
+    """Return the forwarder between the stale entry and the store."""
+    command = python_command("standins.cut", target=fleet.store.address)
+    forwarder = Process("link", command, fleet.folder / "link.log").start()
+    yield forwarder
+    forwarder.stop()
 
 
-def start_entries(fleet, proxy, engines):
-    """Return the entry that goes stale, behind the proxy, and another one."""
-    settings = SETTINGS | {"platform.address": proxy.address}
+def cut(link, direction=Direction.BOTH):
+    """Withhold what the stale entry and the store send to each other."""
+    faults = {"silence": "all", "direction": direction.value}
+    set_faults(link.addresses["control"], **faults)
+
+
+def start_entries(fleet, link, engines):
+    """Return the entry that goes stale, behind the link, and another one."""
+    settings = SETTINGS | {"platform.address": link.address}
     stale = fleet.add_entry("127.0.0.8", settings)
     other = fleet.add_entry("127.0.0.9", SETTINGS)
     wait_known([stale, other], engines)
@@ -126,11 +133,11 @@
 @pytest.mark.parametrize("store", Store, ids=named)
 @pytest.mark.parametrize("peer", [Break.RESET, Break.KILLED], ids=named)
 def test_stopped_entry_joins_no_stream_of_a_version_that_it_has_not_seen(
-    fleet, proxy, peer, store, sent
+    fleet, link, peer, store, sent
 ):
     """Guards against a list of before the stop that is taken for the current one."""
     older = add_engines(fleet, [OLD, OLD])
-    stale, other = start_entries(fleet, proxy, older)
+    stale, other = start_entries(fleet, link, older)
     start_agents(fleet, older)
     pause(stale)
     newer = join_newer(fleet, other, older)
@@ -138,7 +145,7 @@
     interrupt(callers, other, peer)
     release([*older, *newer])
     if store is Store.SILENT:
-        proxy.cut(*BOTH)
+        cut(link)
     take_up_at(stale, callers, sent)
     check_unjoined_or_refused(callers)
     if store is Store.ANSWERS:
@@ -146,19 +153,15 @@
         check_goes_on(unfinished, stale)
 
 
-@pytest.mark.parametrize(
-    "directions",
-    [BOTH, (Direction.REQUESTS,), (Direction.ANSWERS,)],
-    ids=["both_ways", "requests", "answers"],
-)
+@pytest.mark.parametrize("direction", Direction, ids=named)
 def test_entry_that_is_cut_off_joins_no_stream_of_a_version_that_it_has_not_seen(
-    fleet, proxy, directions
+    fleet, link, direction
 ):
     """Guards against a list that is believed until a call of the store times out."""
     older = add_engines(fleet, [OLD, OLD])
-    stale, other = start_entries(fleet, proxy, older)
+    stale, other = start_entries(fleet, link, older)
     start_agents(fleet, older)
-    proxy.cut(*directions)
+    cut(link, direction)
     newer = join_newer(fleet, other, older, has_agents=False)
     callers = begin_streams([other], CALLERS)
     interrupt(callers, other, Break.KILLED)
@@ -170,7 +173,7 @@
 @pytest.mark.parametrize("has_agents", [True, False], ids=["agents", "no_agents"])
 @pytest.mark.parametrize("store", Store, ids=named)
 def test_stopped_entry_resumes_no_stream_at_a_server_that_was_upgraded(
-    fleet, proxy, store, has_agents
+    fleet, link, store, has_agents
 ):
     """Guards against a server's registration of before the stop that is believed.
 
@@ -178,7 +181,7 @@
     and the other one of their version starts again under its id with other software.
     """
     [first] = add_engines(fleet, [OLD])
-    stale, other = start_entries(fleet, proxy, [first])
+    stale, other = start_entries(fleet, link, [first])
     callers = begin_streams([stale], 4)
     [second] = add_engines(fleet, [OLD], 2)
     wait_known([stale, other], [second])
@@ -190,7 +193,7 @@
     fleet.register(second)
     wait_logged([other], "server_changed", second, 2)
     if store is Store.SILENT:
-        proxy.cut(*BOTH)
+        cut(link)
     release([second])
     resume(stale)
     outcomes = [caller.read() for caller in callers]
@@ -200,14 +203,14 @@
 
 @pytest.mark.parametrize("has_agents", [True, False], ids=["agents", "no_agents"])
 def test_streams_go_on_at_an_entry_that_was_stopped_beside_one_version(
-    fleet, proxy, has_agents
+    fleet, link, has_agents
 ):
     """Guards against refused take-ups where no stream can be joined.
 
     The entry that relayed the streams is lost, so that nobody else is asked.
     """
     engines = add_engines(fleet, [OLD, OLD])
-    stale, other = start_entries(fleet, proxy, engines)
+    stale, other = start_entries(fleet, link, engines)
     if has_agents:
         start_agents(fleet, engines)
     callers = begin_streams([other], CALLERS)
