Make the test of the date of a list able to fail, and correct a claim on scores

The clock of test_list_is_dated_by_the_call_and_not_by_its_answer did not move between the call and its answer, so that both dates were equal: with the date of the answer in place of the call's the test passed.

--- a/chervilgw/platform/tests/test_list_confirmation.py
+++ b/chervilgw/platform/tests/test_list_confirmation.py
@@ -85,10 +85,11 @@
     return struct.pack(">QQ", end, 0)
 
 
-def test_list_is_dated_by_the_call_and_not_by_its_answer():
+def test_list_is_dated_by_the_call_and_not_by_its_answer(monkeypatch):
     """Guards against an answer of before a stop that makes the list look new."""
     began_s, store = time.monotonic(), Store()
     store.tick(6.0)
+    monkeypatch.setattr(time, "monotonic", lambda: began_s + 6.0)
     store.answer(SERVERS, read_to(4))
     expected = ("server_list_confirmed", pytest.approx(began_s, abs=2.0))
     assert store.take_seen() == [expected, expected]
