List a turn that is granted at another start of the engine than it was asked for

Found while reading the change: the agent answers a repeat of a request whose turn it has granted before it compares the start of the engine, and keeps the turns that wait when an engine starts anew between two reports.

--- a/chervilgw/forward/tests/test_turn_granter.py
+++ b/chervilgw/forward/tests/test_turn_granter.py
@@ -126,3 +126,16 @@
     request = replace(turn_request(1, 10), started_ms=started_ms)
     agent.on_turn_request(request, 1.0)
     assert [type(message) for message in answers(agent, sent)] == [answer]
+
+
+def test_turn_of_a_former_start_of_the_engine_is_not_granted_again():
+    """Guards against a stream that goes on at an engine that was started anew."""
+    agent, sent = make_agent()
+    request = replace(turn_request(1, 10), started_ms=7)
+    agent.on_turn_request(request, 1.0)
+    answers(agent, sent)
+    agent.orders.on_state(replace(agent.orders.state, started_ms=9))
+    agent.server_started_ms = 9
+    # The entry repeats the request, as the answer may be lost.
+    agent.on_turn_request(request, 1.1)
+    assert [type(message) for message in answers(agent, sent)] == [TurnRefused]
