Refuse the turns of a former start of the engine

What callers saw: nothing yet; shown by unit tests only. A stream that is taken up could go on at an engine that was started anew with another version: the agent compared the start for new requests for a turn only, not for a repeat of one that was granted, nor for one that waited.

Cause: on_turn_request answered a granted turn before it compared the start, and a report or a registration with another start left the waiting requests in the queue. The same after a report with status 503, which drops the state but not the queue.

Change: the start is compared first. The agent keeps the start at which its turns wait and refuses them when another one is reported or registered.

--- a/chervilgw/forward/agent.py
+++ b/chervilgw/forward/agent.py
@@ -155,6 +155,7 @@
             self.server_started_ms = subscription.started_ms
             version = SoftwareVersion(subscription.software_version)
             self.begun.on_registered(subscription.started_ms, version)
+            self.refuse_turns_of_former_start()
             self.cold.on_subscription(subscription, now_s)
         if is_new and self.orders.state is not None:
             self._forward_report([subscription.address], now_s)
@@ -288,7 +289,9 @@
         started_ms = state.started_ms or self.server_started_ms
         for cold_s in sorted({state.cold_s, signals.cold_s} - {None}):
             self.cold.on_stated(started_ms, ColdSource.REPORT, cold_s, now_s)
-        if self.orders.on_state(state):
+        is_changed = self.orders.on_state(state)
+        self.refuse_turns_of_former_start()
+        if is_changed:
             log_event(
                 "engine_changed",
                 server=self.server,
--- a/chervilgw/forward/turn_granter.py
+++ b/chervilgw/forward/turn_granter.py
@@ -58,6 +58,8 @@
         self.begun = make_begun_streams(service)
         self.orders = make_engine_orders()
         self.turns = make_turn_queue()
+        # Start of the engine at which the requests of ``turns`` wait or were granted.
+        self._turns_started_ms = 0
         self.server: ServerId | None = None
         self.server_started_ms = 0
         self.stopping = False
@@ -76,6 +78,11 @@
 
     def on_turn_request(self, request: TurnRequest, now_s: float):
         """Queue a request, or refuse it at once if its turn would come too late."""
+        # A turn that was granted at a former start is not granted again either.
+        if request.started_ms not in (0, self._engine_started_ms()):
+            detail = "the engine was started anew and may run another software version"
+            self._refuse_elsewhere(request, detail)
+            return
         if self.turns.is_granted(request.turn):
             waited_s = self.cold.waited_s(request.turn)
             granted = TurnGranted(request.turn, request.server, waited_s)
@@ -83,13 +90,7 @@
             return
         if request.server != self.server or not self._accepts_model(request.model):
             detail = "the engine does not hold the model or is draining"
-            refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
-            self._refuse(request.address, refused, request.tokens)
-            return
-        if not self._runs_since(request.started_ms):
-            detail = "the engine was started anew and may run another software version"
-            refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
-            self._refuse(request.address, refused, request.tokens)
+            self._refuse_elsewhere(request, detail)
             return
         # A pass over all waiting requests for each repeat would take time that grows
         # with their square; new requests, freed turns and ticks begin one anyway.
@@ -122,9 +123,24 @@
         self.grant_turns(now_s)
         self.send_next_order(now_s)
 
-    def _runs_since(self, started_ms: int) -> bool:
-        """Return whether the engine has not been started anew, if a start is stated."""
-        return started_ms in (0, self.orders.state.started_ms or self.server_started_ms)
+    def _engine_started_ms(self) -> int:
+        """Return the start of the engine that it reports, else the registered one."""
+        state = self.orders.state
+        return (state.started_ms if state else 0) or self.server_started_ms
+
+    def _refuse_elsewhere(self, request: TurnRequest, detail: str):
+        """Refuse a request that another engine may serve at once."""
+        refused = TurnRefused(request.turn, request.server, 0.0, detail, False)
+        self._refuse(request.address, refused, request.tokens)
+
+    def refuse_turns_of_former_start(self):
+        """Refuse the waiting requests if the engine has been started anew."""
+        former_ms, self._turns_started_ms = (
+            self._turns_started_ms,
+            self._engine_started_ms(),
+        )
+        if former_ms != self._turns_started_ms:
+            self.refuse_turns(self.turns.clear(), "the engine was started anew", False)
 
     def _refuses_while_cold(self, request: TurnRequest, now_s: float) -> bool:
         """Refuse a request whose turn would come too late at the cold rate."""
