Let no sole version decide after a gap beside a restored store

What callers saw: nothing; the model only. An entry that was out of step while a version came, served and left could go on with a stream of that version at the sole one it knew, if the store had come back from a copy that lacks the version and nobody answered.

Cause: the record of versions closes a gap in the reads of the list, but the record of a copy is older than the gap. The entry read it before another entry had written its own again.

Change: an entry whose history has a gap, or that has read nothing yet, when the store is restored, or that has a gap within 120 s after it, lets no sole version decide for 120 s, the time for which a stream can be taken up. A restore alone is no gap: its listing follows the last read. The bound of 2.5 s stands in one place, the two recorders of the store's tests in one module.

--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -157,7 +157,7 @@
 
     @handler("server_list_gap", channel="*")
     def _on_server_list_gap(self):
-        self.resumptions.on_list_gap()
+        self.resumptions.on_list_gap(time.monotonic())
 
     @handler("software_versions_recorded", channel="*")
     def _on_versions_recorded(self, versions):
@@ -169,4 +169,4 @@
 
     @handler("store_restored", channel="*")
     def _on_record_lost(self):
-        self.resumptions.on_store_restored()
+        self.resumptions.on_store_restored(time.monotonic())
--- a/chervilgw/forward/stream_binding.py
+++ b/chervilgw/forward/stream_binding.py
@@ -11,10 +11,7 @@
 from chervilgw.core.deployment import RegisteredServer
 from chervilgw.core.ids import SoftwareVersion
 from chervilgw.routing.running_wait import RunningWait, make_running_wait
-
-# Longer than the reads of the list of servers are apart in a running process, also if
-# one call is lost.
-MAX_LIST_AGE_S = 2.5
+from chervilgw.routing.version_history import MAX_LIST_AGE_S
 
 
 @dataclass(slots=True)
--- a/chervilgw/platform/followers.py
+++ b/chervilgw/platform/followers.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from chervilgw.core.ids import NO_OFFSET, Offset
+from chervilgw.routing.version_history import MAX_LIST_AGE_S
 
 # Doubled after each failed call up to MAX_RETRY_DELAY_S, with jitter.
 FIRST_RETRY_DELAY_S = 0.25
@@ -23,9 +24,6 @@
 # A request that waits for the list needs it within some tenths of a second; requests
 # that come together share the call.
 WANTED_POLL_INTERVAL_S = 0.1
-# Longer than the reads of a running process are apart, also if one call is lost. In a
-# longer time a server may register, serve and leave, and its records be deleted.
-MAX_READ_GAP_S = 2.5
 NEVER_S = float("-inf")
 
 
@@ -71,7 +69,7 @@
     def on_current(self) -> None:
         """Record that an answer has reached the end of the topic."""
         gap_s = self.asked_s - self.current_s
-        self.has_gap = self.has_gap or MAX_READ_GAP_S < gap_s < float("inf")
+        self.has_gap = self.has_gap or MAX_LIST_AGE_S < gap_s < float("inf")
         self.current_s = self.asked_s
 
     def take_gap(self) -> bool:
@@ -99,15 +97,18 @@
         self.retry_delay_s = min(MAX_RETRY_DELAY_S, 2 * self.retry_delay_s)
 
     def restart_listing(self, now_s: float) -> None:
-        """List all keys of the topic again."""
+        """List all keys of the topic again; records may have been deleted unread."""
         self.has_gap = self.has_gap or self.current_s > NEVER_S
+        self._list_again(now_s)
+
+    def _list_again(self, now_s: float) -> None:
         self.step, self.page_after = FollowerStep.LIST, None
         self.due_s = now_s
 
     def on_restored(self, now_s: float) -> None:
         """Discard the position and the call, which refer to an earlier era."""
         self.call = None
-        self.restart_listing(now_s)
+        self._list_again(now_s)
 
 
 @dataclass(slots=True)
--- a/chervilgw/platform/tests/test_list_confirmation.py
+++ b/chervilgw/platform/tests/test_list_confirmation.py
@@ -4,43 +4,21 @@
 import time
 
 import pytest
-from circuits import BaseComponent, Component, handler
+from circuits import Component
 
 from chervilgw.platform.boot import decode_settings
-from chervilgw.platform.followers import MAX_READ_GAP_S, Follower, FollowerStep
+from chervilgw.platform.followers import Follower, FollowerStep
 from chervilgw.platform.log_format import USAGE_KEY, VERSIONS_KEY
 from chervilgw.platform.software_versions import encode_versions
 from chervilgw.platform.store import make_store_task
+from chervilgw.routing.version_history import MAX_LIST_AGE_S
 from chervilgw.runtime.events import CallDone, call_done, clock_tick
 
+from .store_recorder import Recorder
 from .test_boot import ENTRY_SETTINGS
 from .test_operator_records import page
 
 SERVERS, ENTRIES = "keyed.servers", "keyed.entries"
-FIRED = (
-    "server_list_confirmed",
-    "server_list_gap",
-    "software_versions_recorded",
-    "software_versions_listed",
-    "entry_list_read",
-    "usage_recorded",
-)
-
-
-class Recorder(BaseComponent):
-    """Records what the store task sends and fires."""
-
-    def __init__(self):
-        super().__init__()
-        self.calls, self.seen = [], []
-
-    @handler("http_call", channel="*")
-    def _on_call(self, spec):
-        self.calls.append(spec)
-
-    @handler(*FIRED, channel="*")
-    def _on_fired(self, event, *args):
-        self.seen.append((event.name, *args))
 
 
 class Store:
@@ -111,7 +89,7 @@
     store = Store()
     store.answer(SERVERS, read_to(4))
     store.take_seen()
-    store.tick(MAX_READ_GAP_S + 1.0)
+    store.tick(MAX_LIST_AGE_S + 1.0)
     store.answer(SERVERS, read_to(4))
     assert [name for name, *_ in store.take_seen()] == [
         "server_list_gap",
--- a/chervilgw/platform/tests/test_software_versions.py
+++ b/chervilgw/platform/tests/test_software_versions.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from circuits import BaseComponent, Component, handler
+from circuits import Component
 
 from chervilgw.forward import events
 from chervilgw.platform.boot import decode_settings
@@ -27,34 +27,20 @@
     clock_tick,
 )
 
+from .store_recorder import Recorder
 from .test_boot import ENTRY_SETTINGS
 from .test_operator_records import page
 
 OLD, NEW, BOTH = {"llm": ("1",)}, {"llm": ("2",)}, {"llm": ("1", "2")}
 ADDRESS = "10.0.0.1:7600"
-
-
-class Recorder(BaseComponent):
-    """Records what the store task sends and fires."""
-
-    def __init__(self):
-        super().__init__()
-        self.calls, self.seen = [], []
-
-    @handler("http_call", channel="*")
-    def _on_call(self, spec):
-        self.calls.append(spec)
-
-    @handler("software_versions_recorded", "entry_list_read", channel="*")
-    def _on_read(self, event, *args):
-        self.seen.append((event.name, *args))
+READ = ("software_versions_recorded", "entry_list_read")
 
 
 class Store:
     """A store task whose calls the test answers."""
 
     def __init__(self):
-        self.root, self.recorder = Component(), Recorder()
+        self.root, self.recorder = Component(), Recorder(READ)
         settings = decode_settings(ENTRY_SETTINGS)
         make_store_task(settings, follow_servers=False).register(self.root)
         self.recorder.register(self.root)
--- a/chervilgw/routing/resumptions.py
+++ b/chervilgw/routing/resumptions.py
@@ -149,13 +149,14 @@
         """Record that the store was read, with or without a record."""
         self._history.on_records_read()
 
-    def on_list_gap(self) -> None:
+    def on_list_gap(self, now_s: float) -> None:
         """Record that versions may have served unseen; the record names them."""
-        self._history.on_gap()
+        self._history.on_gap(now_s)
 
-    def on_store_restored(self) -> None:
+    def on_store_restored(self, now_s: float) -> None:
         """Record that the store may have lost the latest record."""
         self._recorded = None
+        self._history.on_store_restored(now_s)
 
     def take_changed_record(self) -> RecordedVersions | None:
         """Return what is to be recorded, None if it is recorded.
--- a/chervilgw/routing/tests/test_resumptions.py
+++ b/chervilgw/routing/tests/test_resumptions.py
@@ -167,7 +167,7 @@
     resumptions,
 ):
     """Guards against a version that came and went while nothing was read."""
-    resumptions.on_list_gap()
+    resumptions.on_list_gap(ARRIVED_S)
     request = take_up("desk", waited_s=SOLE_VERSION_WAIT_S)
     assert resumptions.decide(request, NEW).step is ASK
     resumptions.on_record({"desk": ("v2", "v3")}, ARRIVED_S)
@@ -181,7 +181,7 @@
     serving = [replace(SERVER, software_version="v2")]
     for now_s in (0.4 * RETENTION_S, 0.8 * RETENTION_S, 1.2 * RETENTION_S):
         resumptions.on_servers(serving, now_s)
-        resumptions.on_list_gap()
+        resumptions.on_list_gap(now_s)
         if now_s < RETENTION_S:
             resumptions.on_record({"llm": ("v1", "v2")}, now_s)
         resumptions.on_records_read()
--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -31,6 +31,7 @@
     make_resumptions,
 )
 from chervilgw.routing.stream_origins import RETENTION_S, make_stream_origins
+from chervilgw.routing.version_history import make_version_history
 
 SERVICE, MODELS = "llm", {"m": frozenset()}
 VMS, ENTRIES = range(4), range(3)
@@ -48,13 +49,17 @@
 
 @dataclass(slots=True)
 class Entry:
-    """What one entry process knows; ``is_apart`` if it is stopped or cut off."""
+    """What one entry process knows; ``is_apart`` if it is stopped or cut off.
+
+    ``missed_restore`` is of an entry that was apart when the store was restored.
+    """
 
     resumptions: Resumptions = field(default_factory=make_resumptions)
     record: VersionRecord = field(default_factory=make_version_record)
     versions: frozenset[str] = frozenset()
     read_s: float = float("-inf")
     is_apart: bool = False
+    missed_restore: bool = False
 
     def read_list(self, servers: list[RegisteredServer], now_s: float) -> None:
         self.resumptions.on_servers(servers, now_s)
@@ -234,7 +239,9 @@
             if not entry.is_apart:
                 continue
             entry.is_apart = False
-            entry.resumptions.on_list_gap()
+            if entry.missed_restore:
+                self.observe_restore(entry)
+            entry.resumptions.on_list_gap(self.now_s)
             entry.read_list(self.registered(), self.now_s)
             if reads_record:
                 entry.read_record(self.stored, self.now_s)
@@ -273,16 +280,25 @@
         self.copy = self.stored
 
     @precondition(is_in_touch)
-    @rule()
-    def restore_store(self):
-        """Go back to the copy; entries that are apart return after the rewrite."""
+    @rule(returns_first=st.booleans())
+    def restore_store(self, returns_first):
+        """Go back to the copy; entries that are apart may return before the rewrite."""
         self.stored = self.copy
-        for entry in self.in_touch():
-            entry.record.on_restored(self.now_s)
-            entry.resumptions.on_store_restored()
-            entry.read_store(self.stored, self.now_s)
+        in_touch = self.in_touch()
+        for entry in self.running():
+            entry.missed_restore = entry.is_apart
+        if returns_first:
+            self.return_entries(reads_record=True)
+        for entry in in_touch:
+            self.observe_restore(entry)
         self.read_list()
 
+    def observe_restore(self, entry):
+        entry.missed_restore = False
+        entry.record.on_restored(self.now_s)
+        entry.resumptions.on_store_restored(self.now_s)
+        entry.read_store(self.stored, self.now_s)
+
     @precondition(is_in_touch)
     @rule(entry=entries)
     def begin_streams(self, entry):
@@ -375,5 +391,29 @@
     machine.start(["1"] * len(VMS))
     machine.serve_unseen(entry=0, vm=0, version="2", leaves=True)
     machine.return_entries(reads_record=False)
-    machine.restore_store()
+    machine.restore_store(returns_first=False)
     machine.no_stream_goes_on_at_another_version()
+    machine.wait(RETENTION_S / 2)
+    machine.no_stream_goes_on_at_another_version()
+
+
+def test_entry_that_returns_to_a_restored_store_joins_no_stream():
+    """Guards against a record that is read before another entry wrote it again."""
+    machine = StreamVersionsMachine()
+    machine.start(["1"] * len(VMS))
+    machine.serve_unseen(entry=0, vm=0, version="2", leaves=True)
+    machine.restore_store(returns_first=True)
+    machine.no_stream_goes_on_at_another_version()
+
+
+def test_sole_version_decides_again_once_no_stream_of_the_gap_is_taken_up():
+    """Guards against an entry that refuses streams for good after a restore."""
+    history = make_version_history()
+    history.on_records_read()
+    history.on_gap(1.0)
+    history.on_store_restored(2.0)
+    history.on_records_read()
+    history.on_servers([], RETENTION_S + 1.0)
+    assert history.recent(SERVICE) is None
+    history.on_servers([], RETENTION_S + 2.0)
+    assert history.recent(SERVICE) == frozenset()
--- a/chervilgw/routing/version_history.py
+++ b/chervilgw/routing/version_history.py
@@ -14,6 +14,9 @@
 from chervilgw.core.ids import ServiceName, SoftwareVersion
 from chervilgw.routing.stream_origins import RETENTION_S
 
+# A running process reads the list of servers more often, also if one call is lost. In a
+# longer time a server may register, serve and leave, and its records be deleted.
+MAX_LIST_AGE_S = 2.5
 # Versions of a service that are remembered; the ones seen last stay.
 MAX_VERSIONS = 32
 
@@ -28,9 +31,14 @@
         default_factory=dict
     )
     _is_complete: bool = False
+    _is_uncertain: bool = False
+    _restored_s: float = float("-inf")
+    # Until when streams may go on that began at versions of which no record is left.
+    _uncertain_until_s: float = float("-inf")
 
     def on_servers(self, servers: Iterable[RegisteredServer], now_s: float) -> None:
         """Record the versions of the servers that may write to callers now."""
+        self._is_uncertain = now_s < self._uncertain_until_s
         for server in servers:
             self._see(server.service, server.software_version, now_s)
         for service, seen in list(self._seen_s.items()):
@@ -61,13 +69,28 @@
         """Record that the store was read, with or without a record."""
         self._is_complete = True
 
-    def on_gap(self) -> None:
-        """Record that servers may have come and gone unseen; the record names them."""
+    def on_gap(self, now_s: float) -> None:
+        """Record that servers may have come and gone unseen; the record names them.
+
+        The record of a store that was lately restored from a copy may lack them.
+        """
         self._is_complete = False
+        if now_s - self._restored_s <= RETENTION_S:
+            self._set_uncertain(now_s)
 
-    def recent(self, service: ServiceName) -> frozenset[SoftwareVersion] | None:
-        """Return the versions that lately served, None until the record is read."""
+    def on_store_restored(self, now_s: float) -> None:
+        """Record that the store was restored from a copy, which may lack versions."""
+        self._restored_s = now_s
         if not self._is_complete:
+            self._set_uncertain(now_s)
+
+    def _set_uncertain(self, now_s: float) -> None:
+        self._is_uncertain = True
+        self._uncertain_until_s = now_s + RETENTION_S
+
+    def recent(self, service: ServiceName) -> frozenset[SoftwareVersion] | None:
+        """Return the versions that lately served, None if some may be unknown."""
+        if not self._is_complete or self._is_uncertain:
             return None
         return frozenset(self._seen_s.get(service, ()))
 
