Write the record of versions anew from each entry after a restore

What callers saw: nothing; the model only. After a restore each process that wrote the record of versions within 120 s writes again what it wrote then. An entry that wrote before a version came can thus write last, and the entry that keeps the record takes it as recorded. Entries that start later do not know of the version.

Change: each entry whose history is complete hands over what it knows now, once, when the store is restored. What it wrote before stays the fallback of an entry with a gap.

Tests: test_each_entry_records_once_after_the_store_lost_records fails before.

--- a/chervilgw/forward/origin_tracker.py
+++ b/chervilgw/forward/origin_tracker.py
@@ -15,6 +15,7 @@
 from chervilgw.forward.events import (
     agent_send,
     server_list_wanted,
+    software_versions_due,
     stream_origin_answered,
     stream_origin_requested,
 )
@@ -170,3 +171,7 @@
     @handler("store_restored", channel="*")
     def _on_record_lost(self):
         self.resumptions.on_store_restored(time.monotonic())
+        # Each entry writes: the one that keeps the record may be out of step.
+        versions = self.resumptions.take_changed_record()
+        if versions is not None:
+            self.fire(software_versions_due(versions), "store")
--- a/chervilgw/forward/tests/test_version_record.py
+++ b/chervilgw/forward/tests/test_version_record.py
@@ -50,6 +50,16 @@
     assert recorded(entry) == []
 
 
+def test_each_entry_records_once_after_the_store_lost_records():
+    """Guards against the outdated record of an entry that kept it before."""
+    entry = StreamEntry({"i-1": "v1", "i-2": "v2"}, vm="e2")
+    first = replace(REPORT, sender=Incarnation("e1", 1), grants_complete=True)
+    entry.fire(events.entry_reported(first))
+    assert recorded(entry) == []
+    entry.fire(events.store_restored(), "*")
+    assert recorded(entry) == recorded(entry) == [BOTH]
+
+
 def test_version_that_left_long_ago_is_dropped():
     """Guards against refusals of streams that only one version can have begun."""
     entry = StreamEntry({"i-1": "v1", "i-2": "v2"})
--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -297,7 +297,9 @@
         entry.missed_restore = False
         entry.record.on_restored(self.now_s)
         entry.resumptions.on_store_restored(self.now_s)
+        entry.report_due()
         entry.read_store(self.stored, self.now_s)
+        self.stored = self.written_by(entry)
 
     @precondition(is_in_touch)
     @rule(entry=entries)
