Load what nobody serves while a lost server holds the permits

What callers saw: after the loss of a server a model that it alone held stayed out of reach for up to 30 s, though other servers had room.

Cause: the permits of a lost sidecar count for 30 s, as its loads may still run at the store. A load without a permit was allowed after the loss of an entry only.

Change: the entry tells the sender of a waiting request that a lost sidecar may hold the permits; the sender then applies the rule for the loss of an entry. The store's own limit holds. The engine task logs permits, orders and copies.

--- a/chervilgw/core/messages.py
+++ b/chervilgw/core/messages.py
@@ -320,11 +320,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitGrant:
-    """Answer to a permit request."""
+    """Answer to a permit request.
+
+    With ``is_withheld`` the request stays queued, and a process that was lost may hold
+    the permits that it waits for.
+    """
 
     permit_id: str
     granted: bool
     retry_after_s: float = 0.0
+    is_withheld: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chervilgw/quota/permits.py
+++ b/chervilgw/quota/permits.py
@@ -3,6 +3,10 @@
 The entry has one queue of requests from sidecars. A permit is granted when every budget
 it names has granted one use. A request that one budget denies returns the debits of the
 others until its next attempt, so that two requests cannot deadlock.
+
+The permits of a sidecar that was lost count for a while, as its loads may still run.
+The sender of a request that they may hold up is told so: it may load a model that no
+other server has without a permit, within the limit of the store itself.
 """
 
 from __future__ import annotations
@@ -13,6 +17,7 @@
 
 from chervilgw.core.ids import BudgetName, Incarnation
 from chervilgw.core.messages import PermitGrant, PermitRelease, PermitRequest
+from chervilgw.quota.budget_names import ADAPTER_STARTS_AT_ONCE, STORE_LOADS_AT_ONCE
 from chervilgw.quota.ledger import PERMIT_SETTLE_S, Quota
 from chervilgw.quota.records import Debit, Denied, Granted, Output, Send
 
@@ -22,6 +27,8 @@
 MAX_RETRY_S = 1.0
 # Stored ids of ended permits, so that a late copy of a request gets no new permit.
 MAX_ENDED_IDS = 4096
+# Budgets of permits that are in use until they are released.
+COUNT_BUDGETS = frozenset({STORE_LOADS_AT_ONCE, ADAPTER_STARTS_AT_ONCE})
 
 
 @dataclass(slots=True)
@@ -34,6 +41,7 @@
     waiting_for: set[BudgetName] = field(default_factory=set)
     debits: list[Debit] = field(default_factory=list)
     denied: bool = False
+    is_withheld: bool = False
 
 
 _Key = tuple[Incarnation, str]
@@ -61,6 +69,8 @@
         self._granted: dict[_Key, _Permit] = {}
         self._ended: OrderedDict[_Key, None] = OrderedDict()
         self._gone_since_s: dict[Incarnation, float] = {}
+        # Sidecars whose connection ended, also before it is known that they are gone.
+        self._lost_since_s: dict[Incarnation, float] = {}
         self._tokens: dict[str, tuple[_Permit, BudgetName]] = {}
         self._counter = 0
 
@@ -98,6 +108,14 @@
         outputs = self._return_debits(permit, now_s) if permit else []
         return outputs + self._release(key, now_s) + self._start_next(now_s)
 
+    def on_connected(self, sidecar: Incarnation) -> None:
+        """Record a connection to a sidecar, which releases its permits itself."""
+        self._lost_since_s.pop(sidecar, None)
+
+    def on_disconnected(self, sidecar: Incarnation, now_s: float) -> None:
+        """Record that a sidecar was lost, possibly with permits of any entry."""
+        self._lost_since_s[sidecar] = now_s
+
     def set_gone(self, incarnations: Iterable[Incarnation], now_s: float) -> None:
         """Set the sidecars whose VM is gone or has a later incarnation."""
         self._gone_since_s = {
@@ -126,6 +144,9 @@
     def tick(self, now_s: float) -> list[Output]:
         """Release permits of gone sidecars; refuse requests that waited too long."""
         outputs: list[Output] = []
+        for sidecar, since_s in list(self._lost_since_s.items()):
+            if now_s >= since_s + self._settle_s:
+                del self._lost_since_s[sidecar]
         for key, permit in list(self._queue.items()):
             if permit.sidecar in self._gone_since_s:
                 del self._queue[key]
@@ -158,7 +179,7 @@
         return outputs
 
     def _start(self, permit: _Permit, now_s: float) -> list[Output]:
-        permit.denied = False
+        permit.denied = permit.is_withheld = False
         permit.waiting_for = set(permit.budgets)
         if not permit.budgets:
             return self._complete(permit, now_s)
@@ -202,6 +223,8 @@
             permit.debits.append(output.debit)
         else:
             permit.denied = True
+            is_withheld = budget in COUNT_BUDGETS and bool(self._lost_since_s)
+            permit.is_withheld = permit.is_withheld or is_withheld
             wait_s = output.refusal.retry_after_s or MAX_RETRY_S
             wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
             permit.retry_at_s = now_s + wait_s
@@ -212,7 +235,11 @@
     def _complete(self, permit: _Permit, now_s: float) -> list[Output]:
         key = (permit.sidecar, permit.permit_id)
         if permit.denied:
-            return self._return_debits(permit, now_s)
+            outputs = self._return_debits(permit, now_s)
+            if permit.is_withheld:
+                notice = PermitGrant(permit.permit_id, False, is_withheld=True)
+                outputs.append(Send(permit.sidecar, notice))
+            return outputs
         del self._queue[key]
         self._granted[key] = permit
         # A rate budget is charged at the grant: the sidecar uses the permit at once.
--- a/chervilgw/quota/task.py
+++ b/chervilgw/quota/task.py
@@ -143,11 +143,15 @@
         if peer.role is Role.ENTRY:
             self._peers.add(peer.incarnation)
             self._quota.set_peers(self._peers)
+        else:
+            self._permits.on_connected(peer.incarnation)
 
     @handler("peer_down", channel="*")
     def _on_peer_down(self, peer):
         self._peers.discard(peer.incarnation)
         self._quota.set_peers(self._peers)
+        if peer.role is not Role.ENTRY:
+            self._permits.on_disconnected(peer.incarnation, time.monotonic())
 
     @handler("fleet_changed", channel="*")
     def _on_fleet(self, fleet):
--- a/chervilgw/sidecar/engine_task.py
+++ b/chervilgw/sidecar/engine_task.py
@@ -21,7 +21,7 @@
 )
 from chervilgw.configuration.state import ConfigurationState, empty_state
 from chervilgw.core.ids import CrashId, Incarnation, ModelName
-from chervilgw.core.messages import PermitGrant
+from chervilgw.core.messages import PermitGrant, PermitRequest
 from chervilgw.core.states import CopyState, RefusalReason
 from chervilgw.membership.task import FleetSnapshot
 from chervilgw.placement.copies import LoadCopy, decide_copy_changes
@@ -118,7 +118,7 @@
 
     @handler("recent_entry_loss")
     def _on_entry_loss(self, until_s):
-        self._permits.on_entry_lost(until_s)
+        self._permits.on_loss(until_s)
 
     @handler("drain", channel="*")
     def _on_drain(self):
@@ -152,8 +152,16 @@
     def _on_messages(self, peer, messages):
         for message in messages:
             if isinstance(message, PermitGrant):
-                outputs = self._permits.on_grant(peer.incarnation, message)
-                self._apply_permits(outputs, time.monotonic())
+                log_event(
+                    "permit_answered",
+                    permit=message.permit_id,
+                    entry=str(peer.incarnation),
+                    granted=message.granted,
+                    withheld=message.is_withheld,
+                )
+                now_s = time.monotonic()
+                outputs = self._permits.on_grant(peer.incarnation, message, now_s)
+                self._apply_permits(outputs, now_s)
 
     @handler("clock_tick", channel="*")
     def _on_tick(self, now_s, paused):
@@ -211,6 +219,7 @@
             self._answer_order(order_id, OrderAnswer.LOST, now_s)
 
     def _answer_order(self, order_id, answer, now_s):
+        log_event("order_answered", order=order_id, answer=answer.value)
         if self._ledger is not None:
             self._ledger.on_order_answer(order_id, answer, now_s)
 
@@ -270,6 +279,8 @@
             free_bytes = max(0, self._ledger.free_bytes)
             view = EngineView(True, self._capacity_bytes, free_bytes, resident)
         if view != self._view:
+            if view.resident != self._view.resident:
+                log_event("copies_changed", copies=dict(view.resident))
             self._view = view
             self.fire(engine_view(view), "queue")
         changing = {CopyState.LOADING.value, CopyState.UNLOADING.value}
@@ -345,6 +356,13 @@
     def _apply_permits(self, outputs: Iterable[PermitOutput], now_s):
         for output in outputs:
             if isinstance(output, SendToEntry):
+                if isinstance(output.message, PermitRequest):
+                    log_event(
+                        "permit_requested",
+                        permit=output.message.permit_id,
+                        entry=str(output.to),
+                        budgets=output.message.budgets,
+                    )
                 self.fire(peer_send(output.to, output.message), "links")
             else:
                 if not output.permitted:
@@ -377,6 +395,9 @@
                 self._send_order(output)
 
     def _send_order(self, order: Order):
+        log_event(
+            "order_sent", order=order.order_id, kind=order.kind.value, name=order.name
+        )
         call = f"engine-order-{next(self._call_numbers)}"
         self._order_calls[call] = order.order_id
         spec = copy_spec(self._state, order.name)
--- a/chervilgw/sidecar/permits.py
+++ b/chervilgw/sidecar/permits.py
@@ -20,11 +20,14 @@
 from chervilgw.sidecar.loading import CopySpec, LoadRequests, is_served_elsewhere
 
 PERMIT_RETRY_S = 2.0
-# After the loss of an entry, a model that no other server has loaded is loaded without
-# a permit when it was requested for longer than this: the lost entry may have held the
-# store's budget, and its units can't be collected without the log. The store refuses
+# After the loss of an entry or a sidecar, a model that no other server has loaded is
+# loaded without a permit when it was requested for longer than this: the lost entry may
+# have held the store's budget, and its units can't be collected without the log; the
+# permits of a lost sidecar count until its loads must have ended. The store refuses
 # loads over its limit, and they are retried.
 UNPERMITTED_LOAD_DELAY_S = 2.0
+# An entry repeats after at most 1.3 s that a lost process may hold the permits.
+WITHHELD_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,15 +67,15 @@
         self._permit_numbers = count(1)
         self._permits: dict[str, _Permit] = {}
         self._load_requests = LoadRequests()
-        self._entry_loss_until_s = float("-inf")
+        self._loss_until_s = float("-inf")
 
     def __contains__(self, name: str) -> bool:
         """Return whether a permit for this copy is requested or granted."""
         return name in self._permits
 
-    def on_entry_lost(self, until_s: float) -> None:
-        """Set until when budget units may be missing because an entry was lost."""
-        self._entry_loss_until_s = until_s
+    def on_loss(self, until_s: float) -> None:
+        """Record that permits may be missing until then because a process was lost."""
+        self._loss_until_s = max(self._loss_until_s, until_s)
 
     def record_request(self, name: str, now_s: float) -> None:
         """Record that a decision requests a load, even if there is no memory yet."""
@@ -131,8 +134,13 @@
                 outputs += self._request_output(permit, entries, now_s)
         return outputs
 
-    def on_grant(self, entry: Incarnation, grant: PermitGrant) -> list[PermitOutput]:
+    def on_grant(
+        self, entry: Incarnation, grant: PermitGrant, now_s: float
+    ) -> list[PermitOutput]:
         """Apply an entry's answer to a permit request."""
+        if grant.is_withheld:
+            self.on_loss(now_s + WITHHELD_TIMEOUT_S)
+            return []
         permit = next(
             (p for p in self._permits.values() if p.permit_id == grant.permit_id), None
         )
@@ -203,7 +211,7 @@
             <= UNPERMITTED_LOAD_DELAY_S
         ):
             return False
-        if now_s > self._entry_loss_until_s:
+        if now_s > self._loss_until_s:
             return False
         return not is_served_elsewhere(permit.spec.name, servers, self._incarnation.vm)
 
@@ -232,7 +240,9 @@
     >>> requested, = permits.request(CopySpec("draft", "1", 60), [entry], now_s=0.0)
     >>> requested.message.budgets
     ('store:loads-per-s', 'store:loads-at-once')
-    >>> load, = permits.on_grant(entry, PermitGrant(requested.message.permit_id, True))
+    >>> load, = permits.on_grant(
+    ...     entry, PermitGrant(requested.message.permit_id, True), now_s=0.1
+    ... )
     >>> load.spec.name, load.permitted
     ('draft', True)
     >>> released, = permits.release_ended([])
--- a/chervilgw/sidecar/tests/test_permits.py
+++ b/chervilgw/sidecar/tests/test_permits.py
@@ -52,8 +52,8 @@
     requested = request(permits)
     assert permits.request(SPEC, ENTRIES, 0.1) == []
     grant = PermitGrant(requested.message.permit_id, True)
-    assert permits.on_grant(requested.to, grant) == [StartLoad(SPEC)]
-    assert permits.on_grant(requested.to, grant) == []
+    assert permits.on_grant(requested.to, grant, 0.1) == [StartLoad(SPEC)]
+    assert permits.on_grant(requested.to, grant, 0.1) == []
     loading = ResidentCopy(SPEC.name, SPEC.version, 60, CopyState.LOADING)
     assert permits.release_ended([loading]) == []
     loaded = ResidentCopy(SPEC.name, SPEC.version, 60, CopyState.LOADED)
@@ -72,16 +72,18 @@
     unused = SendToEntry(first.to, PermitRelease(late.permit_id))
     assert released == unused
     assert second.to != first.to
-    assert permits.on_grant(first.to, late) == [unused]
+    assert permits.on_grant(first.to, late, LATER_S) == [unused]
     grant = PermitGrant(second.message.permit_id, True)
-    assert permits.on_grant(second.to, grant) == [StartLoad(SPEC)]
+    assert permits.on_grant(second.to, grant, LATER_S) == [StartLoad(SPEC)]
 
 
 def test_refused_permit_may_be_requested_again(permits):
     """Guards against a model that is never loaded after one refusal."""
     requested = request(permits)
     assert (
-        permits.on_grant(requested.to, PermitGrant(requested.message.permit_id, False))
+        permits.on_grant(
+            requested.to, PermitGrant(requested.message.permit_id, False), 0.1
+        )
         == []
     )
     assert len(permits.request(SPEC, ENTRIES, 1.0)) == 1
@@ -110,7 +112,7 @@
 def test_load_without_a_permit(permits, loss_until_s, servers, loads):
     """Guards against a model that stays unavailable as a lost entry held the budget."""
     if loss_until_s is not None:
-        permits.on_entry_lost(loss_until_s)
+        permits.on_loss(loss_until_s)
     request(permits)
     repeat_requests(permits, LATER_S)
     unpermitted = StartLoad(SPEC, permitted=False)
@@ -118,6 +120,17 @@
     assert (unpermitted in permits.tick(ENTRIES, servers, LATER_S)) == loads
 
 
+@pytest.mark.parametrize("is_withheld", [True, False])
+def test_load_without_a_permit_that_a_lost_server_may_hold(permits, is_withheld):
+    """Guards against a model that waits until the permit of a lost load expires."""
+    requested = request(permits)
+    repeat_requests(permits, LATER_S)
+    refused = PermitGrant(requested.message.permit_id, False, 0.05, is_withheld)
+    assert permits.on_grant(requested.to, refused, LATER_S - 0.1) == []
+    unpermitted = StartLoad(SPEC, permitted=False)
+    assert (unpermitted in permits.tick(ENTRIES, [], LATER_S)) == is_withheld
+
+
 def test_permit_that_no_decision_requests_is_withdrawn(permits):
     """Guards against a needless load of a model that another server has by now."""
     requested = request(permits)
--- a/fleet/tests/test_faults_reach.py
+++ b/fleet/tests/test_faults_reach.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 
 import pytest
@@ -10,6 +11,10 @@
 from fleet.plan import ModelPlan
 from fleet.tests.faulting import (
     ROUNDS,
+    answers,
+    engine_state,
+    engine_vms,
+    holders_of,
     set_faults,
     small_plan,
     time_until_answers,
@@ -104,3 +109,31 @@
         if vm.zone == zone:
             lose(whole_fleet, vm.name, "whole VM")
     measure(whole_fleet, f"{zone} lost, log down: {log_down}")
+
+
+def loader_of(fleet, model: str):
+    """Return a VM whose engine is loading a model, or None."""
+    for vm in engine_vms(fleet):
+        if vm.backend.running:
+            copies = engine_state(vm)["resident"]
+            if any(c["name"] == model and c["state"] == "loading" for c in copies):
+                return vm
+    return None
+
+
+def test_permit_of_a_lost_server_does_not_hold_up_the_load_elsewhere():
+    """Guards against a model out of reach while a lost load counts at the store."""
+    plan = small_plan(models=(ModelPlan("draft"),), store_loads_at_once=1)
+    with start_fleet(plan) as fleet:
+        fleet.wait_loaded()
+        for vm in holders_of(fleet, "draft"):
+            lose(fleet, vm.name, "whole VM")
+        address = fleet.entry_addresses()[0]
+        caller = threading.Thread(target=answers, args=(fleet, "draft", address))
+        caller.start()
+        fleet.wait_for(lambda: loader_of(fleet, "draft"), "a load has begun")
+        lose(fleet, loader_of(fleet, "draft").name, "whole VM")
+        times = time_until_answers(fleet, ["draft"], BOUND_S, time.monotonic())
+        caller.join()
+    print(f"\nlast server loads draft: answer after {times['draft']:.2f} s")
+    assert times["draft"] <= BOUND_S
