Log attempts that need a load, and print the logs of a late model

The failures of test_faults_reach.py at the first loss of engine-3 could not be told apart: a caller's request that waits at a server for its load, a permit that is late, or an order that the engine refuses. The entry now logs the server of an attempt that needs a load, and the test prints what the daemons logged since 5 s before the loss when it fails. The check itself is unchanged.

--- a/chervilgw/entry/filters/choose.py
+++ b/chervilgw/entry/filters/choose.py
@@ -67,7 +67,7 @@
     identity = priced.identity
     return Success(
         Routed(
-            message.choice.vm,
+            message.choice,
             Dispatch(
                 attempt.request_id,
                 CustomerId(identity.customer if identity else ""),
--- a/chervilgw/entry/gateway.py
+++ b/chervilgw/entry/gateway.py
@@ -117,6 +117,13 @@
             self._on_no_server(request, result.failure(), now_s)
             return
         routed = result.unwrap()
+        if routed.choice.needs_load:
+            log_event(
+                "attempt_needs_load",
+                attempt=str(routed.message.request_id),
+                vm=routed.vm,
+                target=routed.message.target,
+            )
         server = self._attempts.begin(request, routed, now_s)
         self._metrics.record(table.ATTEMPTS)
         self.fire(peer_send(server, routed.message), "links")
--- a/chervilgw/entry/messages.py
+++ b/chervilgw/entry/messages.py
@@ -146,7 +146,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Routed:
-    """The message of an attempt and the VM to send it to."""
+    """The message of an attempt and the server to send it to."""
 
-    vm: VmId
+    choice: Choice
     message: Dispatch
+
+    @property
+    def vm(self) -> VmId:
+        """Return the VM of the server."""
+        return self.choice.vm
--- a/fleet/tests/faulting.py
+++ b/fleet/tests/faulting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import random
 import socket
@@ -10,6 +11,7 @@
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
 
 import pytest
 
@@ -184,6 +186,21 @@
         return dict(zip(models, pool.map(wait, models), strict=True))
 
 
+def print_recent_logs(fleet: Fleet, seconds: float) -> None:
+    """Print what the daemons logged lately, in order, for a test that fails."""
+    since = (datetime.now(UTC) - timedelta(seconds=seconds)).strftime("%H:%M:%S.%f")
+    lines = []
+    for path in (fleet.folder / "logs").glob("*.log"):
+        for line in path.read_text().splitlines():
+            if line.startswith("{"):
+                record = json.loads(line)
+                time_of_day = record.pop("time").partition("T")[2]
+                lines.append((time_of_day, path.stem, record))
+    for time_of_day, name, record in sorted(lines, key=lambda line: line[:2]):
+        if time_of_day >= since:
+            print(time_of_day, name, record.pop("event"), record)
+
+
 def set_faults(address: str, **faults) -> None:
     """Replace the faults of a stand-in."""
     answer = call(address, "PUT", "/faults", faults)
--- a/fleet/tests/test_faults_reach.py
+++ b/fleet/tests/test_faults_reach.py
@@ -15,6 +15,7 @@
     engine_state,
     engine_vms,
     holders_of,
+    print_recent_logs,
     set_faults,
     small_plan,
     time_until_answers,
@@ -69,10 +70,15 @@
 
 def measure(fleet, what: str) -> None:
     """Check that all models answer again in time, and print the times."""
-    times = time_until_answers(fleet, MODELS, BOUND_S, time.monotonic())
-    worst_s = max(times.values())
-    print(f"\n{what}: all models answer after {worst_s:.2f} s (bound {BOUND_S} s)")
-    assert worst_s <= BOUND_S, times
+    started_s = time.monotonic()
+    try:
+        times = time_until_answers(fleet, MODELS, BOUND_S, started_s)
+        worst_s = max(times.values())
+        print(f"\n{what}: all models answer after {worst_s:.2f} s (bound {BOUND_S} s)")
+        assert worst_s <= BOUND_S, times
+    except AssertionError:
+        print_recent_logs(fleet, time.monotonic() - started_s + 5.0)
+        raise
 
 
 @pytest.mark.parametrize("round_number", range(ROUNDS))
