--- a/fleet/tests/test_faults_reach.py
+++ b/fleet/tests/test_faults_reach.py
@@ -68,11 +68,11 @@
         fleet.unlist_vm(name)
 
 
-def measure(fleet, what: str) -> None:
+def measure(fleet, what: str, models: list[str] = MODELS) -> None:
     """Check that all models answer again in time, and print the times."""
     started_s = time.monotonic()
     try:
-        times = time_until_answers(fleet, MODELS, BOUND_S, started_s)
+        times = time_until_answers(fleet, models, BOUND_S, started_s)
         worst_s = max(times.values())
         print(f"\n{what}: all models answer after {worst_s:.2f} s (bound {BOUND_S} s)")
         assert worst_s <= BOUND_S, times
@@ -129,7 +129,8 @@
 
 def test_permit_of_a_lost_server_does_not_hold_up_the_load_elsewhere():
     """Guards against a model out of reach while a lost load counts at the store."""
-    plan = small_plan(models=(ModelPlan("draft"),), store_loads_at_once=1)
+    # Up to three servers load the model at the start, before they know of each other.
+    plan = small_plan(models=(ModelPlan("draft"),), engines=5, store_loads_at_once=1)
     with start_fleet(plan) as fleet:
         fleet.wait_loaded()
         for vm in holders_of(fleet, "draft"):
@@ -139,7 +140,5 @@
         caller.start()
         fleet.wait_for(lambda: loader_of(fleet, "draft"), "a load has begun")
         lose(fleet, loader_of(fleet, "draft").name, "whole VM")
-        times = time_until_answers(fleet, ["draft"], BOUND_S, time.monotonic())
+        measure(fleet, "server that loads draft lost", ["draft"])
         caller.join()
-    print(f"\nlast server loads draft: answer after {times['draft']:.2f} s")
-    assert times["draft"] <= BOUND_S
