Write the record of versions again once an entry keeps it again

A version left for over 120 s and came back, as in a release that is rolled back, while the entry that keeps the record was out of step. The entry that stood in for it had kept the record before and took its former one, with both versions, for the present one, which named one. It wrote nothing, and an entry that started then joined streams of the version that came back.

Change: an entry forgets what it recorded while another one keeps the record, and after a gap in its reads of the list, and writes once when it keeps it again.

Tests: test_entry_that_keeps_the_record_again_writes_it and test_version_that_comes_back_is_recorded_by_the_entry_that_recorded_it_before fail without the change.

--- a/chervilgw/forward/entry_reporter.py
+++ b/chervilgw/forward/entry_reporter.py
@@ -204,6 +204,7 @@
         """
         self.resumptions.on_servers(self.fleet.directory.present(now_s), now_s)
         if not self._quota.is_recorder(self.incarnation.vm, now_s):
+            self.resumptions.on_kept_elsewhere()
             return
         versions = self.resumptions.take_changed_record()
         if versions is not None:
--- a/chervilgw/forward/tests/test_version_record.py
+++ b/chervilgw/forward/tests/test_version_record.py
@@ -60,6 +60,22 @@
     assert recorded(entry) == recorded(entry) == [BOTH]
 
 
+def test_entry_that_keeps_the_record_again_writes_it():
+    """Guards against a record that another entry changed in between.
+
+    A version that had left long ago and came back was not recorded then.
+    """
+    entry = StreamEntry({"i-1": "v1"}, vm="e2")
+    assert recorded(entry) == [V1]
+    first = replace(REPORT, sender=Incarnation("e1", 1), grants_complete=True)
+    entry.fire(events.entry_reported(first))
+    assert recorded(entry) == [V1]
+    # The first one is silent by now.
+    entry.tick(30.0)
+    entry.tick(30.0)
+    assert recorded(entry) == [V1, V1]
+
+
 def test_version_that_left_long_ago_is_dropped():
     """Guards against refusals of streams that only one version can have begun."""
     entry = StreamEntry({"i-1": "v1", "i-2": "v2"})
--- a/chervilgw/routing/resumptions.py
+++ b/chervilgw/routing/resumptions.py
@@ -151,6 +151,7 @@
 
     def on_list_gap(self, now_s: float) -> None:
         """Record that versions may have served unseen; the record names them."""
+        self._recorded = None
         self._history.on_gap(now_s)
 
     def on_store_restored(self, now_s: float) -> None:
@@ -158,6 +159,10 @@
         self._recorded = None
         self._history.on_store_restored(now_s)
 
+    def on_kept_elsewhere(self) -> None:
+        """Record that another entry keeps the record, and may change it."""
+        self._recorded = None
+
     def take_changed_record(self) -> RecordedVersions | None:
         """Return what is to be recorded, None if it is recorded.
 
--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -148,6 +148,8 @@
         for entry in self.in_touch()[:1]:
             entry.report_due()
             self.stored = self.written_by(entry)
+        for entry in self.in_touch()[1:]:
+            entry.resumptions.on_kept_elsewhere()
 
     @rule(seconds=st.sampled_from([1.0, 1.0, 30.0, RETENTION_S + 1.0]))
     def wait(self, seconds):
@@ -416,6 +418,21 @@
     machine.no_stream_goes_on_at_another_version()
 
 
+def test_version_that_comes_back_is_recorded_by_the_entry_that_recorded_it_before():
+    """Guards against an entry that takes its former record for the present one."""
+    machine = StreamVersionsMachine()
+    machine.start(["2", "1", "1", "1"])
+    machine.kill_entry(0)
+    for vm in (1, 2):
+        machine.stop_engine(vm)
+    machine.start_engine(vm=3, version="2")
+    machine.start_entry(0, is_lost=False)
+    machine.wait(RETENTION_S + 1.0)
+    machine.serve_unseen(entry=0, vm=0, version="1", leaves=True)
+    machine.start_entry(0, is_lost=False)
+    machine.no_stream_goes_on_at_another_version()
+
+
 def test_sole_version_decides_again_once_no_stream_of_the_gap_is_taken_up():
     """Guards against an entry that refuses streams for good after a restore."""
     history = make_version_history()
