Let an entry that may lack versions keep the record as it is

Change: an entry whose history is in doubt does not forget what it recorded, and so writes only when what it knows changes.

--- a/chervilgw/routing/resumptions.py
+++ b/chervilgw/routing/resumptions.py
@@ -151,8 +151,8 @@
 
     def on_list_gap(self, now_s: float) -> None:
         """Record that versions may have served unseen; the record names them."""
-        self._recorded = None
         self._history.on_gap(now_s)
+        self.on_kept_elsewhere()
 
     def on_store_restored(self, now_s: float) -> None:
         """Record that the store may have lost the latest record."""
@@ -160,8 +160,12 @@
         self._history.on_store_restored(now_s)
 
     def on_kept_elsewhere(self) -> None:
-        """Record that another entry keeps the record, and may change it."""
-        self._recorded = None
+        """Record that another entry keeps the record, and may change it.
+
+        An entry that may lack versions would write less than the other one has.
+        """
+        if not self._history.is_uncertain:
+            self._recorded = None
 
     def take_changed_record(self) -> RecordedVersions | None:
         """Return what is to be recorded, None if it is recorded.
--- a/chervilgw/routing/tests/test_stream_versions_machine.py
+++ b/chervilgw/routing/tests/test_stream_versions_machine.py
@@ -433,6 +433,17 @@
     machine.no_stream_goes_on_at_another_version()
 
 
+def test_entry_that_returned_to_a_restored_store_keeps_no_lesser_record():
+    """Guards against an entry that never saw a version and writes the record anew."""
+    machine = StreamVersionsMachine()
+    machine.start(["1"] * len(VMS))
+    machine.serve_unseen(entry=1, vm=0, version="2", leaves=True)
+    machine.restore_store(returns_first=True)
+    machine.set_apart(0)
+    machine.lose_power(agents=False, stopped=None, waited_s=0.0)
+    machine.no_stream_goes_on_at_another_version()
+
+
 def test_sole_version_decides_again_once_no_stream_of_the_gap_is_taken_up():
     """Guards against an entry that refuses streams for good after a restore."""
     history = make_version_history()
--- a/chervilgw/routing/version_history.py
+++ b/chervilgw/routing/version_history.py
@@ -65,6 +65,11 @@
         """Return whether the store was read, with or without a record."""
         return self._is_complete
 
+    @property
+    def is_uncertain(self) -> bool:
+        """Return whether versions may have served that no record names."""
+        return self._is_uncertain
+
     def on_records_read(self) -> None:
         """Record that the store was read, with or without a record."""
         self._is_complete = True
